--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# Commands of the README: make demo, make test.
+BIN := bin
+GO ?= go
+
+.PHONY: all build test lint fmt demo overhead faults soak rolling measure capacity fuzz ci clean
+
+all: build
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+fmt:
+	$(GO) tool gofumpt -w cmd internal
+
+lint:
+	@out="$$($(GO) tool gofumpt -l cmd internal)"; if [ -n "$$out" ]; then echo "not formatted (run make fmt):"; echo "$$out"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+test:
+	$(GO) test -race -timeout 10m ./...
+
+demo: build
+	$(BIN)/demo
+
+overhead: build
+	$(BIN)/overhead
+
+faults:
+	$(GO) run ./cmd/faults
+
+capacity: build
+	$(BIN)/capacity
+
+ci: lint build test demo
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,194 @@
+// Package metrics defines the OpenTelemetry instruments of a VM and serves them in the Prometheus format.
+package metrics
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"filbertledge/internal/api"
+	"filbertledge/internal/table"
+)
+
+const meterName = "filbertledge"
+
+// secondsBuckets cover 1 ms to 33 minutes, the longest step.
+var secondsBuckets = []float64{
+	.001, .0025, .005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5, 10, 30, 60, 120, 300, 600, 1200, 1980,
+}
+
+var versionBuckets = []float64{0, 1, 2, 3, 4, 6, 8, 12, 16}
+
+// Metrics holds the instruments of one VM. Its methods are safe for concurrent use.
+type Metrics struct {
+	handler http.Handler
+
+	requests       metric.Int64Counter
+	refused        metric.Int64Counter
+	refusedMinutes metric.Int64Counter
+	attempts       metric.Int64Counter
+	samples        metric.Int64Counter
+	edits          metric.Int64Counter
+	orders         metric.Int64Counter
+	latency        metric.Float64Histogram
+	firstToken     metric.Float64Histogram
+	queueWait      metric.Float64Histogram
+	staleness      metric.Int64Histogram
+	trainerIdle    metric.Float64Histogram
+	editReach      metric.Float64Histogram
+
+	minutes minuteSet
+}
+
+// New returns the instruments of vm.
+func New(vm api.VMID) (*Metrics, error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprom.New(otelprom.WithRegisterer(registry))
+	if err != nil {
+		return nil, err
+	}
+	provider := sdk.NewMeterProvider(sdk.WithReader(exporter))
+	b := builder{meter: provider.Meter(meterName, metric.WithInstrumentationAttributes(attribute.String("vm", string(vm))))}
+	m := &Metrics{
+		handler:        promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+		requests:       b.counter("filbertledge.requests", "customer requests by row and outcome"),
+		refused:        b.counter("filbertledge.refused", "refused customer requests by row and error kind"),
+		refusedMinutes: b.counter("filbertledge.refused_minutes", "minutes in which at least one customer request of the row was refused by this VM"),
+		attempts:       b.counter("filbertledge.attempts", "attempts on backend servers by row and result"),
+		samples:        b.counter("filbertledge.samples", "samples by row and what happened to them"),
+		edits:          b.counter("filbertledge.edits", "table edits by result"),
+		orders:         b.counter("filbertledge.orders", "orders to engines by kind and result"),
+		latency:        b.seconds("filbertledge.request.duration", "time from arrival to the end of the answer"),
+		firstToken:     b.seconds("filbertledge.request.first_token", "time from arrival to the first piece of the answer"),
+		queueWait:      b.seconds("filbertledge.request.queue_wait", "time from arrival to dispatch; head-of-line blocking shows here"),
+		staleness:      b.versions("filbertledge.sample.staleness", "newest version less the oldest version of a sample at hand-over"),
+		trainerIdle:    b.seconds("filbertledge.trainer.idle", "time that a trainer waited for samples in one fetch"),
+		editReach:      b.seconds("filbertledge.edit.reach", "time from acceptance of an edit until it is in force everywhere"),
+		minutes:        minuteSet{last: map[api.RowName]int64{}},
+	}
+	return m, b.err
+}
+
+// Handler serves the metrics in the Prometheus text format.
+func (m *Metrics) Handler() http.Handler { return m.handler }
+
+// builder creates instruments and keeps the first error.
+type builder struct {
+	meter metric.Meter
+	err   error
+}
+
+func (b *builder) keep(err error) {
+	if b.err == nil {
+		b.err = err
+	}
+}
+
+func (b *builder) counter(name, help string) metric.Int64Counter {
+	c, err := b.meter.Int64Counter(name, metric.WithDescription(help))
+	b.keep(err)
+	return c
+}
+
+func (b *builder) seconds(name, help string) metric.Float64Histogram {
+	h, err := b.meter.Float64Histogram(name, metric.WithDescription(help), metric.WithUnit("s"),
+		metric.WithExplicitBucketBoundaries(secondsBuckets...))
+	b.keep(err)
+	return h
+}
+
+func (b *builder) versions(name, help string) metric.Int64Histogram {
+	h, err := b.meter.Int64Histogram(name, metric.WithDescription(help),
+		metric.WithExplicitBucketBoundaries(versionBuckets...))
+	b.keep(err)
+	return h
+}
+
+func rowAttr(row api.RowName) attribute.KeyValue { return attribute.String("row", string(row)) }
+
+func add(c metric.Int64Counter, attrs ...attribute.KeyValue) {
+	c.Add(context.Background(), 1, metric.WithAttributes(attrs...))
+}
+
+func observe(h metric.Float64Histogram, d time.Duration, attrs ...attribute.KeyValue) {
+	h.Record(context.Background(), d.Seconds(), metric.WithAttributes(attrs...))
+}
+
+// RequestFinished counts a customer request that ended with outcome after duration d.
+func (m *Metrics) RequestFinished(row api.RowName, kind table.Kind, outcome api.Outcome, d time.Duration) {
+	add(m.requests, rowAttr(row), attribute.String("outcome", string(outcome)))
+	observe(m.latency, d, rowAttr(row), attribute.String("kind", string(kind)))
+}
+
+// RequestRefused counts a refused customer request and its minute. errorKind is an errs.Kind.
+func (m *Metrics) RequestRefused(row api.RowName, errorKind string, now time.Time) {
+	add(m.refused, rowAttr(row), attribute.String("error", errorKind))
+	if m.minutes.first(row, now) {
+		add(m.refusedMinutes, rowAttr(row))
+	}
+}
+
+// FirstToken records the time to the first piece of an answer.
+func (m *Metrics) FirstToken(row api.RowName, d time.Duration) {
+	observe(m.firstToken, d, rowAttr(row))
+}
+
+// QueueWait records the time from arrival to dispatch.
+func (m *Metrics) QueueWait(row api.RowName, d time.Duration) { observe(m.queueWait, d, rowAttr(row)) }
+
+// Attempt counts an attempt on a backend server. result is "ok" or an errs.Kind.
+func (m *Metrics) Attempt(row api.RowName, result string) {
+	add(m.attempts, rowAttr(row), attribute.String("result", result))
+}
+
+// Sample counts a sample event: finished, duplicate, stale, delivered, acknowledged or reset.
+func (m *Metrics) Sample(row api.RowName, what string) {
+	add(m.samples, rowAttr(row), attribute.String("event", what))
+}
+
+// SampleStaleness records how many versions a sample was behind at hand-over.
+func (m *Metrics) SampleStaleness(row api.RowName, versions uint64) {
+	m.staleness.Record(context.Background(), int64(versions), metric.WithAttributes(rowAttr(row)))
+}
+
+// TrainerIdle records the time that a trainer waited in one fetch.
+func (m *Metrics) TrainerIdle(row api.RowName, d time.Duration) {
+	observe(m.trainerIdle, d, rowAttr(row))
+}
+
+// Edit counts a table edit by result: accepted, conflict, replayed or rejected.
+func (m *Metrics) Edit(result string) { add(m.edits, attribute.String("result", result)) }
+
+// EditReach records the time from acceptance of an edit until it was in force everywhere.
+func (m *Metrics) EditReach(d time.Duration) { observe(m.editReach, d) }
+
+// Order counts an order to an engine.
+func (m *Metrics) Order(kind, result string) {
+	add(m.orders, attribute.String("kind", kind), attribute.String("result", result))
+}
+
+// minuteSet remembers the last minute in which each row refused a request.
+type minuteSet struct {
+	mu   sync.Mutex
+	last map[api.RowName]int64
+}
+
+// first reports whether this is the first refusal of the row in now's minute.
+func (s *minuteSet) first(row api.RowName, now time.Time) bool {
+	minute := now.Unix() / 60
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if last, ok := s.last[row]; ok && last == minute {
+		return false
+	}
+	s.last[row] = minute
+	return true
+}
