--- /dev/null
+++ b/internal/table/parse.go
@@ -0,0 +1,177 @@
+package table
+
+import (
+	"fmt"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"filbertledge/internal/api"
+)
+
+func parseName(s string, to *string) *fault {
+	if s == "" {
+		return &fault{"the value is empty", "give a name"}
+	}
+	return parseOptionalName(s, to)
+}
+
+func parseOptionalName(s string, to *string) *fault {
+	if len(s) > maxNameLength {
+		return &fault{fmt.Sprintf("the name has %d bytes", len(s)), fmt.Sprintf("use at most %d", maxNameLength)}
+	}
+	for i := range len(s) {
+		if !nameByte(s[i]) {
+			return &fault{fmt.Sprintf("byte %d is not allowed in a name", i+1), "use letters, digits, '.', '_' and '-'"}
+		}
+	}
+	*to = s
+	return nil
+}
+
+func nameByte(b byte) bool {
+	return b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || b >= '0' && b <= '9' || b == '.' || b == '_' || b == '-'
+}
+
+func parseKind(r *Row, s string) *fault {
+	switch Kind(s) {
+	case KindChat, KindRollout, KindService:
+		r.Kind = Kind(s)
+		return nil
+	default:
+		return &fault{"this kind of workload does not exist", "use chat, rollout or service"}
+	}
+}
+
+func parseUint(s string, limit uint64, to *uint64) *fault {
+	n, err := strconv.ParseUint(s, 10, 64)
+	if err != nil {
+		return &fault{"the value is not a whole number", "use digits only"}
+	}
+	if n > limit {
+		return &fault{"the number is too large", fmt.Sprintf("use at most %d", limit)}
+	}
+	*to = n
+	return nil
+}
+
+func parseInt(s string, low, high int, to *int) *fault {
+	n, err := strconv.Atoi(s)
+	if err != nil {
+		return &fault{"the value is not a whole number", "use digits only"}
+	}
+	if n < low || n > high {
+		return &fault{"the number is out of range", fmt.Sprintf("use %d to %d", low, high)}
+	}
+	*to = n
+	return nil
+}
+
+func parseDuration(s string, limit time.Duration, to *time.Duration) *fault {
+	d, err := time.ParseDuration(s)
+	if err != nil {
+		return &fault{"the value is not a duration with a unit", "write it like 150ms, 20s or 33m"}
+	}
+	if d < 0 || d > limit {
+		return &fault{"the duration is out of range", "use 0s to " + formatDuration(limit)}
+	}
+	*to = d
+	return nil
+}
+
+// formatDuration drops the zero parts that time.Duration.String appends: 33m instead of 33m0s.
+func formatDuration(d time.Duration) string {
+	s := d.String()
+	if strings.HasSuffix(s, "m0s") {
+		s = strings.TrimSuffix(s, "0s")
+	}
+	if strings.HasSuffix(s, "h0m") {
+		s = strings.TrimSuffix(s, "0m")
+	}
+	return s
+}
+
+func parseWeights(r *Row, s string) *fault {
+	if s == "any" || s == "" {
+		r.Weights = WeightRule{}
+		return nil
+	}
+	low, high, isRange := strings.Cut(s, "..")
+	if !isRange {
+		high = low
+	}
+	rule := WeightRule{}
+	if f := parseBound(low, &rule.Min); f != nil {
+		return f
+	}
+	if f := parseBound(high, &rule.Max); f != nil {
+		return f
+	}
+	if f := checkWeights(rule); f != nil {
+		return f
+	}
+	r.Weights = rule
+	return nil
+}
+
+func parseBound(s string, to *api.WeightVersion) *fault {
+	if s == "" {
+		return nil
+	}
+	n, err := strconv.ParseUint(s, 10, 63)
+	if err != nil || n == 0 {
+		return &fault{"the value is not a range of versions", "write any, 5, 5.., ..9 or 5..9; versions start at 1"}
+	}
+	*to = api.WeightVersion(n)
+	return nil
+}
+
+func checkWeights(w WeightRule) *fault {
+	if w.Max != 0 && w.Min > w.Max {
+		return &fault{"the range is empty", "put the lower version first"}
+	}
+	return nil
+}
+
+func parseNonIdempotent(r *Row, s string) *fault {
+	switch s {
+	case "true":
+		r.NonIdempotent = true
+	case "false":
+		r.NonIdempotent = false
+	default:
+		return &fault{"the value is not a boolean", "use true or false"}
+	}
+	return nil
+}
+
+func parseScoring(r *Row, s string) *fault {
+	if s == "" {
+		r.Scoring = ""
+		return nil
+	}
+	if len(s) > maxURLLength {
+		return &fault{fmt.Sprintf("the URL has %d bytes", len(s)), fmt.Sprintf("use at most %d", maxURLLength)}
+	}
+	u, err := url.Parse(s)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		return &fault{"the value is not an HTTP URL", "write it like http://10.0.0.5:8080/score"}
+	}
+	r.Scoring = s
+	return nil
+}
+
+func parseDigest(r *Row, s string) *fault {
+	const remedy = "write the SHA-256 of the token as 64 lower-case hexadecimal digits"
+	if len(s) != digestLength {
+		return &fault{fmt.Sprintf("the digest has %d characters", len(s)), remedy}
+	}
+	for i := range len(s) {
+		if (s[i] < '0' || s[i] > '9') && (s[i] < 'a' || s[i] > 'f') {
+			return &fault{fmt.Sprintf("character %d is not a lower-case hexadecimal digit", i+1), remedy}
+		}
+	}
+	r.TokenSHA256 = s
+	return nil
+}
--- /dev/null
+++ b/internal/table/snapshot.go
@@ -0,0 +1,34 @@
+package table
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"filbertledge/internal/api"
+)
+
+// With returns a snapshot of a newer version that holds rows in place of those with the same names.
+func (s *Snapshot) With(version uint64, rows ...Row) *Snapshot {
+	next := make(map[api.RowName]Row, len(s.rows)+len(rows))
+	maps.Copy(next, s.rows)
+	for _, r := range rows {
+		next[r.Name] = r
+	}
+	return NewSnapshot(version, next)
+}
+
+// Sorted returns the rows that are not deleted, by name.
+func (s *Snapshot) Sorted() []Row {
+	out := make([]Row, 0, len(s.rows))
+	s.Rows(func(r Row) { out = append(out, r) })
+	slices.SortFunc(out, func(a, b Row) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Len returns the number of rows that are not deleted.
+func (s *Snapshot) Len() int {
+	n := 0
+	s.Rows(func(Row) { n++ })
+	return n
+}
