--- a/internal/control/commands.go
+++ b/internal/control/commands.go
@@ -45,6 +45,8 @@
 	Accepted  bool              `cbor:"9,keyasint,omitempty"`  // FinishSample: this attempt is the one kept
 	Token     uint64            `cbor:"10,keyasint,omitempty"` // BeginOrders: the fencing token
 	Weights   api.WeightVersion `cbor:"11,keyasint,omitempty"` // newest version of the model after PublishWeights
+	Replayed  bool              `cbor:"12,keyasint,omitempty"` // EditRow: the edit was applied before; this is its first result
+	Revision  uint64            `cbor:"13,keyasint,omitempty"` // ClaimGroups: value of Since for the next ClaimGroups
 }
 
 // EditRow replaces one row if its version still equals ExpectedVersion. EditID is a UUID version 7; a resend
@@ -89,7 +91,8 @@
 	Answer  *CallAnswer `cbor:"5,keyasint,omitempty"`
 }
 
-// CallAnswer is the stored first answer of a call. Body is at most 256 KiB.
+// CallAnswer is the stored first answer of a call. Body is at most 256 KiB. A finished call has no answer if
+// FinishCall brought none or if the total of all stored answers passed its limit.
 type CallAnswer struct {
 	Status      int    `cbor:"1,keyasint"`
 	ContentType string `cbor:"2,keyasint"`
@@ -136,7 +139,8 @@
 	Attempt uint64 `cbor:"2,keyasint"`
 }
 
-// SubmitGroups adds groups to an open step and gives them to VM. Known group ids are skipped.
+// SubmitGroups adds groups to an open step and gives them to VM. Known group ids are skipped. Result.Groups
+// lists, without prompts, the submitted groups that VM now owns, also those of an earlier copy of the command.
 type SubmitGroups struct {
 	Step        StepID   `cbor:"1,keyasint"`
 	Groups      []Group  `cbor:"2,keyasint"`
@@ -144,11 +148,14 @@
 	Incarnation uint64   `cbor:"4,keyasint"`
 }
 
-// ClaimGroups gives at most Max groups without a live owner to VM.
+// ClaimGroups gives at most Max groups without a live owner to VM. Its result also holds the groups that VM
+// owns already and that got members to produce after revision Since, oldest first. Result.Revision is the Since
+// of the next ClaimGroups; a VM that resends the old Since after a lost answer misses nothing.
 type ClaimGroups struct {
 	VM          api.VMID `cbor:"1,keyasint"`
 	Incarnation uint64   `cbor:"2,keyasint"`
 	Max         int      `cbor:"3,keyasint"`
+	Since       uint64   `cbor:"4,keyasint,omitempty"`
 }
 
 // SampleID names a sample over all its attempts.
@@ -238,6 +245,9 @@
 	Finished []SampleView `cbor:"5,keyasint"` // samples of whole groups that are not acknowledged
 	Acked    int          `cbor:"6,keyasint"`
 	Pending  int          `cbor:"7,keyasint"` // submitted members without a finished sample
+	// Deadline is in the time of the control leader. Open is false once it has passed.
+	Deadline  time.Time `cbor:"8,keyasint"`
+	Submitted int       `cbor:"9,keyasint"` // groups submitted so far
 }
 
 // SampleView tells which VM holds the body of a finished sample.
--- /dev/null
+++ b/internal/control/groups.go
@@ -0,0 +1,233 @@
+package control
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"filbertledge/internal/errs"
+)
+
+func (s *state) submitGroups(c SubmitGroups) Result {
+	st, ok := s.ledger.step(c.Step)
+	if !ok {
+		return noStep(c.Step)
+	}
+	if res, ok := s.checkGroups(st, c); !ok {
+		return res
+	}
+	owner := incarnation{c.VM, c.Incarnation}
+	res := Result{}
+	for _, g := range c.Groups {
+		known, ok := st.byID[g.ID]
+		if !ok {
+			known = s.ledger.add(st, g, owner)
+		}
+		res.Count++
+		if known.Owner == owner {
+			res.Groups = append(res.Groups, known.view(st))
+		}
+	}
+	return res
+}
+
+// checkGroups refuses the whole command before anything is added.
+func (s *state) checkGroups(st *step, c SubmitGroups) (Result, bool) {
+	added, bytes := 0, 0
+	names := map[string]bool{}
+	for _, g := range c.Groups {
+		if res, ok := checkGroup(st, g); !ok {
+			return res, false
+		}
+		if names[g.ID] {
+			return failure(errs.InvalidArgument, "give each group its own id", "group %q is repeated", g.ID), false
+		}
+		names[g.ID] = true
+		if _, ok := st.byID[g.ID]; !ok {
+			added++
+			bytes += len(g.Prompt)
+		}
+	}
+	if len(st.GroupList)+added > st.Opening.Groups {
+		return failure(errs.InvalidArgument, "open the step with more groups", "step %d of row %q has %d groups; %d more pass its size of %d",
+			st.ID.Step, st.ID.Row, len(st.GroupList), added, st.Opening.Groups), false
+	}
+	if s.ledger.promptBytes+bytes > maxTotalPrompts {
+		return failure(errs.Overloaded, "submit again when older steps are acknowledged", "the prompts in the ledger pass %d bytes", maxTotalPrompts), false
+	}
+	return Result{}, true
+}
+
+func checkGroup(st *step, g Group) (Result, bool) {
+	known, ok := st.byID[g.ID]
+	switch {
+	case g.ID == "" || len(g.ID) > maxGroupIDBytes:
+		return failure(errs.InvalidArgument, "use 1 to 128 bytes", "a group id has %d bytes", len(g.ID)), false
+	case g.Size != st.Opening.GroupSize:
+		return failure(errs.InvalidArgument, "use the group size of the step", "group %q has size %d; the step has group size %d",
+			g.ID, g.Size, st.Opening.GroupSize), false
+	case len(g.Prompt) == 0 || len(g.Prompt) > maxPromptBytes:
+		return failure(errs.PayloadTooLarge, "use 1 byte to 64 KiB", "the prompt of group %q has %d bytes", g.ID, len(g.Prompt)), false
+	case ok && known.Digest != xxhash.Sum64(g.Prompt):
+		return failure(errs.Conflict, "use another id", "group %q is submitted with another prompt", g.ID), false
+	default:
+		return Result{}, true
+	}
+}
+
+func (l *ledger) add(st *step, g Group, owner incarnation) *group {
+	added := &group{ID: g.ID, Prompt: g.Prompt, Digest: xxhash.Sum64(g.Prompt), Owner: owner, Members: make([]member, g.Size)}
+	for i := range added.Members {
+		added.Members[i].Attempt = 1
+	}
+	l.promptBytes += len(g.Prompt)
+	l.touch(added)
+	st.GroupList = append(st.GroupList, added)
+	st.byID[g.ID] = added
+	return added
+}
+
+type claimable struct {
+	step  *step
+	group *group
+}
+
+// claimGroups first lists what the VM owns and may not know, then gives it groups without an owner. It adds
+// new groups only when the list of owned ones is complete, because Revision must not skip any.
+func (s *state) claimGroups(c ClaimGroups) Result {
+	if c.VM == "" {
+		return failure(errs.InvalidArgument, "name the VM", "the claim has no VM")
+	}
+	owner := incarnation{c.VM, c.Incarnation}
+	limit := min(max(c.Max, 0), maxClaimedGroups)
+	owned, free := s.ledger.claimable(owner, c.Since, s.now)
+	res := Result{Revision: c.Since}
+	bytes := 0
+	for _, entry := range owned {
+		if len(res.Groups) == limit || bytes > maxClaimedBytes {
+			return res
+		}
+		bytes += len(entry.group.Prompt)
+		res.add(entry)
+	}
+	for _, entry := range free {
+		if len(res.Groups) == limit || bytes > maxClaimedBytes {
+			return res
+		}
+		entry.group.Owner = owner
+		s.ledger.touch(entry.group)
+		bytes += len(entry.group.Prompt)
+		res.add(entry)
+	}
+	return res
+}
+
+func (r *Result) add(c claimable) {
+	view := c.group.view(c.step)
+	view.Prompt = c.group.Prompt
+	r.Groups = append(r.Groups, view)
+	r.Revision = c.group.Revision
+}
+
+func (l *ledger) claimable(owner incarnation, since uint64, now time.Time) (owned, free []claimable) {
+	for _, st := range l.steps() {
+		if !now.Before(st.Deadline) {
+			continue
+		}
+		for _, g := range st.GroupList {
+			if !slices.ContainsFunc(g.Members, func(m member) bool { return m.State == memberPending }) {
+				continue
+			}
+			switch {
+			case g.Owner == owner && g.Revision > since:
+				owned = append(owned, claimable{st, g})
+			case g.Owner == incarnation{}:
+				free = append(free, claimable{st, g})
+			}
+		}
+	}
+	slices.SortFunc(owned, compareRevisions)
+	return owned, free
+}
+
+// view returns a copy of a step as of wall-clock time now.
+func (st *step) view(now time.Time) StepView {
+	v := StepView{
+		ID: st.ID, Open: now.Before(st.Deadline), Groups: st.Opening.Groups, Size: st.Opening.GroupSize,
+		Deadline: st.Deadline, Submitted: len(st.GroupList),
+	}
+	for _, g := range st.GroupList {
+		pending := len(g.pending())
+		v.Pending += pending
+		for i := range g.Members {
+			m := &g.Members[i]
+			switch {
+			case m.State == memberAcknowledged:
+				v.Acked++
+			case m.State == memberFinished && pending == 0:
+				v.Finished = append(v.Finished, m.view(SampleID{Step: st.ID, Group: g.ID, Member: i}))
+			}
+		}
+	}
+	return v
+}
+
+func (m *member) view(id SampleID) SampleView {
+	return SampleView{
+		ID: id, Attempt: m.Attempt, VM: m.Holder.VM, Incarnation: m.Holder.Number, Digest: m.Digest,
+		Versions: slices.Clone(m.Versions),
+	}
+}
+
+// Step returns a step as of wall-clock time now.
+func (m *Machine) Step(id StepID, now time.Time) (StepView, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	st, ok := m.state.ledger.step(id)
+	if !ok {
+		return StepView{ID: id}, false
+	}
+	return st.view(now), true
+}
+
+// Steps returns all steps in the ledger as of wall-clock time now, ordered by row and step number.
+func (m *Machine) Steps(now time.Time) []StepView {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	var out []StepView
+	for _, st := range m.state.ledger.steps() {
+		out = append(out, st.view(now))
+	}
+	return out
+}
+
+// owners returns the VM incarnations that own open calls or groups or hold samples that are not consumed.
+func (m *Machine) owners() map[incarnation]bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	out := map[incarnation]bool{}
+	for owner := range maps.Keys(m.state.calls.open) {
+		out[owner] = true
+	}
+	for _, st := range m.state.ledger.steps() {
+		for _, g := range st.GroupList {
+			g.addOwners(out)
+		}
+	}
+	delete(out, incarnation{})
+	return out
+}
+
+func (g *group) addOwners(out map[incarnation]bool) {
+	for i := range g.Members {
+		switch g.Members[i].State {
+		case memberPending:
+			out[g.Owner] = true
+		case memberFinished:
+			out[g.Owner] = true
+			out[g.Members[i].Holder] = true
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/machine.go
@@ -0,0 +1,156 @@
+package control
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"filbertledge/internal/api"
+	"filbertledge/internal/errs"
+	"filbertledge/internal/table"
+)
+
+// Machine is the replicated state machine. Apply is deterministic: it reads no clock and no random numbers.
+// All methods are safe for concurrent use.
+type Machine struct {
+	mu      sync.RWMutex
+	state   state
+	changed chan struct{} // closed when the table, the weights or the claim revision changes
+}
+
+// state is everything that a snapshot holds.
+type state struct {
+	index   uint64
+	now     time.Time // maximum of all Command.At
+	table   *table.Snapshot
+	rows    map[api.RowName]*rowEntry
+	edits   records[editRecord]
+	calls   callRecords
+	ledger  ledger
+	weights map[string]*modelEntry
+	// weightsVersion is the index of the last accepted PublishWeights.
+	weightsVersion uint64
+	token          uint64
+}
+
+func newState() state {
+	return state{
+		table:   table.NewSnapshot(0, nil),
+		rows:    map[api.RowName]*rowEntry{},
+		edits:   newRecords[editRecord](maxEditRecords),
+		calls:   newCallRecords(),
+		ledger:  newLedger(),
+		weights: map[string]*modelEntry{},
+	}
+}
+
+// NewMachine returns an empty state machine.
+func NewMachine() *Machine {
+	return &Machine{state: newState(), changed: make(chan struct{})}
+}
+
+// Apply executes the command of one log entry and returns the encoded Result. An entry without data, as a new
+// leader commits it, changes nothing.
+func (m *Machine) Apply(index uint64, data []byte) []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if index <= m.state.index {
+		return encodeResult(failure(errs.Internal, "report this fault", "entry %d is already applied", index))
+	}
+	m.state.index = index
+	if len(data) == 0 {
+		return nil
+	}
+	before := m.state.watched()
+	result := m.state.applyEncoded(data)
+	result.Index = index
+	if m.state.watched() != before {
+		close(m.changed)
+		m.changed = make(chan struct{})
+	}
+	return encodeResult(result)
+}
+
+func encodeResult(r Result) []byte {
+	data, err := Encode(r)
+	if err != nil {
+		panic(err) // Result holds only encodable types
+	}
+	return data
+}
+
+// watched is the part of the state whose change wakes watchers.
+type watched struct{ table, weights, claim uint64 }
+
+func (s *state) watched() watched {
+	return watched{s.table.Version(), s.weightsVersion, s.ledger.claimRevision}
+}
+
+func (s *state) applyEncoded(data []byte) Result {
+	var c Command
+	if err := Decode(data, &c); err != nil {
+		return failure(errs.InvalidArgument, "send a command of this version", "the log entry holds no command: %v", err)
+	}
+	if c.At.After(s.now) {
+		s.now = c.At
+	}
+	s.edits.prune(s.now, nil)
+	s.calls.prune(s.now)
+	return s.apply(c)
+}
+
+func (s *state) apply(c Command) Result {
+	switch {
+	case c.EditRow != nil:
+		return s.editRow(*c.EditRow)
+	case c.BeginCall != nil:
+		return s.beginCall(*c.BeginCall)
+	case c.FinishCall != nil:
+		return s.finishCall(*c.FinishCall)
+	case c.OpenStep != nil:
+		return s.openStep(*c.OpenStep)
+	case c.SubmitGroups != nil:
+		return s.submitGroups(*c.SubmitGroups)
+	case c.ClaimGroups != nil:
+		return s.claimGroups(*c.ClaimGroups)
+	case c.FinishSample != nil:
+		return s.finishSample(*c.FinishSample)
+	case c.ResetSample != nil:
+		return s.resetSample(*c.ResetSample)
+	case c.Acknowledge != nil:
+		return s.acknowledge(*c.Acknowledge)
+	case c.PublishWeights != nil:
+		return s.publishWeights(*c.PublishWeights)
+	case c.VMLost != nil:
+		return s.vmLost(*c.VMLost)
+	case c.BeginOrders != nil:
+		return s.beginOrders()
+	default:
+		return failure(errs.InvalidArgument, "set one field", "the command is empty")
+	}
+}
+
+func failure(kind errs.Kind, remedy, format string, args ...any) Result {
+	return Result{ErrorKind: string(kind), Remedy: remedy, Error: fmt.Sprintf(format, args...)}
+}
+
+// Index returns the index of the last applied entry.
+func (m *Machine) Index() uint64 {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.state.index
+}
+
+// Table returns the current table.
+func (m *Machine) Table() *table.Snapshot {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.state.table
+}
+
+// Changed returns a channel that is closed at the next change of the table, the weights or the claim revision.
+func (m *Machine) Changed() <-chan struct{} {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.changed
+}
