--- /dev/null
+++ b/internal/weights/planner_test.go
@@ -0,0 +1,158 @@
+package weights
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"filbertledge/internal/api"
+	"filbertledge/internal/table"
+)
+
+// fleet applies orders to servers the way healthy engines do.
+type fleet struct {
+	servers []Server
+	failing map[api.ServerID]bool
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{failing: map[api.ServerID]bool{}}
+	for i := range n {
+		f.servers = append(f.servers, Server{
+			ID: api.ServerID(fmt.Sprintf("s%03d", i)), Pool: "p", Model: "m",
+			Current: 1, Loaded: []api.WeightVersion{1},
+		})
+	}
+	return f
+}
+
+func (f *fleet) apply(orders []Order) {
+	for _, o := range orders {
+		for i := range f.servers {
+			s := &f.servers[i]
+			if s.ID != o.Server.ID || f.failing[s.ID] {
+				continue
+			}
+			switch o.Kind {
+			case OrderLoad:
+				s.Loaded = append(s.Loaded, o.Version)
+			case OrderSwitch:
+				s.Current = o.Version
+			case OrderUnload:
+				s.Loaded = without(s.Loaded, o.Version)
+			}
+		}
+	}
+}
+
+func without(list []api.WeightVersion, v api.WeightVersion) []api.WeightVersion {
+	var out []api.WeightVersion
+	for _, x := range list {
+		if x != v {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+func countKind(orders []Order, k OrderKind) int {
+	n := 0
+	for _, o := range orders {
+		if o.Kind == k {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against overloading the weight store and against a pool in which more than half of the servers switch
+// at one moment and customers wait.
+func TestPlanBoundsLoadsAndSwitches(t *testing.T) {
+	f := newFleet(12)
+	p := NewPlanner(Options{MaxLoads: 3})
+	targets := map[string]Target{"m": {Newest: 2}}
+	for round := range 20 {
+		orders := p.Plan(time.Duration(round)*100*time.Millisecond, f.servers, targets)
+		if n := countKind(orders, OrderLoad); n > 3 {
+			t.Fatalf("round %d: %d loads at once, want at most 3", round, n)
+		}
+		if n := countKind(orders, OrderSwitch); n > 6 {
+			t.Fatalf("round %d: %d switches at once, want at most 6", round, n)
+		}
+		f.apply(orders)
+	}
+	for _, s := range f.servers {
+		if s.Current != 2 {
+			t.Errorf("server %s runs version %d, want 2", s.ID, s.Current)
+		}
+	}
+}
+
+// Guards against waiting forever for a server that acknowledges orders and never carries them out.
+func TestPlanGivesUpAfterRepeatedFailures(t *testing.T) {
+	f := newFleet(3)
+	f.failing["s001"] = true
+	p := NewPlanner(Options{LoadTimeout: time.Second})
+	targets := map[string]Target{"m": {Newest: 2}}
+	sent := 0
+	for round := range 100 {
+		orders := p.Plan(time.Duration(round)*100*time.Millisecond, f.servers, targets)
+		for _, o := range orders {
+			if o.Server.ID == "s001" {
+				sent++
+			}
+		}
+		f.apply(orders)
+	}
+	if sent != 3 {
+		t.Errorf("sent %d orders to the failing server, want 3", sent)
+	}
+	if !p.GivenUp("s001", 2) || p.GivenUp("s000", 2) {
+		t.Error("only the failing server must be given up")
+	}
+	if f.servers[0].Current != 2 || f.servers[2].Current != 2 {
+		t.Error("healthy servers must run the new version")
+	}
+}
+
+// Guards against a server whose memory is full of old versions never loading a new one, and against unloading
+// the version that it runs.
+func TestPlanUnloadsOldVersionFirst(t *testing.T) {
+	f := newFleet(1)
+	f.servers[0].Current = 2
+	f.servers[0].Loaded = []api.WeightVersion{1, 2}
+	p := NewPlanner(Options{})
+	targets := map[string]Target{"m": {Newest: 3}}
+	var kinds []OrderKind
+	for round := range 5 {
+		for _, o := range p.Plan(time.Duration(round)*time.Second, f.servers, targets) {
+			kinds = append(kinds, o.Kind)
+			f.apply([]Order{o})
+		}
+	}
+	want := []OrderKind{OrderUnload, OrderLoad, OrderSwitch}
+	if fmt.Sprint(kinds) != fmt.Sprint(want) {
+		t.Errorf("orders %v, want %v", kinds, want)
+	}
+}
+
+// Guards against a row with pinned weights losing its last server in a roll-out.
+func TestPlanKeepsServersForPinnedRow(t *testing.T) {
+	rows := table.NewSnapshot(1, map[api.RowName]table.Row{
+		"live":   {Name: "live", Model: "m"},
+		"pinned": {Name: "pinned", Model: "m", Weights: table.WeightRule{Max: 1}},
+	})
+	target := TargetOf("m", 2, rows)
+	f := newFleet(8)
+	p := NewPlanner(Options{})
+	for round := range 20 {
+		f.apply(p.Plan(time.Duration(round)*100*time.Millisecond, f.servers, map[string]Target{"m": target}))
+	}
+	versions := map[api.WeightVersion]int{}
+	for _, s := range f.servers {
+		versions[s.Current]++
+	}
+	if versions[1] != 1 || versions[2] != 7 {
+		t.Errorf("servers by version %v, want 1 on version 1 and 7 on version 2", versions)
+	}
+}
