trainer, scoring: add the trainer API and the runner of members

The runner orders members by step and longest predicted output, shares the VM between rows by deficit round robin, duplicates the last tenth of a step once nothing else waits, and cancels surplus runs. A sample is checked against the row's staleness bound before it enters the ledger, before its body is fetched and again when the answer is ready. Acknowledge returns the holders of the consumed samples, so that they drop the bodies without a read of the ledger.

--- a/internal/control/commands.go
+++ b/internal/control/commands.go
@@ -47,6 +47,7 @@
 	Weights   api.WeightVersion `cbor:"11,keyasint,omitempty"` // newest version of the model after PublishWeights
 	Replayed  bool              `cbor:"12,keyasint,omitempty"` // EditRow: the edit was applied before; this is its first result
 	Revision  uint64            `cbor:"13,keyasint,omitempty"` // ClaimGroups: value of Since for the next ClaimGroups
+	Released  []SampleView      `cbor:"14,keyasint,omitempty"` // Acknowledge: samples whose holders may drop the bodies
 }
 
 // EditRow replaces one row if its version still equals ExpectedVersion. EditID is a UUID version 7; a resend
@@ -131,6 +132,8 @@
 	Prompt []byte `cbor:"4,keyasint"` // OpenAI chat completion request as JSON, without stream
 	// Pending lists the members that have no finished sample; set in results only.
 	Pending []PendingMember `cbor:"5,keyasint,omitempty"`
+	// Deadline is that of the step, in the time of the control leader; set in results only.
+	Deadline time.Time `cbor:"6,keyasint,omitzero"`
 }
 
 // PendingMember is a member of a group that must be produced; Attempt is the number to produce it under.
--- a/internal/control/ledger.go
+++ b/internal/control/ledger.go
@@ -213,7 +213,6 @@
 	if _, ok := s.ledger.step(a.Step); !ok {
 		return noStep(a.Step)
 	}
-	count := 0
 	for _, sample := range a.Samples {
 		if sample.ID.Step != a.Step {
 			return failure(errs.InvalidArgument, "acknowledge each step on its own", "the samples are of several steps")
@@ -222,14 +221,20 @@
 			return noSample(sample.ID)
 		}
 	}
+	res := Result{}
 	for _, sample := range a.Samples {
 		_, g, m := s.ledger.find(sample.ID)
-		if m.acknowledge(sample.Attempt) {
-			count++
-			s.ledger.freePrompt(g)
+		held := m.view(sample.ID)
+		if !m.acknowledge(sample.Attempt) {
+			continue
 		}
+		res.Count++
+		if held.VM != "" {
+			res.Released = append(res.Released, held)
+		}
+		s.ledger.freePrompt(g)
 	}
-	return Result{Count: count}
+	return res
 }
 
 // acknowledge reports whether attempt is the one that consumes the sample. An attempt below the current one
@@ -297,7 +302,7 @@
 }
 
 func (g *group) view(st *step) Group {
-	return Group{ID: g.ID, Step: st.ID, Size: len(g.Members), Pending: g.pending()}
+	return Group{ID: g.ID, Step: st.ID, Size: len(g.Members), Pending: g.pending(), Deadline: st.Deadline}
 }
 
 func compareRevisions(a, b claimable) int { return cmp.Compare(a.group.Revision, b.group.Revision) }
--- /dev/null
+++ b/internal/trainer/fake_test.go
@@ -0,0 +1,299 @@
+package trainer
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
+
+	"filbertledge/internal/api"
+	"filbertledge/internal/control"
+	"filbertledge/internal/dispatch"
+	"filbertledge/internal/errs"
+	"filbertledge/internal/events"
+	"filbertledge/internal/table"
+)
+
+const testToken = "tutor-token"
+
+// memoryControl is one state machine that several VMs share.
+type memoryControl struct {
+	mu      sync.Mutex
+	machine *control.Machine
+	index   uint64
+	vms     []api.VM
+	offset  time.Duration // of the leader's clock
+}
+
+func newMemoryControl(vms ...api.VM) *memoryControl {
+	return &memoryControl{machine: control.NewMachine(), vms: vms}
+}
+
+func (m *memoryControl) apply(t testing.TB, c control.Command) control.Result {
+	t.Helper()
+	res, err := m.do(c)
+	if err != nil {
+		t.Fatalf("command: %v", err)
+	}
+	return res
+}
+
+func (m *memoryControl) do(c control.Command) (control.Result, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c.At = time.Now().Add(m.offset).UTC()
+	data, err := control.EncodeCommand(c)
+	if err != nil {
+		return control.Result{}, err
+	}
+	m.index++
+	res, err := control.DecodeResult(m.machine.Apply(m.index, data))
+	if err != nil {
+		return res, err
+	}
+	return res, res.Err()
+}
+
+// memoryClient is the control.Client of one VM. The next loseAnswers commands are applied without an answer.
+type memoryClient struct {
+	*memoryControl
+	stale       atomic.Bool
+	loseAnswers atomic.Int64
+}
+
+func (c *memoryClient) Do(_ context.Context, cmd control.Command) (control.Result, error) {
+	res, err := c.do(cmd)
+	if c.loseAnswers.Add(-1) >= 0 {
+		return control.Result{}, errs.New(errs.OutcomeUnknown, "", "the answer is lost")
+	}
+	return res, err
+}
+
+func (c *memoryClient) Table() *table.Snapshot                    { return c.machine.Table() }
+func (c *memoryClient) Fresh() bool                               { return !c.stale.Load() }
+func (c *memoryClient) Weights(model string) control.ModelWeights { return c.machine.Weights(model) }
+func (c *memoryClient) VMs() []api.VM                             { return c.vms }
+
+func (c *memoryClient) Step(_ context.Context, id control.StepID) (control.StepView, error) {
+	v, ok := c.machine.Step(id, time.Now())
+	if !ok {
+		return v, errs.New(errs.NotFound, "", "no step")
+	}
+	return v, nil
+}
+
+// fakeEngine generates at once with the current version, unless hold returns a channel to wait for.
+type fakeEngine struct {
+	version atomic.Uint64
+	calls   atomic.Int64
+	active  atomic.Int64
+	peak    atomic.Int64
+	hold    func(r dispatch.Rollout, call int64) <-chan struct{}
+}
+
+func (e *fakeEngine) Generate(ctx context.Context, r dispatch.Rollout) (dispatch.Generated, error) {
+	call := e.calls.Add(1)
+	active := e.active.Add(1)
+	defer e.active.Add(-1)
+	for peak := e.peak.Load(); active > peak && !e.peak.CompareAndSwap(peak, active); peak = e.peak.Load() {
+	}
+	version := api.WeightVersion(e.version.Load())
+	if e.hold != nil {
+		if c := e.hold(r, call); c != nil {
+			select {
+			case <-c:
+			case <-ctx.Done():
+				return dispatch.Generated{}, ctx.Err()
+			}
+		}
+	}
+	text := fmt.Sprintf("answer %d", r.Seed)
+	return dispatch.Generated{
+		Text: text, Tokens: 3, Labels: []api.PieceLabel{{Version: version, Tokens: 3}}, RanFor: time.Millisecond,
+	}, nil
+}
+
+// deployment is several VMs over one control state and one engine.
+type deployment struct {
+	t       *testing.T
+	control *memoryControl
+	engine  *fakeEngine
+	vms     []*testVM
+}
+
+type testVM struct {
+	*Service
+	client *memoryClient
+	stop   context.CancelFunc
+	gone   atomic.Bool
+}
+
+func testRow() table.Row {
+	digest := sha256.Sum256([]byte(testToken))
+	return table.Row{
+		Name: "tutor", Kind: table.KindRollout, Pool: "tutor-llm", Model: "tutor", MaxStalenessVersions: 1,
+		MaxInFlight: 8, Deadline: time.Minute, TokenSHA256: hex.EncodeToString(digest[:]),
+	}
+}
+
+// deploy starts n VMs with one rollout row and version 1 of its model.
+func deploy(t *testing.T, n int, row table.Row, engine *fakeEngine) *deployment {
+	t.Helper()
+	var vms []api.VM
+	for i := range n {
+		name := fmt.Sprintf("vm-%d", i)
+		vms = append(vms, api.VM{ID: api.VMID(name), Incarnation: 1, Address: name})
+	}
+	d := &deployment{t: t, control: newMemoryControl(vms...), engine: engine}
+	d.edit(row, 0)
+	d.publish(1)
+	for i := range n {
+		d.start(vms[i])
+	}
+	return d
+}
+
+func (d *deployment) start(vm api.VM) {
+	client := &memoryClient{memoryControl: d.control}
+	s := New(Options{VM: vm, Client: client, Generator: d.engine, Call: d.call, Events: events.NewRecorder(vm.ID, io.Discard)})
+	ctx, cancel := context.WithCancel(context.Background())
+	v := &testVM{Service: s, client: client, stop: cancel}
+	d.vms = append(d.vms, v)
+	done := make(chan struct{})
+	go func() {
+		s.Run(ctx)
+		close(done)
+	}()
+	d.t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
+func (d *deployment) call(ctx context.Context, addr, method string, request []byte) ([]byte, error) {
+	for _, v := range d.vms {
+		if v.o.VM.Address == addr && !v.gone.Load() {
+			return v.Handlers()[method](ctx, request)
+		}
+	}
+	return nil, errs.New(errs.Unavailable, "", "no VM at %s", addr)
+}
+
+func (d *deployment) edit(row table.Row, version uint64) {
+	d.t.Helper()
+	d.control.apply(d.t, control.Command{EditRow: &control.EditRow{
+		EditID: uuid.Must(uuid.NewV7()), ExpectedVersion: version, Row: row, Operator: "test",
+	}})
+}
+
+func (d *deployment) publish(v api.WeightVersion) {
+	d.t.Helper()
+	d.engine.version.Store(uint64(v))
+	d.control.apply(d.t, control.Command{PublishWeights: &control.PublishWeights{Model: "tutor", Version: v}})
+}
+
+// request sends an HTTP request to a VM and decodes its answer into v. It returns the status.
+func (d *deployment) request(vm int, method, path, token string, q, v any) int {
+	d.t.Helper()
+	var ctx fasthttp.RequestCtx
+	ctx.Request.Header.SetMethod(method)
+	ctx.Request.SetRequestURI(path)
+	ctx.Request.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+token)
+	if raw, ok := q.(string); ok {
+		ctx.Request.SetBodyString(raw)
+	} else if q != nil {
+		data, err := json.Marshal(q)
+		if err != nil {
+			d.t.Fatal(err)
+		}
+		ctx.Request.SetBody(data)
+	}
+	if !d.vms[vm].Handler(&ctx) {
+		d.t.Fatalf("path %s is not handled", path)
+	}
+	if v != nil && ctx.Response.StatusCode() == fasthttp.StatusOK {
+		if err := json.Unmarshal(ctx.Response.Body(), v); err != nil {
+			d.t.Fatalf("answer %s: %v", ctx.Response.Body(), err)
+		}
+	}
+	return ctx.Response.StatusCode()
+}
+
+func (d *deployment) must(vm int, method, path string, q, v any) {
+	d.t.Helper()
+	if status := d.request(vm, method, path, testToken, q, v); status != fasthttp.StatusOK {
+		d.t.Fatalf("%s %s: status %d", method, path, status)
+	}
+}
+
+func (d *deployment) open(vm int, step uint64, groups, size int) {
+	d.t.Helper()
+	d.must(vm, "POST", "/trainer/v1/steps", openRequest{Row: "tutor", Step: step, DeadlineMS: 60_000, Groups: groups, GroupSize: size}, nil)
+	d.submit(vm, step, groups, size)
+}
+
+func (d *deployment) submit(vm int, step uint64, groups, size int) int {
+	d.t.Helper()
+	var q groupsRequest
+	for i := range groups {
+		prompt := fmt.Sprintf(`{"messages":[{"role":"user","content":"stitch %d"}]}`, i)
+		q.Groups = append(q.Groups, groupRequest{ID: fmt.Sprintf("g%d", i), Size: size, Request: json.RawMessage(prompt)})
+	}
+	return d.request(vm, "POST", fmt.Sprintf("/trainer/v1/steps/tutor/%d/groups", step), testToken, q, nil)
+}
+
+func (d *deployment) fetch(vm int, step uint64, waitMS int) samplesAnswer {
+	d.t.Helper()
+	var a samplesAnswer
+	d.must(vm, "GET", fmt.Sprintf("/trainer/v1/steps/tutor/%d/samples?wait_ms=%d&max=1024", step, waitMS), nil, &a)
+	return a
+}
+
+func (d *deployment) ack(vm int, step uint64, list []sampleJSON) int {
+	d.t.Helper()
+	var q ackRequest
+	for _, s := range list {
+		q.Samples = append(q.Samples, struct {
+			Group   string `json:"group"`
+			Member  int    `json:"member"`
+			Attempt uint64 `json:"attempt"`
+		}{s.ID.Group, s.ID.Member, s.Attempt})
+	}
+	var a ackAnswer
+	d.must(vm, "POST", fmt.Sprintf("/trainer/v1/steps/tutor/%d/ack", step), q, &a)
+	return a.Acknowledged
+}
+
+// fetchAll fetches from changing VMs until n samples of the step are there, without acknowledging them.
+func (d *deployment) fetchAll(step uint64, n int) []sampleJSON {
+	d.t.Helper()
+	for i := range 100 {
+		vm := i % len(d.vms)
+		if d.vms[vm].gone.Load() {
+			continue
+		}
+		if a := d.fetch(vm, step, 200); len(a.Samples) == n {
+			return a.Samples
+		}
+	}
+	d.t.Fatalf("step %d did not yield %d samples", step, n)
+	return nil
+}
+
+// lose takes a VM away and declares it lost.
+func (d *deployment) lose(vm int) {
+	d.t.Helper()
+	v := d.vms[vm]
+	v.gone.Store(true)
+	v.stop()
+	d.control.apply(d.t, control.Command{VMLost: &control.VMLost{VM: v.o.VM.ID, Incarnation: v.o.VM.Incarnation}})
+}
