--- /dev/null
+++ b/internal/control/machine_test.go
@@ -0,0 +1,342 @@
+package control
+
+import (
+	"bytes"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"filbertledge/internal/api"
+	"filbertledge/internal/errs"
+	"filbertledge/internal/table"
+)
+
+// testStart is the time of the first command of tests of the machine.
+var testStart = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+
+// driver applies commands to one machine.
+type driver struct {
+	t     testing.TB
+	m     *Machine
+	index uint64
+	now   time.Time
+}
+
+func newDriver(t testing.TB) *driver {
+	return &driver{t: t, m: NewMachine(), now: testStart}
+}
+
+func (d *driver) do(c Command) Result {
+	d.t.Helper()
+	c.At = d.now
+	data, err := EncodeCommand(c)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.index++
+	res, err := DecodeResult(d.m.Apply(d.index, data))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	return res
+}
+
+func (d *driver) want(c Command, kind errs.Kind) Result {
+	d.t.Helper()
+	res := d.do(c)
+	if res.ErrorKind != string(kind) {
+		d.t.Fatalf("kind %q (%s), want %q", res.ErrorKind, res.Error, kind)
+	}
+	return res
+}
+
+func edit(id uuid.UUID, version uint64, row table.Row) Command {
+	return Command{EditRow: &EditRow{EditID: id, ExpectedVersion: version, Row: row, Operator: "op"}}
+}
+
+func (d *driver) id(number uint64) uuid.UUID { return idAt(d.now, number) }
+
+// TestEdits guards against edits that are applied twice, overwrite each other or are answered differently when
+// they are sent again.
+func TestEdits(t *testing.T) {
+	d := newDriver(t)
+	first := edit(d.id(1), 0, testRow("chat", 1))
+	one := d.want(first, "")
+	if one.Row.Version != 1 || !one.Accepted {
+		t.Fatalf("first edit: %+v", one)
+	}
+	lost := d.want(edit(d.id(2), 0, testRow("chat", 2)), errs.Conflict)
+	if lost.Row == nil || lost.Row.Priority != 1 {
+		t.Fatalf("the conflict does not show the winner: %+v", lost.Row)
+	}
+	if same := d.want(edit(d.id(3), 0, testRow("chat", 1)), ""); same.Row.Version != 1 {
+		t.Fatalf("the same edit by two operators: %+v", same.Row)
+	}
+	d.want(edit(d.id(4), 1, testRow("chat", 3)), "")
+	again := d.want(first, "")
+	if !again.Replayed || again.Row.Version != 1 || again.Row.Priority != 1 {
+		t.Fatalf("a resend returns another result: %+v", again)
+	}
+	if again := d.want(edit(d.id(2), 0, testRow("chat", 2)), errs.Conflict); again.Row.Priority != 1 {
+		t.Fatalf("a resent conflict returns another result: %+v", again.Row)
+	}
+	d.want(edit(d.id(1), 0, testRow("chat", 9)), errs.KeyReused)
+	d.want(edit(uuid.New(), 2, testRow("chat", 9)), errs.InvalidArgument)
+	d.want(edit(d.id(5), 2, table.Row{Name: "chat"}), errs.InvalidArgument)
+	d.want(edit(idAt(d.now.Add(-25*time.Hour), 6), 2, testRow("chat", 9)), errs.KeyExpired)
+	d.want(edit(idAt(d.now.Add(6*time.Minute), 7), 2, testRow("chat", 9)), errs.KeyExpired)
+	if row, _ := d.m.Table().Row("chat"); row.Version != 2 || row.Priority != 3 {
+		t.Fatalf("row %+v", row)
+	}
+}
+
+// TestDryRun guards against a trial that changes the table or uses up the edit id.
+func TestDryRun(t *testing.T) {
+	d := newDriver(t)
+	trial := edit(d.id(1), 0, testRow("chat", 1))
+	trial.EditRow.DryRun = true
+	if res := d.want(trial, ""); res.Row.Version != 1 {
+		t.Fatalf("trial: %+v", res)
+	}
+	if d.m.Table().Version() != 0 {
+		t.Fatal("the trial changed the table")
+	}
+	real := *trial.EditRow
+	real.DryRun = false
+	if res := d.want(Command{EditRow: &real}, ""); res.Replayed {
+		t.Fatal("the edit was taken for a resend of its trial")
+	}
+}
+
+// TestDeletedRow guards against versions that start again when a row is deleted and made anew.
+func TestDeletedRow(t *testing.T) {
+	d := newDriver(t)
+	d.want(edit(d.id(1), 0, table.Row{Name: "chat", Deleted: true}), errs.NotFound)
+	d.want(edit(d.id(2), 0, testRow("chat", 1)), "")
+	d.want(edit(d.id(3), 1, table.Row{Name: "chat", Deleted: true}), "")
+	if _, ok := d.m.Table().Row("chat"); ok {
+		t.Fatal("the deleted row is found")
+	}
+	if res := d.want(edit(d.id(4), 0, testRow("chat", 5)), ""); res.Row.Version != 3 {
+		t.Fatalf("new row: %+v", res.Row)
+	}
+	h := d.m.History("chat", 0)
+	if len(h) != 3 || !h[1].After.Deleted || !h[0].Before.Deleted || len(h[0].Changes) == 0 {
+		t.Fatalf("history: %+v", h)
+	}
+}
+
+// TestHistoryIsBounded guards against memory that grows with the number of edits, and edit records that are
+// dropped while their ids are still accepted.
+func TestHistoryIsBounded(t *testing.T) {
+	d := newDriver(t)
+	for i := range uint64(maxHistory + 20) {
+		d.want(edit(d.id(i+1), i, testRow("chat", int(i))), "")
+	}
+	h := d.m.History("chat", 0)
+	if len(h) != maxHistory || h[len(h)-1].Before.Version == 0 {
+		t.Fatalf("%d entries, oldest before version %d", len(h), h[len(h)-1].Before.Version)
+	}
+	old := d.id(1)
+	d.now = d.now.Add(retention + time.Second)
+	d.want(edit(d.id(0xffff), maxHistory+20, testRow("chat", -1)), "")
+	d.want(edit(d.id(0xfffe), maxHistory+21, testRow("chat", -2)), "")
+	if n := len(d.m.state.edits.order); n > 3 {
+		t.Fatalf("%d edit records are kept past the retention", n)
+	}
+	d.want(edit(old, 0, testRow("chat", 0)), errs.KeyExpired)
+}
+
+// TestRecordLimit guards against an id that is accepted again after its record was dropped for room.
+func TestRecordLimit(t *testing.T) {
+	r := newRecords[int](3)
+	for i := range uint64(5) {
+		r.put(idAt(testStart, i+1), new(int))
+		r.prune(testStart, nil)
+	}
+	for i := range uint64(5) {
+		_, kept := r.byID[idAt(testStart, i+1)]
+		_, admitted := r.admit(idAt(testStart, i+1), testStart)
+		if kept != (i >= 2) || admitted != kept {
+			t.Errorf("record %d: kept %v, admitted %v", i, kept, admitted)
+		}
+	}
+}
+
+func begin(key, attempt uuid.UUID, vm api.VMID) Command {
+	return Command{BeginCall: &BeginCall{Key: key, Row: "booking", Digest: 7, Attempt: attempt, VM: vm, Incarnation: 1}}
+}
+
+func finish(key, attempt uuid.UUID, state CallState, answer string) Command {
+	f := &FinishCall{Key: key, Row: "booking", Attempt: attempt, State: state}
+	if answer != "" {
+		f.Answer = &CallAnswer{Status: 200, Body: []byte(answer)}
+	}
+	return Command{FinishCall: f}
+}
+
+func (d *driver) wantCall(c Command, state CallState) *CallRecord {
+	d.t.Helper()
+	res := d.want(c, "")
+	if res.Call == nil || res.Call.State != state {
+		d.t.Fatalf("call %+v, want state %s", res.Call, state)
+	}
+	return res.Call
+}
+
+// TestCalls guards against a non-idempotent call that runs twice.
+func TestCalls(t *testing.T) {
+	d := newDriver(t)
+	key, a, b := d.id(1), uuid.New(), uuid.New()
+	d.wantCall(begin(key, a, "one"), CallGranted)
+	d.wantCall(begin(key, a, "one"), CallGranted)
+	d.wantCall(begin(key, b, "two"), CallInProgress)
+	other := begin(key, b, "two")
+	other.BeginCall.Digest = 8
+	d.want(other, errs.KeyReused)
+	d.want(finish(key, b, CallNotRun, ""), errs.Conflict)
+	d.wantCall(finish(key, a, CallNotRun, ""), CallNotRun)
+	d.wantCall(begin(key, b, "two"), CallGranted)
+	d.wantCall(finish(key, a, CallNotRun, ""), CallNotRun) // a late copy
+	d.wantCall(begin(key, a, "one"), CallInProgress)       // a late copy
+	if rec := d.wantCall(finish(key, b, CallFinished, "booked"), CallFinished); string(rec.Answer.Body) != "booked" {
+		t.Fatalf("answer %+v", rec.Answer)
+	}
+	d.wantCall(finish(key, b, CallFinished, "other"), CallFinished)
+	if rec := d.wantCall(begin(key, a, "one"), CallFinished); string(rec.Answer.Body) != "booked" {
+		t.Fatalf("answer of a resend %+v", rec.Answer)
+	}
+	d.want(finish(d.id(2), a, CallFinished, ""), errs.NotFound)
+	d.want(finish(key, b, CallFinished, string(make([]byte, maxAnswerBytes+1))), errs.PayloadTooLarge)
+	d.want(begin(idAt(d.now.Add(-25*time.Hour), 1), a, "one"), errs.KeyExpired)
+	d.want(begin(idAt(d.now.Add(6*time.Minute), 1), a, "one"), errs.KeyExpired)
+}
+
+// TestLateBeginOfFreedKey guards against a key that is held by an attempt that has already given it back: nobody
+// would finish it.
+func TestLateBeginOfFreedKey(t *testing.T) {
+	d := newDriver(t)
+	key, a := d.id(1), uuid.New()
+	d.wantCall(begin(key, a, "one"), CallGranted)
+	d.wantCall(finish(key, a, CallNotRun, ""), CallNotRun)
+	d.wantCall(begin(key, a, "one"), CallNotRun)
+	d.wantCall(begin(key, uuid.New(), "two"), CallGranted)
+}
+
+// TestLostOwner guards against a call that is run again although its owner may have run it.
+func TestLostOwner(t *testing.T) {
+	d := newDriver(t)
+	key, a := d.id(1), uuid.New()
+	d.wantCall(begin(key, a, "one"), CallGranted)
+	if res := d.want(Command{VMLost: &VMLost{VM: "one", Incarnation: 1}}, ""); res.Count != 1 {
+		t.Fatalf("%d calls became unknown", res.Count)
+	}
+	d.wantCall(begin(key, a, "one"), CallUnknown)
+	d.wantCall(begin(key, uuid.New(), "two"), CallUnknown)
+	d.wantCall(finish(key, a, CallNotRun, ""), CallUnknown)
+	d.wantCall(finish(key, a, CallFinished, "booked"), CallFinished)
+	d.wantCall(finish(key, a, CallUnknown, ""), CallFinished)
+}
+
+// TestStoredAnswersAreBounded guards against memory that grows with the size of answers.
+func TestStoredAnswersAreBounded(t *testing.T) {
+	d := newDriver(t)
+	big := string(make([]byte, maxAnswerBytes))
+	n := uint64(maxTotalAnswerBytes/maxAnswerBytes + 3)
+	for i := range n {
+		a := uuid.New()
+		d.wantCall(begin(d.id(i+1), a, "one"), CallGranted)
+		d.wantCall(finish(d.id(i+1), a, CallFinished, big), CallFinished)
+	}
+	if d.m.state.calls.bytes > maxTotalAnswerBytes {
+		t.Fatalf("%d bytes of answers are kept", d.m.state.calls.bytes)
+	}
+	if rec := d.wantCall(begin(d.id(1), uuid.New(), "two"), CallFinished); rec.Answer != nil {
+		t.Fatal("the oldest answer is kept")
+	}
+	if rec := d.wantCall(begin(d.id(n), uuid.New(), "two"), CallFinished); rec.Answer == nil {
+		t.Fatal("the newest answer is dropped")
+	}
+}
+
+// TestWeights guards against versions that go back and against wrong ages.
+func TestWeights(t *testing.T) {
+	d := newDriver(t)
+	publish := func(v api.WeightVersion) api.WeightVersion {
+		d.now = d.now.Add(time.Minute)
+		return d.want(Command{PublishWeights: &PublishWeights{Model: "tutor", Version: v}}, "").Weights
+	}
+	for _, tt := range []struct{ publish, newest api.WeightVersion }{{100, 100}, {101, 101}, {99, 101}, {101, 101}, {104, 104}} {
+		if got := publish(tt.publish); got != tt.newest {
+			t.Fatalf("after %d: newest %d, want %d", tt.publish, got, tt.newest)
+		}
+	}
+	w := d.m.Weights("tutor")
+	if at, ok := w.SuccessorTime(100); !ok || !at.Equal(testStart.Add(2*time.Minute)) {
+		t.Errorf("successor of 100: %v, %v", at, ok)
+	}
+	if at, ok := w.SuccessorTime(102); !ok || !at.Equal(testStart.Add(5*time.Minute)) {
+		t.Errorf("successor of 102: %v, %v", at, ok)
+	}
+	if _, ok := w.SuccessorTime(104); ok {
+		t.Error("the newest version has a successor")
+	}
+	if publish(1000); len(d.m.Weights("tutor").Published) != keptPublications {
+		t.Errorf("%d times are kept", len(d.m.Weights("tutor").Published))
+	}
+	one, two := d.want(Command{BeginOrders: &BeginOrders{}}, ""), d.want(Command{BeginOrders: &BeginOrders{}}, "")
+	if two.Token <= one.Token {
+		t.Errorf("tokens %d, %d", one.Token, two.Token)
+	}
+}
+
+// TestSnapshotRoundTrip guards against state that is lost or changed by a snapshot.
+func TestSnapshotRoundTrip(t *testing.T) {
+	d := newDriver(t)
+	d.want(edit(d.id(1), 0, testRow("chat", 1)), "")
+	d.wantCall(begin(d.id(2), uuid.New(), "one"), CallGranted)
+	d.openStep(1, 2, 2)
+	d.want(Command{PublishWeights: &PublishWeights{Model: "tutor", Version: 3}}, "")
+	data, err := d.m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := NewMachine()
+	if err := restored.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	again, err := restored.Snapshot()
+	if err != nil || !bytes.Equal(data, again) {
+		t.Fatal("the restored machine has another snapshot")
+	}
+	if !reflect.DeepEqual(restored.History("chat", 0), d.m.History("chat", 0)) || len(restored.owners()) != 1 {
+		t.Fatal("the restored machine has another history or other owners")
+	}
+	for _, bad := range [][]byte{nil, data[:len(data)/2], {0xa1, 0x01, 0x02}} {
+		if err := restored.Restore(bad); !errs.Is(err, errs.StorageCorrupt) {
+			t.Errorf("damaged snapshot: %v", err)
+		}
+	}
+	if again, _ = restored.Snapshot(); !bytes.Equal(data, again) {
+		t.Error("a damaged snapshot changed the state")
+	}
+}
+
+// TestBadEntries guards against log entries that crash a replica.
+func TestBadEntries(t *testing.T) {
+	m := NewMachine()
+	if out := m.Apply(1, nil); out != nil {
+		t.Fatalf("entry without data: %x", out)
+	}
+	for i, data := range [][]byte{{0xff}, {0xa0}, []byte("text"), bytes.Repeat([]byte{0x81}, 100)} {
+		res, err := DecodeResult(m.Apply(uint64(i+2), data))
+		if err != nil || res.ErrorKind != string(errs.InvalidArgument) {
+			t.Errorf("entry %x: %+v, %v", data, res, err)
+		}
+	}
+	if res, err := DecodeResult(m.Apply(2, nil)); err != nil || res.ErrorKind != string(errs.Internal) {
+		t.Errorf("an entry that is applied already: %+v, %v", res, err)
+	}
+}
--- a/internal/table/parse.go
+++ b/internal/table/parse.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"filbertledge/internal/api"
 )
@@ -155,7 +156,7 @@
 		return &fault{fmt.Sprintf("the URL has %d bytes", len(s)), fmt.Sprintf("use at most %d", maxURLLength)}
 	}
 	u, err := url.Parse(s)
-	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+	if err != nil || !utf8.ValidString(s) || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
 		return &fault{"the value is not an HTTP URL", "write it like http://10.0.0.5:8080/score"}
 	}
 	r.Scoring = s
--- a/internal/trainer/produce.go
+++ b/internal/trainer/produce.go
@@ -6,6 +6,7 @@
 	"errors"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -52,6 +53,9 @@
 		r.s.count(j.id.Step.Row, "stale")
 		return errs.New(errs.BackendFailed, "the member is produced anew", "%s", reason)
 	}
+	if !utf8.ValidString(g.Text) {
+		return errs.New(errs.BackendFailed, "the member is produced anew", "the answer is not valid UTF-8")
+	}
 	b := body{Text: g.Text, Tokens: g.Tokens, Labels: g.Labels, Queued: g.QueuedFor, Generated: g.RanFor}
 	if err := r.score(j, &b); err != nil {
 		return err
