--- a/internal/control/machine_test.go
+++ b/internal/control/machine_test.go
@@ -16,15 +16,22 @@
 // testStart is the time of the first command of tests of the machine.
 var testStart = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
 
+// tester is the part of testing.TB that rapid.T has as well.
+type tester interface {
+	Helper()
+	Fatal(args ...any)
+	Fatalf(format string, args ...any)
+}
+
 // driver applies commands to one machine.
 type driver struct {
-	t     testing.TB
+	t     tester
 	m     *Machine
 	index uint64
 	now   time.Time
 }
 
-func newDriver(t testing.TB) *driver {
+func newDriver(t tester) *driver {
 	return &driver{t: t, m: NewMachine(), now: testStart}
 }
 
