--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -18,13 +18,14 @@
 // fakeCluster is an agreement over in-memory replicas: one log, one leader, and replicas that apply the log
 // late. It commits each proposal exactly once, or loses the answer of a committed one on request.
 type fakeCluster struct {
-	mu       sync.Mutex
-	log      [][]byte
-	leader   int
-	members  []*fakeReplica
-	loseNext bool
-	cut      map[string]bool // addresses that cannot be reached
-	pause    func()          // called between the steps of a proposal, without the lock
+	mu        sync.Mutex
+	log       [][]byte
+	leader    int
+	members   []*fakeReplica
+	loseNext  bool
+	afterLoss func()          // called with the lock when an answer is lost
+	cut       map[string]bool // addresses that cannot be reached
+	pause     func()          // called between the steps of a proposal, without the lock
 }
 
 type fakeReplica struct {
@@ -99,6 +100,9 @@
 	out := r.catchUp(len(r.c.log))
 	if r.c.loseNext {
 		r.c.loseNext = false
+		if r.c.afterLoss != nil {
+			r.c.afterLoss()
+		}
 		return nil, errs.New(errs.OutcomeUnknown, "", "the answer is lost")
 	}
 	return out, nil
--- a/internal/control/property_test.go
+++ b/internal/control/property_test.go
@@ -34,6 +34,7 @@
 	versions map[api.RowName]uint64         // highest version seen
 	edits    map[uuid.UUID]Result           // first result of each edit
 	holders  map[uuid.UUID]uuid.UUID        // key: attempt that may run it
+	sent     []Command                      // edits
 	freed    map[uuid.UUID][]uuid.UUID      // key: attempts that gave it back
 	closed   map[uuid.UUID]bool             // keys that may never run again
 	owners   map[uuid.UUID]api.VMID         // key: VM of the holder
@@ -83,7 +84,13 @@
 	if m.draw("guess", 3) == 0 {
 		expected = uint64(m.draw("expected", 4))
 	}
-	res := m.step(edit(id, expected, row))
+	c := edit(id, expected, row)
+	if len(m.sent) > 0 && m.draw("resend", 3) == 0 {
+		c = m.sent[m.draw("sent", len(m.sent))]
+		id = c.EditRow.EditID
+	}
+	m.sent = append(m.sent, c)
+	res := m.step(c)
 	first, seen := m.edits[id]
 	applied := res.ErrorKind == "" && !res.Replayed
 	if seen && applied {
