Add transport: calls and one-way messages over QUIC with mutual TLS

A handler runs only once the end of its request has arrived, so a call that fails before its stream was ended is reported as not run (unavailable) and any later failure as outcome_unknown. Calls that wait send an empty datagram every 2 s; idle connections send nothing and close.

--- /dev/null
+++ b/internal/transport/codec.go
@@ -0,0 +1,143 @@
+// Package transport carries requests and one-way messages between the system's own processes, and from
+// operators, over QUIC with mutual TLS.
+//
+// A request is one bidirectional stream: the client writes a request envelope and ends its side, the server
+// runs the handler and writes a response envelope. A handler never runs before the end of the request has
+// arrived, so a request whose stream was not ended did not run. A one-way message is a datagram if it fits into
+// one, and otherwise a unidirectional stream.
+package transport
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"filbertledge/internal/errs"
+)
+
+// MaxMessage is the largest body of a request, a response or a one-way message, in bytes.
+const MaxMessage = 8 << 20
+
+// maxEnvelope bounds what is read from one stream. The margin holds method, deadline and CBOR overhead.
+const maxEnvelope = MaxMessage + 1024
+
+// Decode limits. They bound the memory and the stack that a malformed message can take.
+const (
+	maxNesting  = 24
+	maxElements = 1 << 18
+)
+
+var (
+	encoder = newEncoder()
+	decoder = newDecoder()
+)
+
+func newEncoder() cbor.EncMode {
+	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano, Sort: cbor.SortNone}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func newDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+		MaxNestedLevels:  maxNesting,
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Marshal encodes v as CBOR.
+func Marshal(v any) ([]byte, error) {
+	data, err := encoder.Marshal(v)
+	return data, errs.Wrap(err, errs.Internal, "", "cannot encode %T", v)
+}
+
+// Unmarshal decodes CBOR with strict limits: no indefinite lengths, no tags, no duplicate keys, bounded nesting
+// and element counts. Unknown fields are ignored, so that VMs of two versions can talk during an upgrade.
+func Unmarshal(data []byte, v any) error {
+	err := decoder.Unmarshal(data, v)
+	return errs.Wrap(err, errs.InvalidArgument, "use the same version of filbertledge on both sides", "cannot decode %T", v)
+}
+
+// requestEnvelope is what a client writes to a stream and what a one-way message consists of.
+type requestEnvelope struct {
+	_       struct{}      `cbor:",toarray"`
+	Method  string        // such as control.do
+	Timeout time.Duration // remaining time of the caller; zero means none
+	Body    []byte
+}
+
+// responseEnvelope answers a request. Error is nil on success.
+type responseEnvelope struct {
+	_     struct{} `cbor:",toarray"`
+	Error *wireError
+	Body  []byte
+}
+
+// wireError keeps kind, message and remedy of an error across the wire.
+type wireError struct {
+	_       struct{} `cbor:",toarray"`
+	Kind    errs.Kind
+	Message string
+	Remedy  string
+}
+
+// maxErrorText bounds the text of an error that goes over the wire, in bytes.
+const maxErrorText = 16 << 10
+
+func toWire(err error) *wireError {
+	var typed *errs.Error
+	switch {
+	case errors.As(err, &typed):
+		message := typed.Message
+		if cause := typed.Unwrap(); cause != nil {
+			message = fmt.Sprintf("%s: %v", message, cause)
+		}
+		return &wireError{Kind: typed.Kind, Message: truncate(message), Remedy: truncate(typed.Remedy)}
+	case errors.Is(err, context.DeadlineExceeded):
+		return &wireError{Kind: errs.DeadlineExceeded, Message: "the deadline passed in the handler", Remedy: "retry with more time"}
+	case errors.Is(err, context.Canceled):
+		return &wireError{Kind: errs.Canceled, Message: "the request was canceled"}
+	}
+	return &wireError{Kind: errs.Internal, Message: truncate(err.Error())}
+}
+
+func truncate(s string) string {
+	if len(s) <= maxErrorText {
+		return s
+	}
+	return s[:maxErrorText]
+}
+
+func (w *wireError) err() error { return errs.New(w.Kind, w.Remedy, "%s", w.Message) }
+
+func tooLarge(what string, size int) error {
+	return errs.New(errs.PayloadTooLarge, "split it into smaller messages", "%s of %d bytes is over the limit of %d", what, size, MaxMessage)
+}
+
+var errEnvelopeTooLarge = errors.New("message is over the transport's limit")
+
+// readEnvelope reads a stream to its end. The limit holds whatever the peer announces or sends.
+func readEnvelope(r io.Reader) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(r, maxEnvelope+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(data) > maxEnvelope {
+		return nil, errEnvelopeTooLarge
+	}
+	return data, nil
+}
--- /dev/null
+++ b/internal/transport/peer.go
@@ -0,0 +1,283 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"filbertledge/internal/errs"
+	"filbertledge/internal/pki"
+)
+
+const (
+	minBackoff = 50 * time.Millisecond
+	// maxBackoff is short, because a VM that came back must be reached well before the table lease of 3 s ends.
+	maxBackoff = 500 * time.Millisecond
+	// sendQueue bounds the one-way messages that wait for one peer.
+	sendQueue = 512
+	// largeSends bounds the large one-way messages that are being written to one peer, so that a slow peer holds
+	// at most largeSends * MaxMessage bytes.
+	largeSends = 8
+)
+
+type oneWay struct {
+	method string
+	body   []byte
+}
+
+// peerConn is the connection to one address. At most one dial runs at a time; callers share its result.
+type peerConn struct {
+	client *Client
+	addr   string
+
+	mu       sync.Mutex
+	conn     *quic.Conn
+	dial     *dialing
+	failures int
+	retryAt  time.Time
+	lastErr  error
+	waiting  int  // calls that wait for an answer
+	pinging  bool // a keepalive loop runs
+	sending  bool // the sender goroutine was started
+
+	queue chan oneWay
+	large chan struct{}
+}
+
+// dialing is a dial that several callers wait for.
+type dialing struct {
+	done chan struct{}
+	conn *quic.Conn
+	err  error
+}
+
+func newPeerConn(c *Client, addr string) *peerConn {
+	return &peerConn{client: c, addr: addr, queue: make(chan oneWay, sendQueue), large: make(chan struct{}, largeSends)}
+}
+
+func (p *peerConn) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conn != nil {
+		p.conn.CloseWithError(codeShutdown, "client closed")
+	}
+}
+
+// connect returns the open connection or waits for a new one. During a backoff it fails at once, so that the
+// caller can use another VM.
+func (p *peerConn) connect(ctx context.Context) (*quic.Conn, error) {
+	p.mu.Lock()
+	if p.conn != nil && p.conn.Context().Err() == nil {
+		defer p.mu.Unlock()
+		return p.conn, nil
+	}
+	if p.dial == nil {
+		if time.Now().Before(p.retryAt) {
+			defer p.mu.Unlock()
+			return nil, p.lastErr
+		}
+		p.dial = &dialing{done: make(chan struct{})}
+		go p.run(p.dial)
+	}
+	d := p.dial
+	p.mu.Unlock()
+	select {
+	case <-d.done:
+		return d.conn, d.err
+	case <-ctx.Done():
+		return nil, notRun(p.addr, "connecting", ctx.Err())
+	}
+}
+
+func (p *peerConn) run(d *dialing) {
+	conn, err := p.dialOnce()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	d.conn, d.err = conn, err
+	p.dial = nil
+	if err != nil {
+		p.backOff(err)
+	} else {
+		p.conn, p.failures, p.lastErr = conn, 0, nil
+	}
+	close(d.done)
+}
+
+// backOff sets the time of the next dial. The jitter keeps VMs from dialling a restarted peer all at once.
+func (p *peerConn) backOff(err error) {
+	wait := min(minBackoff<<min(p.failures, 10), maxBackoff)
+	p.failures++
+	p.lastErr = err
+	p.retryAt = time.Now().Add(wait/2 + rand.N(wait/2))
+}
+
+func (p *peerConn) dialOnce() (*quic.Conn, error) {
+	udp, err := net.ResolveUDPAddr("udp", p.addr)
+	if err != nil {
+		return nil, errs.Wrap(err, errs.InvalidArgument, "give an IP address and a port", "cannot dial %q", p.addr)
+	}
+	ctx, cancel := context.WithTimeout(p.client.ctx, dialTimeout)
+	defer cancel()
+	config := p.client.options.Identity.ClientTLS(udp.IP.String(), protocolName)
+	conn, err := p.client.transport.Dial(ctx, udp, config, quicConfig())
+	if err != nil {
+		if refused := refusal(p.addr, err); refused != nil {
+			return nil, refused
+		}
+		return nil, errs.Wrap(err, errs.Unavailable, retryRemedy, "cannot connect to %s", p.addr)
+	}
+	counters := p.client.options.Counters
+	wire := counters.openWire(wireClass(p.role()), wireTraffic(conn))
+	context.AfterFunc(conn.Context(), func() { counters.closeWire(wire) })
+	go discardDatagrams(conn)
+	return conn, nil
+}
+
+// role returns the role under which this side sends: the class of a connection is that of its client.
+func (p *peerConn) role() pki.Role { return p.client.options.Identity.Identity().Role }
+
+// discardDatagrams empties the receive queue; servers send no datagrams.
+func discardDatagrams(conn *quic.Conn) {
+	for {
+		if _, err := conn.ReceiveDatagram(conn.Context()); err != nil {
+			return
+		}
+	}
+}
+
+// begin and end count the calls that wait for an answer. While there are any, the connection is kept alive.
+func (p *peerConn) begin(conn *quic.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.waiting++
+	if !p.pinging {
+		p.pinging = true
+		go p.keepAlive(conn)
+	}
+}
+
+func (p *peerConn) end() {
+	p.mu.Lock()
+	p.waiting--
+	p.mu.Unlock()
+}
+
+// keepAlive sends an empty datagram every keepaliveInterval until no call waits or the connection is closed.
+func (p *peerConn) keepAlive(conn *quic.Conn) {
+	ticker := time.NewTicker(keepaliveInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-conn.Context().Done():
+			p.restartKeepAlive(conn)
+			return
+		case <-ticker.C:
+		}
+		p.mu.Lock()
+		if p.waiting == 0 {
+			p.pinging = false
+			p.mu.Unlock()
+			return
+		}
+		p.mu.Unlock()
+		_ = conn.SendDatagram(nil) // a failure closes the connection, which the loop notices
+	}
+}
+
+// restartKeepAlive moves the loop to the connection that replaced old, if calls wait on it.
+func (p *peerConn) restartKeepAlive(old *quic.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pinging = false
+	if p.waiting > 0 && p.conn != nil && p.conn != old && p.conn.Context().Err() == nil {
+		p.pinging = true
+		go p.keepAlive(p.conn)
+	}
+}
+
+func (p *peerConn) enqueue(m oneWay) {
+	p.mu.Lock()
+	if !p.sending {
+		p.sending = true
+		go p.sendLoop()
+	}
+	p.mu.Unlock()
+	select {
+	case p.queue <- m:
+	default:
+		p.client.options.Counters.dropped(m.method)
+	}
+}
+
+// sendLoop sends queued messages until the client is closed.
+func (p *peerConn) sendLoop() {
+	for {
+		select {
+		case <-p.client.ctx.Done():
+			return
+		case m := <-p.queue:
+			if !p.send(m) {
+				p.client.options.Counters.dropped(m.method)
+			}
+		}
+	}
+}
+
+func (p *peerConn) send(m oneWay) bool {
+	conn, err := p.connect(p.client.ctx)
+	if err != nil {
+		return false
+	}
+	data, err := Marshal(requestEnvelope{Method: m.method, Body: m.body})
+	if err != nil {
+		return false
+	}
+	err = conn.SendDatagram(data)
+	if err == nil {
+		p.client.options.Counters.out(m.method, len(data))
+		return true
+	}
+	var large *quic.DatagramTooLargeError
+	if !errors.As(err, &large) {
+		return false
+	}
+	return p.sendLarge(conn, m.method, data)
+}
+
+// sendLarge writes a message to a stream of its own, so that it does not hold up the small ones.
+func (p *peerConn) sendLarge(conn *quic.Conn, method string, data []byte) bool {
+	select {
+	case p.large <- struct{}{}:
+	default:
+		return false
+	}
+	go func() {
+		defer func() { <-p.large }()
+		if !writeUni(conn, data) {
+			p.client.options.Counters.dropped(method)
+			return
+		}
+		p.client.options.Counters.out(method, len(data))
+	}()
+	return true
+}
+
+func writeUni(conn *quic.Conn, data []byte) bool {
+	ctx, cancel := context.WithTimeout(conn.Context(), writeTimeout)
+	defer cancel()
+	stream, err := conn.OpenUniStreamSync(ctx)
+	if err != nil {
+		return false
+	}
+	stream.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := stream.Write(data); err != nil {
+		stream.CancelWrite(codeAbort)
+		return false
+	}
+	return stream.Close() == nil
+}
--- /dev/null
+++ b/internal/transport/transport_test.go
@@ -0,0 +1,452 @@
+package transport
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"filbertledge/internal/errs"
+	"filbertledge/internal/pki"
+)
+
+// deployment is a CA with a server and clients on loopback.
+type deployment struct {
+	t   *testing.T
+	dir string
+	ca  *pki.Authority
+}
+
+func newDeployment(t *testing.T) *deployment {
+	t.Helper()
+	dir := t.TempDir()
+	ca, err := pki.Init(dir, "test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &deployment{t: t, dir: dir, ca: ca}
+}
+
+func (d *deployment) source(name string, role pki.Role, options pki.SourceOptions) *pki.Source {
+	d.t.Helper()
+	files, err := d.ca.Issue(pki.Request{Name: name, Role: role, IPs: []net.IP{net.IPv4(127, 0, 0, 1)}})
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	s, err := pki.NewSource(files, options)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	return s
+}
+
+func (d *deployment) server(o ServerOptions, setup func(*Server)) (addr string, stop func()) {
+	d.t.Helper()
+	if o.Identity == nil {
+		o.Identity = d.source("a-1", pki.RoleVM, pki.SourceOptions{})
+	}
+	if o.Address == "" {
+		o.Address = "127.0.0.1:0"
+	}
+	s, err := NewServer(o)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	setup(s)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(ctx) }()
+	stop = sync.OnceFunc(func() {
+		cancel()
+		if err := <-done; err != nil {
+			d.t.Error(err)
+		}
+	})
+	d.t.Cleanup(stop)
+	return s.Addr(), stop
+}
+
+func (d *deployment) client(source *pki.Source, o ClientOptions) *Client {
+	d.t.Helper()
+	o.Identity = source
+	c, err := NewClient(o)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func echo(_ context.Context, _ Peer, request []byte) ([]byte, error) { return request, nil }
+
+func withEcho(s *Server) { s.Handle("test.echo", pki.RoleAny, echo) }
+
+func timeout(t *testing.T, d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func wantKind(t *testing.T, err error, want errs.Kind) {
+	t.Helper()
+	if !errs.Is(err, want) {
+		t.Fatalf("error %v has kind %v, want %s", err, errs.KindOf(err), want)
+	}
+}
+
+// Guards against answers that reach the wrong call when many calls share one connection.
+func TestConcurrentCalls(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	addr, _ := d.server(ServerOptions{}, withEcho)
+	c := d.client(d.source("a-2", pki.RoleVM, pki.SourceOptions{}), ClientOptions{})
+	ctx := timeout(t, 30*time.Second)
+	var wrong atomic.Int64
+	var group sync.WaitGroup
+	for i := range 1000 {
+		group.Go(func() {
+			want := fmt.Appendf(nil, "call %d", i)
+			got, err := c.Call(ctx, addr, "test.echo", want)
+			if err != nil || !bytes.Equal(got, want) {
+				wrong.Add(1)
+			}
+		})
+	}
+	group.Wait()
+	if n := wrong.Load(); n != 0 {
+		t.Fatalf("%d of 1000 calls failed", n)
+	}
+	if n := len(c.peers); n != 1 {
+		t.Fatalf("%d peers for one address", n)
+	}
+}
+
+// Guards against a process with another deployment's certificate being served.
+func TestWrongCA(t *testing.T) {
+	t.Parallel()
+	d, other := newDeployment(t), newDeployment(t)
+	var refused atomic.Int64
+	identity := d.source("a-1", pki.RoleVM, pki.SourceOptions{OnRefused: func(string, error) { refused.Add(1) }})
+	var ran atomic.Int64
+	addr, _ := d.server(ServerOptions{Identity: identity}, func(s *Server) {
+		s.Handle("test.echo", pki.RoleAny, func(context.Context, Peer, []byte) ([]byte, error) {
+			ran.Add(1)
+			return nil, nil
+		})
+	})
+	foreign := other.source("a-2", pki.RoleVM, pki.SourceOptions{})
+	_, err := d.client(foreign, ClientOptions{}).Call(timeout(t, 5*time.Second), addr, "test.echo", nil)
+	wantKind(t, err, errs.Unauthenticated)
+
+	// The same, when only the server refuses: the client trusts the deployment's CA.
+	bad := pki.LeafFiles(other.dir, "a-2")
+	bad.CA = pki.LeafFiles(d.dir, "a-1").CA
+	source, err := pki.NewSource(bad, pki.SourceOptions{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = d.client(source, ClientOptions{}).Call(timeout(t, 5*time.Second), addr, "test.echo", nil)
+	wantKind(t, err, errs.Unauthenticated)
+	if refused.Load() == 0 {
+		t.Fatal("the server did not report the refused certificate")
+	}
+	if ran.Load() != 0 {
+		t.Fatal("a handler ran for a refused certificate")
+	}
+}
+
+// Guards against an operator using the methods of VMs, and against a client that takes an operator for a VM.
+func TestWrongRole(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	var refused atomic.Int64
+	options := ServerOptions{Refused: func(Peer, string) { refused.Add(1) }}
+	addr, _ := d.server(options, func(s *Server) {
+		withEcho(s)
+		s.Handle("test.vm", pki.RoleVM, echo)
+		s.Handle("test.operator", pki.RoleOperator, echo)
+	})
+	operator := d.client(d.source("op", pki.RoleOperator, pki.SourceOptions{}), ClientOptions{})
+	vm := d.client(d.source("a-2", pki.RoleVM, pki.SourceOptions{}), ClientOptions{})
+	cases := []struct {
+		client *Client
+		method string
+		denied bool
+	}{
+		{operator, "test.echo", false},
+		{operator, "test.vm", true},
+		{operator, "test.operator", false},
+		{vm, "test.vm", false},
+		{vm, "test.operator", true},
+	}
+	for _, c := range cases {
+		_, err := c.client.Call(timeout(t, 5*time.Second), addr, c.method, nil)
+		if c.denied {
+			wantKind(t, err, errs.PermissionDenied)
+		} else if err != nil {
+			t.Fatal(err)
+		}
+	}
+	if refused.Load() != 2 {
+		t.Fatalf("%d refusals were reported, want 2", refused.Load())
+	}
+	impostor, _ := d.server(ServerOptions{Identity: d.source("op-2", pki.RoleOperator, pki.SourceOptions{})}, withEcho)
+	_, err := vm.Call(timeout(t, 5*time.Second), impostor, "test.echo", nil)
+	wantKind(t, err, errs.Unauthenticated)
+}
+
+// Guards against a rotation that needs a restart: after the old root is gone, new connections use new material.
+func TestRotationWithoutRestart(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	addr, _ := d.server(ServerOptions{}, withEcho)
+	source := d.source("a-2", pki.RoleVM, pki.SourceOptions{})
+	ctx := timeout(t, 20*time.Second)
+	first := d.client(source, ClientOptions{})
+	if _, err := first.Call(ctx, addr, "test.echo", nil); err != nil {
+		t.Fatal(err)
+	}
+	if err := d.ca.RotateCA("test"); err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{"a-1", "a-2"} {
+		if _, err := d.ca.Rotate(name, 0); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := d.client(source, ClientOptions{}).Call(ctx, addr, "test.echo", nil); err != nil {
+			t.Fatalf("after the rotation of %s: %v", name, err)
+		}
+	}
+	if err := d.ca.DropOldCAs(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := d.client(source, ClientOptions{}).Call(ctx, addr, "test.echo", nil); err != nil {
+		t.Fatalf("after the old root was dropped: %v", err)
+	}
+	if _, err := first.Call(ctx, addr, "test.echo", nil); err != nil {
+		t.Fatalf("on the connection from before the rotation: %v", err)
+	}
+}
+
+// Guards against messages that take unbounded memory.
+func TestOversizedMessages(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	addr, _ := d.server(ServerOptions{}, func(s *Server) {
+		withEcho(s)
+		s.Handle("test.large", pki.RoleAny, func(context.Context, Peer, []byte) ([]byte, error) {
+			return make([]byte, MaxMessage+1), nil
+		})
+	})
+	c := d.client(d.source("a-2", pki.RoleVM, pki.SourceOptions{}), ClientOptions{})
+	ctx := timeout(t, 20*time.Second)
+	_, err := c.Call(ctx, addr, "test.echo", make([]byte, MaxMessage+1))
+	wantKind(t, err, errs.PayloadTooLarge)
+	_, err = c.Call(ctx, addr, "test.large", nil)
+	wantKind(t, err, errs.PayloadTooLarge)
+	got, err := c.Call(ctx, addr, "test.echo", make([]byte, MaxMessage))
+	if err != nil || len(got) != MaxMessage {
+		t.Fatalf("message at the limit: %d bytes, %v", len(got), err)
+	}
+	// A client that ignores the limit is stopped by the server.
+	conn, err := c.peer(addr).connect(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stream, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go stream.Write(make([]byte, 2*maxEnvelope))
+	_, err = c.readResponse(ctx, stream, addr, "test.echo")
+	wantKind(t, err, errs.PayloadTooLarge)
+}
+
+// Guards against a failed call that is reported as not run although its handler may have run, and the reverse.
+func TestPeerLostInMidCall(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	packets, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cut := &cutConn{PacketConn: packets}
+	started := make(chan struct{})
+	addr, _ := d.server(ServerOptions{Conn: cut, Grace: time.Millisecond}, func(s *Server) {
+		s.Handle("test.block", pki.RoleAny, func(ctx context.Context, _ Peer, _ []byte) ([]byte, error) {
+			close(started)
+			<-ctx.Done()
+			return nil, ctx.Err()
+		})
+	})
+	c := d.client(d.source("a-2", pki.RoleVM, pki.SourceOptions{}), ClientOptions{})
+	result := make(chan error, 1)
+	go func() {
+		_, err := c.Call(context.Background(), addr, "test.block", nil)
+		result <- err
+	}()
+	<-started
+	cut.off.Store(true)
+	begin := time.Now()
+	err = <-result
+	wantKind(t, err, errs.OutcomeUnknown)
+	if took := time.Since(begin); took > idleTimeout+2*keepaliveInterval {
+		t.Fatalf("the silent cut was noticed after %s", took)
+	}
+	_, err = c.Call(timeout(t, 5*time.Second), addr, "test.block", nil)
+	wantKind(t, err, errs.Unavailable)
+}
+
+// cutConn drops all packets in both directions once off is set.
+type cutConn struct {
+	net.PacketConn
+	off atomic.Bool
+}
+
+func (c *cutConn) ReadFrom(b []byte) (int, net.Addr, error) {
+	for {
+		n, addr, err := c.PacketConn.ReadFrom(b)
+		if err != nil || !c.off.Load() {
+			return n, addr, err
+		}
+	}
+}
+
+func (c *cutConn) WriteTo(b []byte, addr net.Addr) (int, error) {
+	if c.off.Load() {
+		return len(b), nil
+	}
+	return c.PacketConn.WriteTo(b, addr)
+}
+
+// Guards against a restarted VM that stays unreachable until the old connection idles out.
+func TestPeerRestart(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	identity := d.source("a-1", pki.RoleVM, pki.SourceOptions{})
+	addr, stop := d.server(ServerOptions{Identity: identity}, withEcho)
+	c := d.client(d.source("a-2", pki.RoleVM, pki.SourceOptions{}), ClientOptions{})
+	if _, err := c.Call(timeout(t, 5*time.Second), addr, "test.echo", nil); err != nil {
+		t.Fatal(err)
+	}
+	stop()
+	_, err := c.Call(timeout(t, 5*time.Second), addr, "test.echo", nil)
+	wantKind(t, err, errs.Unavailable)
+	d.server(ServerOptions{Identity: identity, Address: addr}, withEcho)
+	deadline := time.Now().Add(3 * time.Second)
+	for {
+		_, err := c.Call(timeout(t, 5*time.Second), addr, "test.echo", nil)
+		if err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("the restarted server was not reached: %v", err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// Guards against idle connections that cost bytes, and against long calls that end with the idle timeout.
+func TestLongCallIsKeptAlive(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	addr, _ := d.server(ServerOptions{}, func(s *Server) {
+		s.Handle("test.slow", pki.RoleAny, func(context.Context, Peer, []byte) ([]byte, error) {
+			time.Sleep(idleTimeout + time.Second)
+			return []byte("done"), nil
+		})
+	})
+	c := d.client(d.source("a-2", pki.RoleVM, pki.SourceOptions{}), ClientOptions{})
+	if _, err := c.Call(timeout(t, 20*time.Second), addr, "test.slow", nil); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a deadline or an error kind that is lost between two VMs.
+func TestDeadlineAndErrorsTravel(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	left := make(chan time.Duration, 1)
+	canceled := make(chan struct{})
+	addr, _ := d.server(ServerOptions{}, func(s *Server) {
+		s.Handle("test.fail", pki.RoleAny, func(ctx context.Context, _ Peer, _ []byte) ([]byte, error) {
+			deadline, _ := ctx.Deadline()
+			left <- time.Until(deadline)
+			return nil, errs.Wrap(os.ErrNotExist, errs.Conflict, "read the row again", "row %q changed", "chat")
+		})
+		s.Handle("test.wait", pki.RoleAny, func(ctx context.Context, _ Peer, _ []byte) ([]byte, error) {
+			<-ctx.Done()
+			close(canceled)
+			return nil, ctx.Err()
+		})
+	})
+	c := d.client(d.source("a-2", pki.RoleVM, pki.SourceOptions{}), ClientOptions{})
+	_, err := c.Call(timeout(t, 10*time.Second), addr, "test.fail", nil)
+	wantKind(t, err, errs.Conflict)
+	var typed *errs.Error
+	if !errors.As(err, &typed) || typed.Message != `row "chat" changed: file does not exist` || typed.Remedy != "read the row again" {
+		t.Fatalf("message or remedy was lost: %+v", typed)
+	}
+	if got := <-left; got <= 0 || got > 10*time.Second {
+		t.Fatalf("handler had %s left", got)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	_, err = c.Call(ctx, addr, "test.wait", nil)
+	wantKind(t, err, errs.OutcomeUnknown)
+	if !errors.Is(err, context.Canceled) {
+		t.Fatalf("error %v hides the cancellation", err)
+	}
+	select {
+	case <-canceled:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the cancellation did not reach the handler")
+	}
+}
+
+// Guards against one-way messages that are lost because they do not fit into a datagram, and against a sender
+// that blocks when the peer does not answer.
+func TestOneWay(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	got := make(chan int, 8)
+	addr, _ := d.server(ServerOptions{}, func(s *Server) {
+		s.Handle("test.note", pki.RoleVM, func(_ context.Context, _ Peer, message []byte) ([]byte, error) {
+			got <- len(message)
+			return nil, nil
+		})
+	})
+	counters := NewCounters()
+	c := d.client(d.source("a-2", pki.RoleVM, pki.SourceOptions{}), ClientOptions{Counters: counters})
+	for _, size := range []int{10, 100_000} {
+		c.Send(addr, "test.note", make([]byte, size))
+		select {
+		case n := <-got:
+			if n != size {
+				t.Fatalf("got %d bytes, want %d", n, size)
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatalf("message of %d bytes did not arrive", size)
+		}
+	}
+	begin := time.Now()
+	for range 10 * sendQueue {
+		c.Send("127.0.0.1:1", "test.note", nil)
+	}
+	if took := time.Since(begin); took > dialTimeout {
+		t.Fatalf("sending to an absent peer took %s", took)
+	}
+	snapshot := counters.Snapshot()
+	if snapshot["test"].Dropped == 0 || snapshot["test"].MessagesOut != 2 {
+		t.Fatalf("class test counts %+v", snapshot["test"])
+	}
+	if wire := snapshot[ClassWireVM]; wire.BytesOut < 100_000 || wire.BytesIn == 0 {
+		t.Fatalf("class %s counts %+v", ClassWireVM, wire)
+	}
+}
