Add config: checked TOML settings of one VM

Values with units are decoded as text, so that a wrong unit is reported with all other problems instead of ending the decoding. A layout in which one failure domain holds a majority of the replicas is refused. A single replica passes with a warning, for trials: it has no placement that survives a loss.

--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,168 @@
+package config
+
+import (
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"filbertledge/internal/api"
+	"filbertledge/internal/errs"
+	"filbertledge/internal/pki"
+)
+
+func deployment() Deployment {
+	d := Deployment{Keys: "keys", Data: "data", WeightStore: "http://127.0.0.1:6001"}
+	d.Pools = []Pool{{Name: "drafter-llm", TokenSHA256: pki.HashToken("secret")}}
+	ip := netip.MustParseAddr("127.0.0.1")
+	for i, domain := range []string{"szeged-a", "szeged-b", "kecskemet-a", "bekes-a"} {
+		d.VMs = append(d.VMs, DeploymentVM{
+			Name: api.VMID(domain + "-1"), FailureDomain: api.FailureDomain(domain),
+			Listen: DefaultPorts.Place(ip, i), Replica: i < 3,
+		})
+	}
+	return d
+}
+
+// Guards against written settings that the program itself rejects or reads differently.
+func TestWriteThenLoad(t *testing.T) {
+	dir := t.TempDir()
+	paths, err := Write(dir, deployment())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := Load(paths[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.VM.DataDir != filepath.Join(dir, "data", "szeged-a-1") || c.TLS.Key != filepath.Join(dir, "keys", "szeged-a-1-key.pem") {
+		t.Fatalf("paths are not relative to the settings file: %+v %+v", c.VM, c.TLS)
+	}
+	if c.Limits.Drain != Duration(10*time.Minute) || c.Limits.Body != 4*MiB || c.Weights.Rate != 100*MiB {
+		t.Fatalf("limits %+v, weights %+v", c.Limits, c.Weights)
+	}
+	if r, ok := c.Replica(); !ok || r.Address != "127.0.0.1:9001" || len(c.Control.Replicas) != 3 {
+		t.Fatalf("replicas %+v", c.Control.Replicas)
+	}
+	last, err := Load(paths[3])
+	if err != nil || last.VM.DataDir != "" {
+		t.Fatalf("VM without a replica: %+v, %v", last, err)
+	}
+	if _, err := Write(dir, deployment()); !errs.Is(err, errs.Conflict) {
+		t.Fatalf("Write overwrote settings: %v", err)
+	}
+}
+
+// Guards against a faulty file that is accepted, and against an error that does not name the key.
+func TestCheckNamesTheKey(t *testing.T) {
+	dir := t.TempDir()
+	paths, err := Write(dir, deployment())
+	if err != nil {
+		t.Fatal(err)
+	}
+	good, err := os.ReadFile(paths[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	cases := []struct{ name, old, replacement, want string }{
+		{"unknown key", "[log]", "[log]\nlevle = 1", "log.levle: unknown key"},
+		{"unknown section", "[log]", "[lgo]\nx = 1\n[log]", "lgo: unknown key"},
+		{"duration without unit", `drain = "10m"`, "drain = 10", "limits.drain: \"10\" has no unit"},
+		{"size without unit", `body = "4MiB"`, `body = "4194304"`, "limits.body: \"4194304\" has no unit"},
+		{"wrong unit", `rate = "100MiB"`, `rate = "100MB"`, "weights.rate: \"100MB\" is not a size"},
+		{"size out of range", `header = "16KiB"`, `header = "1GiB"`, "limits.header: 1GiB is out of range"},
+		{"host name", `http = "127.0.0.1:8001"`, `http = "localhost:8001"`, "listen.http: \"localhost:8001\" is not an IP address"},
+		{"overlap", `metrics = "127.0.0.1:7001"`, `metrics = "0.0.0.0:8001"`, "listen.metrics: \"0.0.0.0:8001\" overlaps listen.http"},
+		{"address nobody can dial", `internal = "127.0.0.1:9001"`, `internal = "0.0.0.0:9001"`, "listen.internal: \"0.0.0.0:9001\" is not an address that others can dial"},
+		{"replica without data_dir", `data_dir = "data/szeged-a-1"`, "", "vm.data_dir: missing"},
+		{"data_dir without replica", `name = "szeged-a-1"`, `name = "szeged-a-9"`, "vm.data_dir: set, but"},
+		{"own address", `address = "127.0.0.1:9001"`, `address = "127.0.0.1:9009"`, "control.replicas[0].address"},
+		{"own name", `name = "szeged-a-1"`, `name = "szeged-a-9"`, "control.replicas[0].name"},
+		{"even number", "[log]", "[[control.replicas]]\nname = \"x\"\naddress = \"127.0.0.1:9007\"\nfailure_domain = \"x\"\n[log]", "4 replicas are an even number"},
+		{"majority in one domain", `failure_domain = "szeged-b"`, `failure_domain = "szeged-a"`, "holds 2 of 3 replicas"},
+		{"replica twice", `address = "127.0.0.1:9002"`, `address = "127.0.0.1:9003"`, "control.replicas[2].address"},
+		{"token instead of digest", "token_sha256 = \"", "token_sha256 = \"secret", "pools[0].token_sha256: is not a SHA-256 digest"},
+		{"store", "http://127.0.0.1:6001", "127.0.0.1:6001", "weights.store"},
+		{"level", `level = "info"`, `level = "loud"`, "log.level"},
+		{"missing key", `ca = "keys/ca.pem"`, "", "tls.ca: missing"},
+		{"wrong type", `level = "info"`, `level = 3`, "level"},
+		{"no TOML", "[vm]", "[vm", ":"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			text := strings.Replace(string(good), c.old, c.replacement, 1)
+			if text == string(good) {
+				t.Fatalf("%q is not in the settings", c.old)
+			}
+			path := filepath.Join(t.TempDir(), "vm.toml")
+			if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			_, err := Load(path)
+			if !errs.Is(err, errs.ConfigInvalid) {
+				t.Fatalf("got %v", err)
+			}
+			if message := err.Error(); !strings.Contains(message, c.want) || !strings.Contains(message, path) {
+				t.Fatalf("error %q does not name the file and %q", message, c.want)
+			}
+		})
+	}
+}
+
+// Guards against an operator who repairs one error at a time.
+func TestAllProblemsAtOnce(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "vm.toml")
+	text := "[vm]\nnmae = \"a\"\n[limits]\ndrain = 5\nbody = \"4\"\n[log]\nlevel = \"loud\"\n"
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	_, err := Load(path)
+	for _, key := range []string{
+		"vm.nmae", "vm.name", "vm.failure_domain", "limits.drain", "limits.body", "log.level",
+		"listen.http", "listen.internal", "listen.metrics", "tls.ca", "control.replicas",
+	} {
+		if !strings.Contains(err.Error(), path+": "+key+": ") {
+			t.Errorf("no problem for %s in\n%v", key, err)
+		}
+	}
+}
+
+// Guards against units that are read as other amounts.
+func TestUnits(t *testing.T) {
+	for text, want := range map[string]Size{"0B": 0, "512B": 512, "16KiB": 16 << 10, "4 MiB": 4 << 20, "2GiB": 2 << 30} {
+		if got, err := ParseSize(text); err != nil || got != want {
+			t.Errorf("ParseSize(%q) = %d, %v", text, got, err)
+		}
+	}
+	for _, text := range []string{"", "4", "4.5MiB", "4MB", "4mib", "-1KiB", "MiB", "9999999999GiB"} {
+		if got, err := ParseSize(text); err == nil {
+			t.Errorf("ParseSize(%q) = %d", text, got)
+		}
+	}
+	for _, text := range []string{"", "4", "4.5", "4 s", "4d", "s"} {
+		if got, err := ParseDuration(text); err == nil {
+			t.Errorf("ParseDuration(%q) = %s", text, got)
+		}
+	}
+	for _, d := range []time.Duration{0, time.Millisecond, 90 * time.Second, 10 * time.Minute, 2 * time.Hour, 61 * time.Minute} {
+		if got, err := ParseDuration(Duration(d).String()); err != nil || got != Duration(d) {
+			t.Errorf("%s is written as %q and read as %s, %v", d, Duration(d), got, err)
+		}
+	}
+}
+
+// Guards against a trial deployment that is refused, or that runs without a warning.
+func TestOneReplicaWarns(t *testing.T) {
+	d := deployment()
+	d.VMs = d.VMs[:1]
+	paths, err := Write(t.TempDir(), d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := Load(paths[0])
+	if err != nil || len(c.Warnings()) != 1 {
+		t.Fatalf("warnings %v, %v", c.Warnings(), err)
+	}
+}
--- a/internal/pki/issue.go
+++ b/internal/pki/issue.go
@@ -162,13 +162,10 @@
 }
 
 func (r Request) check() error {
-	if !validName.MatchString(r.Name) {
-		return errs.New(errs.InvalidArgument, "use at most 63 letters, digits, dots, hyphens and underscores",
+	if !ValidName(r.Name) {
+		return errs.New(errs.InvalidArgument, "use at most 63 letters, digits, dots, hyphens and underscores, and not ca",
 			"name %q cannot be used in a certificate", r.Name)
 	}
-	if r.Name == "ca" {
-		return errs.New(errs.InvalidArgument, "choose another name", "name %q would overwrite the certificate authority", r.Name)
-	}
 	if r.Role != RoleVM && r.Role != RoleOperator {
 		return errs.New(errs.InvalidArgument, "use vm or operator", "certificate for %q needs exactly one role", r.Name)
 	}
@@ -232,3 +229,7 @@
 	}
 	return out
 }
+
+// ValidName reports whether a name can be used in a certificate and as the name of its files. The name ca would
+// overwrite the certificate authority.
+func ValidName(name string) bool { return validName.MatchString(name) && name != "ca" }
