--- /dev/null
+++ b/internal/pki/pki_test.go
@@ -0,0 +1,181 @@
+package pki
+
+import (
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"filbertledge/internal/errs"
+)
+
+var loopback = []net.IP{net.IPv4(127, 0, 0, 1)}
+
+func newAuthority(t *testing.T) (*Authority, string) {
+	t.Helper()
+	dir := t.TempDir()
+	a, err := Init(dir, "test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a, dir
+}
+
+func issue(t *testing.T, a *Authority, r Request) Files {
+	t.Helper()
+	files, err := a.Issue(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return files
+}
+
+// Guards against material that was created wrong, and against a check that accepts wrong material.
+func TestCheck(t *testing.T) {
+	a, dir := newAuthority(t)
+	other, _ := newAuthority(t)
+	vm := issue(t, a, Request{Name: "a-1", Role: RoleVM, IPs: loopback})
+	operator := issue(t, a, Request{Name: "op", Role: RoleOperator})
+	foreign := issue(t, other, Request{Name: "a-1", Role: RoleVM, IPs: loopback})
+	wide := issue(t, a, Request{Name: "a-3", Role: RoleVM, IPs: loopback})
+	if err := os.Chmod(wide.Key, 0o644); err != nil {
+		t.Fatal(err)
+	}
+	expect := Expect{Name: "a-1", Role: RoleVM, IPs: loopback}
+	cases := []struct {
+		name   string
+		files  Files
+		expect Expect
+		want   string
+	}{
+		{"good VM", vm, expect, ""},
+		{"good operator", operator, Expect{Role: RoleOperator}, ""},
+		{"wrong role", operator, Expect{Role: RoleVM}, "has the role operator, not vm"},
+		{"wrong name", vm, Expect{Name: "a-2"}, `is for "a-1", not "a-2"`},
+		{"wrong address", vm, Expect{IPs: []net.IP{net.IPv4(10, 0, 0, 1)}}, "does not name the address 10.0.0.1"},
+		{"wrong CA", Files{CA: vm.CA, Cert: foreign.Cert, Key: foreign.Key}, expect, "was not issued by a CA"},
+		{"wrong key", Files{CA: vm.CA, Cert: vm.Cert, Key: operator.Key}, expect, "does not belong to"},
+		{"mode", wide, Expect{}, "mode 0644 lets others use the key"},
+		{"expired", vm, Expect{Now: time.Now().Add(LeafLifetime + time.Hour)}, "expired at"},
+		{"expires soon", vm, Expect{Now: time.Now().Add(LeafLifetime - RenewBefore + time.Hour)}, "expires at"},
+		{"clock", vm, Expect{Now: time.Now().Add(-time.Hour)}, "not valid before"},
+		{"missing", LeafFiles(dir, "a-9"), expect, "no such file"},
+		{"leaf as CA", Files{CA: vm.Cert, Cert: vm.Cert, Key: vm.Key}, expect, "is not a CA"},
+	}
+	for _, c := range cases {
+		findings := Check(c.files, c.expect)
+		if c.want == "" && len(findings) > 0 {
+			t.Errorf("%s: %v", c.name, findings)
+		}
+		if c.want != "" && !found(findings, c.want) {
+			t.Errorf("%s: %q is not in %v", c.name, c.want, findings)
+		}
+	}
+}
+
+func found(findings []Finding, want string) bool {
+	for _, f := range findings {
+		if strings.Contains(f.String(), want) {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against a second init or a name that destroys the authority.
+func TestAuthorityIsNotOverwritten(t *testing.T) {
+	a, dir := newAuthority(t)
+	if _, err := Init(dir, "test"); !errs.Is(err, errs.Conflict) {
+		t.Errorf("second Init: %v", err)
+	}
+	bad := []Request{
+		{Name: "ca", Role: RoleOperator},
+		{Name: "../a", Role: RoleOperator},
+		{Name: "", Role: RoleOperator},
+		{Name: "a-1", Role: RoleVM},
+		{Name: "a-1", Role: RoleAny, IPs: loopback},
+		{Name: "a-1"},
+	}
+	for _, r := range bad {
+		if _, err := a.Issue(r); !errs.Is(err, errs.InvalidArgument) {
+			t.Errorf("Issue(%+v): %v", r, err)
+		}
+	}
+	if _, err := OpenAuthority(dir); err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against a reload that takes half-written or foreign files into use.
+func TestSourceKeepsUsableMaterial(t *testing.T) {
+	a, dir := newAuthority(t)
+	files := issue(t, a, Request{Name: "a-1", Role: RoleVM, IPs: loopback})
+	var loads, failures int
+	s, err := NewSource(files, SourceOptions{OnLoad: func(Identity) { loads++ }, OnError: func(error) { failures++ }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := s.Identity()
+	key, err := os.ReadFile(files.Key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(files.Key, key[:len(key)/2], 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if got := s.Identity(); got != before || failures != 1 || loads != 0 {
+		t.Fatalf("after a broken key: %+v, %d failures, %d loads", got, failures, loads)
+	}
+	if _, err := a.Rotate("a-1", time.Hour); err != nil {
+		t.Fatal(err)
+	}
+	if got := s.Identity(); !got.NotAfter.Before(before.NotAfter) || loads != 1 {
+		t.Fatalf("after the rotation: %+v, %d loads", got, loads)
+	}
+	if names, err := a.Names(); err != nil || len(names) != 1 || names[0] != "a-1" {
+		t.Fatalf("names in %s: %v, %v", dir, names, err)
+	}
+}
+
+// Guards against the old root being dropped while certificates depend on it.
+func TestDropOldCAs(t *testing.T) {
+	a, dir := newAuthority(t)
+	issue(t, a, Request{Name: "a-1", Role: RoleVM, IPs: loopback})
+	if err := a.RotateCA("test"); err != nil {
+		t.Fatal(err)
+	}
+	a, err := OpenAuthority(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if findings := Check(LeafFiles(dir, "a-1"), Expect{}); len(findings) > 0 {
+		t.Fatalf("the old certificate is no longer accepted: %v", findings)
+	}
+	if err := a.DropOldCAs(); !errs.Is(err, errs.Conflict) {
+		t.Fatalf("DropOldCAs: %v", err)
+	}
+	if _, err := a.Rotate("a-1", 0); err != nil {
+		t.Fatal(err)
+	}
+	if err := a.DropOldCAs(); err != nil {
+		t.Fatal(err)
+	}
+	if findings := Check(LeafFiles(dir, "a-1"), Expect{Name: "a-1", Role: RoleVM, IPs: loopback}); len(findings) > 0 {
+		t.Fatalf("after the rotation: %v", findings)
+	}
+}
+
+// Guards against tokens that repeat or digests that do not match.
+func TestTokens(t *testing.T) {
+	first, digest := NewToken()
+	second, _ := NewToken()
+	if first == second || !ValidDigest(digest) || !TokenMatches(first, digest) || TokenMatches(second, digest) {
+		t.Fatalf("tokens %q %q, digest %q", first, second, digest)
+	}
+	for _, bad := range []string{"", first, strings.ToUpper(digest), digest[1:]} {
+		if ValidDigest(bad) {
+			t.Errorf("digest %q is accepted", bad)
+		}
+	}
+}
--- a/internal/pki/source.go
+++ b/internal/pki/source.go
@@ -35,6 +35,7 @@
 
 	mu       sync.Mutex
 	stamp    [3]fileStamp
+	rejected [3]fileStamp // state of the files that could not be used; it is reported once
 	material *material
 }
 
@@ -107,11 +108,12 @@
 		s.report(err)
 		return s.material
 	}
-	if stamp == s.stamp {
+	if stamp == s.stamp || stamp == s.rejected {
 		return s.material
 	}
 	m, err := load(s.files)
 	if err != nil {
+		s.rejected = stamp
 		s.report(err)
 		return s.material
 	}
