Add operator: API handlers and client

Table edits, reads, status, servers, samples, drain, and a timeline merged from all VMs. Edit events and counts are left to the control leader, which sees each edit once.

--- /dev/null
+++ b/internal/operator/server.go
@@ -0,0 +1,185 @@
+package operator
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"filbertledge/internal/api"
+	"filbertledge/internal/control"
+	"filbertledge/internal/errs"
+	"filbertledge/internal/events"
+	"filbertledge/internal/pki"
+	"filbertledge/internal/table"
+	"filbertledge/internal/transport"
+)
+
+// Options are what the operator API needs from its VM. Fields marked optional answer NotFound if nil.
+type Options struct {
+	VM      api.VMID
+	Control control.Client
+	Events  *events.Recorder
+	Peers   Caller // to ask other VMs
+	Servers func() []ServerView
+	Status  func() Status
+	// Reach returns the VMs that may still use a table older than version.
+	Reach func(ctx context.Context, version uint64) (missing []api.VM, err error)
+	// Drain starts a graceful shutdown without waiting for it.
+	Drain func()
+	// Shutdown ends the process soon, without waiting for running requests.
+	Shutdown func()
+
+	// History returns the newest changes of a row. Optional.
+	History func(ctx context.Context, row api.RowName, limit int) ([]Change, error)
+	// Steps returns the steps of a row, or of all rows if row is empty, without their samples. Optional.
+	Steps func(ctx context.Context, row api.RowName) ([]control.StepView, error)
+	// Call returns the record of a non-idempotent call, nil if there is none. Optional.
+	Call func(ctx context.Context, key uuid.UUID) (*control.CallRecord, error)
+}
+
+// Caller sends requests to other VMs; *transport.Client is one.
+type Caller interface {
+	Call(ctx context.Context, addr, method string, request []byte) ([]byte, error)
+}
+
+type server struct {
+	o Options
+}
+
+// Register adds the operator API and events.query to the transport server.
+func Register(t *transport.Server, o Options) {
+	s := &server{o: o}
+	transport.Handle(t, MethodEdit, pki.RoleOperator, s.edit)
+	transport.Handle(t, MethodTable, pki.RoleOperator, s.table)
+	transport.Handle(t, MethodHistory, pki.RoleOperator, s.history)
+	transport.Handle(t, MethodReach, pki.RoleOperator, s.reach)
+	transport.Handle(t, MethodStatus, pki.RoleOperator, s.status)
+	transport.Handle(t, MethodServers, pki.RoleOperator, s.servers)
+	transport.Handle(t, MethodTimeline, pki.RoleOperator, s.timeline)
+	transport.Handle(t, MethodCall, pki.RoleOperator, s.call)
+	transport.Handle(t, MethodSamples, pki.RoleOperator, s.samples)
+	transport.Handle(t, MethodDrain, pki.RoleOperator, s.drain)
+	transport.Handle(t, MethodShutdown, pki.RoleOperator, s.shutdown)
+	transport.Handle(t, MethodEvents, pki.RoleAny, s.events)
+}
+
+func unsupported(what string) error {
+	return errs.New(errs.NotFound, "ask another VM, or update this one", "this VM does not offer %s", what)
+}
+
+func (s *server) edit(ctx context.Context, peer transport.Peer, q EditRequest) (EditResult, error) {
+	if q.EditID.Version() != 7 {
+		return EditResult{}, errs.New(errs.InvalidArgument, "use a UUID version 7", "edit id %s has version %d", q.EditID, q.EditID.Version())
+	}
+	edit := control.EditRow{
+		EditID: q.EditID, ExpectedVersion: q.ExpectedVersion, Row: q.Row, Operator: peer.Name, DryRun: q.DryRun,
+	}
+	result, err := s.o.Control.Do(ctx, control.Command{EditRow: &edit})
+	answer, err := editResult(result, err)
+	if q.DryRun {
+		answer.TableVersion = 0
+	}
+	return answer, err
+}
+
+// editResult separates refusals of the state machine, which carry the row as it is, from failures to reach it.
+func editResult(result control.Result, err error) (EditResult, error) {
+	answer := EditResult{TableVersion: result.Index, Row: result.Row}
+	if result.ErrorKind != "" {
+		answer.Kind, answer.Message, answer.Remedy = errs.Kind(result.ErrorKind), result.Error, result.Remedy
+		return answer, nil
+	}
+	return answer, err
+}
+
+func (s *server) table(context.Context, transport.Peer, None) (TableView, error) {
+	snapshot := s.o.Control.Table()
+	view := TableView{VM: s.o.VM, Fresh: s.o.Control.Fresh()}
+	if snapshot == nil {
+		return view, nil
+	}
+	view.Version = snapshot.Version()
+	snapshot.Rows(func(r table.Row) { view.Rows = append(view.Rows, r) })
+	slices.SortFunc(view.Rows, func(a, b table.Row) int { return strings.Compare(string(a.Name), string(b.Name)) })
+	return view, nil
+}
+
+func (s *server) history(ctx context.Context, _ transport.Peer, q HistoryRequest) ([]Change, error) {
+	if s.o.History == nil {
+		return nil, unsupported("the history of rows")
+	}
+	return s.o.History(ctx, q.Row, q.Limit)
+}
+
+const (
+	reachPoll = 50 * time.Millisecond
+	// reachMargin is left of the caller's deadline for the answer to arrive.
+	reachMargin = 200 * time.Millisecond
+)
+
+func (s *server) reach(ctx context.Context, _ transport.Peer, q ReachRequest) (ReachAnswer, error) {
+	deadline, limited := ctx.Deadline()
+	for {
+		missing, err := s.o.Reach(ctx, q.Version)
+		last := limited && time.Until(deadline) < reachMargin
+		if err == nil && (len(missing) == 0 || !q.Wait || last) {
+			return ReachAnswer{Missing: missing}, nil
+		}
+		if err != nil && (!q.Wait || last || ctx.Err() != nil) {
+			return ReachAnswer{}, err
+		}
+		select {
+		case <-ctx.Done():
+			return ReachAnswer{}, ctx.Err()
+		case <-time.After(reachPoll):
+		}
+	}
+}
+
+func (s *server) status(context.Context, transport.Peer, None) (Status, error) {
+	return s.o.Status(), nil
+}
+
+func (s *server) servers(context.Context, transport.Peer, None) ([]ServerView, error) {
+	list := s.o.Servers()
+	slices.SortFunc(list, func(a, b ServerView) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return list, nil
+}
+
+func (s *server) call(ctx context.Context, _ transport.Peer, q CallRequest) (CallView, error) {
+	if s.o.Call == nil {
+		return CallView{}, unsupported("records of calls")
+	}
+	record, err := s.o.Call(ctx, q.Key)
+	return CallView{Record: record}, err
+}
+
+func (s *server) samples(ctx context.Context, _ transport.Peer, q SamplesRequest) (SamplesAnswer, error) {
+	if q.Step != nil {
+		view, err := s.o.Control.Step(ctx, control.StepID{Row: q.Row, Step: *q.Step})
+		return SamplesAnswer{Steps: []control.StepView{view}}, err
+	}
+	if s.o.Steps == nil {
+		return SamplesAnswer{}, unsupported("the list of steps")
+	}
+	steps, err := s.o.Steps(ctx, q.Row)
+	return SamplesAnswer{Steps: steps}, err
+}
+
+func (s *server) drain(_ context.Context, peer transport.Peer, _ None) (None, error) {
+	s.o.Events.Record(events.Event{Name: events.VMDraining, Detail: "asked for by operator " + peer.Name})
+	s.o.Drain()
+	return None{}, nil
+}
+
+// shutdownDelay lets the answer leave before the process ends.
+const shutdownDelay = 100 * time.Millisecond
+
+func (s *server) shutdown(_ context.Context, peer transport.Peer, _ None) (None, error) {
+	s.o.Events.Record(events.Event{Name: events.VMStopped, Detail: "asked for by operator " + peer.Name})
+	time.AfterFunc(shutdownDelay, s.o.Shutdown)
+	return None{}, nil
+}
--- /dev/null
+++ b/internal/operator/types.go
@@ -0,0 +1,198 @@
+// Package operator is the operator API of a VM: handlers on the transport for peers with the role operator,
+// and the client that the command line uses.
+package operator
+
+import (
+	"time"
+
+	"github.com/google/uuid"
+
+	"filbertledge/internal/api"
+	"filbertledge/internal/control"
+	"filbertledge/internal/errs"
+	"filbertledge/internal/events"
+	"filbertledge/internal/table"
+	"filbertledge/internal/transport"
+)
+
+// Methods of the operator API, for peers with the role operator. MethodEvents is for VMs, which ask each other
+// for their part of a timeline.
+const (
+	MethodEdit     = "operator.edit"
+	MethodTable    = "operator.table"
+	MethodHistory  = "operator.history"
+	MethodReach    = "operator.reach"
+	MethodStatus   = "operator.status"
+	MethodServers  = "operator.servers"
+	MethodTimeline = "operator.timeline"
+	MethodCall     = "operator.call"
+	MethodSamples  = "operator.samples"
+	MethodDrain    = "operator.drain"
+	MethodShutdown = "operator.shutdown"
+	MethodEvents   = "events.query"
+)
+
+// None is the request or answer of a method that needs none.
+type None struct{}
+
+// TableView is the newest table that a VM has confirmed. Fresh is false if its table lease has expired: the
+// table may then be old.
+type TableView struct {
+	Version uint64      `json:"version" cbor:"1,keyasint"`
+	Fresh   bool        `json:"fresh" cbor:"2,keyasint"`
+	VM      api.VMID    `json:"vm" cbor:"3,keyasint"`
+	Rows    []table.Row `json:"rows" cbor:"4,keyasint"` // by name, without deleted rows
+}
+
+// Row returns the row with that name.
+func (t TableView) Row(name api.RowName) (table.Row, bool) {
+	for _, r := range t.Rows {
+		if r.Name == name {
+			return r, true
+		}
+	}
+	return table.Row{}, false
+}
+
+// EditRequest is an edit of one row. Resending it with the same EditID is safe: it returns the first result.
+type EditRequest struct {
+	EditID          uuid.UUID `json:"edit_id" cbor:"1,keyasint"` // UUID version 7
+	ExpectedVersion uint64    `json:"expected_version" cbor:"2,keyasint"`
+	Row             table.Row `json:"row" cbor:"3,keyasint"`
+	DryRun          bool      `json:"dry_run,omitempty" cbor:"4,keyasint,omitempty"`
+}
+
+// EditResult is the result of an edit. If Kind is set, the edit was refused and Row, if any, is the row as it is.
+type EditResult struct {
+	TableVersion uint64     `json:"table_version" cbor:"1,keyasint"` // version that holds the edit; zero for a dry run
+	Row          *table.Row `json:"row,omitempty" cbor:"2,keyasint,omitempty"`
+	Kind         errs.Kind  `json:"error,omitempty" cbor:"3,keyasint,omitempty"`
+	Message      string     `json:"message,omitempty" cbor:"4,keyasint,omitempty"`
+	Remedy       string     `json:"remedy,omitempty" cbor:"5,keyasint,omitempty"`
+}
+
+// Change is one accepted edit of a row. Before is the zero row for the first edit.
+type Change struct {
+	EditID   uuid.UUID `json:"edit_id" cbor:"1,keyasint"`
+	Operator string    `json:"operator" cbor:"2,keyasint"`
+	At       time.Time `json:"at" cbor:"3,keyasint"`
+	Before   table.Row `json:"before" cbor:"4,keyasint"`
+	After    table.Row `json:"after" cbor:"5,keyasint"`
+}
+
+// HistoryRequest asks for the newest changes of a row. Zero Limit asks for all that are kept.
+type HistoryRequest struct {
+	Row   api.RowName `cbor:"1,keyasint"`
+	Limit int         `cbor:"2,keyasint"`
+}
+
+// ReachRequest asks which VMs may still use a table older than Version. With Wait, the answer comes when there
+// are none or when the deadline is near.
+type ReachRequest struct {
+	Version uint64 `cbor:"1,keyasint"`
+	Wait    bool   `cbor:"2,keyasint"`
+}
+
+// ReachAnswer lists the VMs that may still use an older table. Empty means that the version is in force
+// everywhere.
+type ReachAnswer struct {
+	Missing []api.VM `json:"missing" cbor:"1,keyasint"`
+}
+
+// Status describes one VM and what it knows of the deployment.
+type Status struct {
+	VM           api.VM                       `json:"vm" cbor:"1,keyasint"`
+	Build        string                       `json:"build" cbor:"2,keyasint"`
+	Started      time.Time                    `json:"started" cbor:"3,keyasint"`
+	Ready        bool                         `json:"ready" cbor:"4,keyasint"`
+	Draining     bool                         `json:"draining" cbor:"5,keyasint"`
+	Running      int                          `json:"running" cbor:"6,keyasint"` // customer requests and rollouts
+	Queued       int                          `json:"queued" cbor:"7,keyasint"`
+	TableFresh   bool                         `json:"table_fresh" cbor:"8,keyasint"`
+	Replica      *ReplicaStatus               `json:"replica,omitempty" cbor:"9,keyasint,omitempty"` // nil without a control replica
+	VMs          []api.VM                     `json:"vms" cbor:"10,keyasint"`
+	Servers      int                          `json:"servers" cbor:"11,keyasint"` // backend servers that may get work
+	Certificate  time.Time                    `json:"certificate_expires" cbor:"12,keyasint"`
+	Traffic      map[string]transport.Traffic `json:"traffic,omitempty" cbor:"13,keyasint,omitempty"`
+	Warnings     []string                     `json:"warnings,omitempty" cbor:"14,keyasint,omitempty"`
+	TableVersion uint64                       `json:"table_version" cbor:"15,keyasint"`
+}
+
+// ReplicaStatus describes the control replica of a VM.
+type ReplicaStatus struct {
+	Role    string       `json:"role" cbor:"1,keyasint"` // leader, follower, candidate or learner
+	Leader  string       `json:"leader" cbor:"2,keyasint"`
+	Term    uint64       `json:"term" cbor:"3,keyasint"`
+	Applied uint64       `json:"applied" cbor:"4,keyasint"`
+	Commit  uint64       `json:"commit" cbor:"5,keyasint"`
+	Members []MemberView `json:"members,omitempty" cbor:"6,keyasint,omitempty"`
+}
+
+// MemberView describes a member of the group of control replicas.
+type MemberView struct {
+	ID      uint64            `json:"id" cbor:"1,keyasint"` // instance number
+	VM      api.VMID          `json:"vm" cbor:"2,keyasint"`
+	Domain  api.FailureDomain `json:"failure_domain" cbor:"3,keyasint"`
+	Voter   bool              `json:"voter" cbor:"4,keyasint"`
+	Applied uint64            `json:"applied" cbor:"5,keyasint"` // acknowledged index; known to the leader only
+}
+
+// ServerView describes a backend server as the asked VM sees it.
+type ServerView struct {
+	ID        api.ServerID        `json:"id" cbor:"1,keyasint"`
+	Pool      api.Pool            `json:"pool" cbor:"2,keyasint"`
+	Domain    api.FailureDomain   `json:"failure_domain" cbor:"3,keyasint"`
+	Address   string              `json:"address" cbor:"4,keyasint"`
+	State     api.ServerState     `json:"state" cbor:"5,keyasint"`
+	Usable    bool                `json:"usable" cbor:"6,keyasint"` // gets new work
+	Ejected   bool                `json:"ejected" cbor:"7,keyasint"`
+	Model     string              `json:"model,omitempty" cbor:"8,keyasint,omitempty"`
+	Current   api.WeightVersion   `json:"current_version,omitempty" cbor:"9,keyasint,omitempty"`
+	Loaded    []api.WeightVersion `json:"loaded_versions,omitempty" cbor:"10,keyasint,omitempty"`
+	Capacity  int                 `json:"capacity" cbor:"11,keyasint"`
+	InFlight  int                 `json:"in_flight" cbor:"12,keyasint"` // of this VM
+	Load      api.Load            `json:"load" cbor:"13,keyasint"`
+	RenewedMS int64               `json:"renewed_ms" cbor:"14,keyasint"` // age of the newest announcement
+	Fencing   api.Fencing         `json:"fencing,omitempty" cbor:"15,keyasint,omitempty"`
+}
+
+// TimelineRequest selects events of all VMs.
+type TimelineRequest struct {
+	Filter events.Filter `cbor:"1,keyasint"`
+}
+
+// Timeline is the merged events of the VMs that answered.
+type Timeline struct {
+	Events  []events.Event `json:"events" cbor:"1,keyasint"`
+	Asked   int            `json:"asked" cbor:"2,keyasint"` // VMs
+	Missing []MissingVM    `json:"missing,omitempty" cbor:"3,keyasint,omitempty"`
+}
+
+// MissingVM is a VM that did not answer, so that its events are not in the timeline.
+type MissingVM struct {
+	VM      api.VMID `json:"vm" cbor:"1,keyasint"`
+	Address string   `json:"address" cbor:"2,keyasint"`
+	Reason  string   `json:"reason" cbor:"3,keyasint"`
+}
+
+// CallRequest asks for the record of a non-idempotent call.
+type CallRequest struct {
+	Key uuid.UUID `cbor:"1,keyasint"`
+}
+
+// CallView is the record of a non-idempotent call; nil if there is none.
+type CallView struct {
+	Record *control.CallRecord `json:"record,omitempty" cbor:"1,keyasint,omitempty"`
+}
+
+// SamplesRequest asks for the steps of a row, or of all rows if Row is empty. With Step, the answer holds that
+// step only, with its finished samples.
+type SamplesRequest struct {
+	Row  api.RowName `cbor:"1,keyasint"`
+	Step *uint64     `cbor:"2,keyasint,omitempty"`
+}
+
+// SamplesAnswer lists steps of the sample ledger.
+type SamplesAnswer struct {
+	Steps []control.StepView `json:"steps" cbor:"1,keyasint"`
+}
