Add the Raft core, its storage and the replica

The control replicas need agreement before anything can be wired to them. internal/raft is the pure core, internal/storage the bbolt file, and internal/replica drives both and forms or joins a group at the first start.

--- /dev/null
+++ b/internal/raft/log.go
@@ -0,0 +1,170 @@
+package raft
+
+// configurationAt is a configuration and the index of the entry or snapshot that carries it.
+type configurationAt struct {
+	index uint64
+	value Configuration
+}
+
+// memoryLog holds the entries since the last compaction. offset is the index before the first entry. Entries
+// up to stable are durable.
+type memoryLog struct {
+	snapshot   Snapshot
+	offset     uint64
+	offsetTerm uint64
+	entries    []Entry
+	stable     uint64
+	commit     uint64
+	applied    uint64
+	// configurations is ordered by index. The first was in force at offset or at the snapshot, whichever is older.
+	configurations []configurationAt
+	pending        *Snapshot // received, not yet handed out
+}
+
+func newLog(s State) *memoryLog {
+	l := &memoryLog{snapshot: s.Snapshot, entries: s.Entries}
+	l.offset, l.offsetTerm = s.Snapshot.Index, s.Snapshot.Term
+	if len(s.Entries) > 0 && s.Entries[0].Index <= s.Snapshot.Index {
+		// The term of the entry before the first kept one is unknown, so the first kept one takes its place.
+		l.offset, l.offsetTerm = s.Entries[0].Index, s.Entries[0].Term
+		l.entries = s.Entries[1:]
+	}
+	l.stable = l.lastIndex()
+	l.commit = max(min(s.HardState.Commit, l.lastIndex()), s.Snapshot.Index)
+	l.applied = s.Snapshot.Index
+	l.configurations = []configurationAt{{s.Snapshot.Index, s.Snapshot.Configuration}}
+	for _, e := range l.entries {
+		if e.Index > s.Snapshot.Index {
+			l.noteConfiguration(e)
+		}
+	}
+	return l
+}
+
+func (l *memoryLog) noteConfiguration(e Entry) {
+	if e.Configuration != nil {
+		l.configurations = append(l.configurations, configurationAt{e.Index, *e.Configuration})
+	}
+}
+
+func (l *memoryLog) lastIndex() uint64 { return l.offset + uint64(len(l.entries)) }
+
+func (l *memoryLog) lastTerm() uint64 {
+	t, _ := l.term(l.lastIndex())
+	return t
+}
+
+// term returns the term of the entry at index i, or false if the log does not hold it.
+func (l *memoryLog) term(i uint64) (uint64, bool) {
+	switch {
+	case i == l.offset:
+		return l.offsetTerm, true
+	case i == l.snapshot.Index:
+		return l.snapshot.Term, true
+	case i < l.offset || i > l.lastIndex():
+		return 0, false
+	}
+	return l.entries[i-l.offset-1].Term, true
+}
+
+func (l *memoryLog) matches(index, term uint64) bool {
+	t, ok := l.term(index)
+	return ok && t == term
+}
+
+// slice returns the entries lo to hi, both included, that the log holds. The result must not be changed.
+func (l *memoryLog) slice(lo, hi uint64) []Entry {
+	lo, hi = max(lo, l.offset+1), min(hi, l.lastIndex())
+	if lo > hi {
+		return nil
+	}
+	return l.entries[lo-l.offset-1 : hi-l.offset : hi-l.offset]
+}
+
+// batch returns entries from index lo on, limited to maxBytes of data but at least one entry.
+func (l *memoryLog) batch(lo uint64, maxBytes int) []Entry {
+	all := l.slice(lo, l.lastIndex())
+	size := 0
+	for i, e := range all {
+		size += len(e.Data)
+		if size > maxBytes && i > 0 {
+			return all[:i:i]
+		}
+	}
+	return all
+}
+
+func (l *memoryLog) configuration() Configuration {
+	return l.configurations[len(l.configurations)-1].value
+}
+
+func (l *memoryLog) configurationIndex() uint64 {
+	return l.configurations[len(l.configurations)-1].index
+}
+
+// configurationAt returns the configuration in force after the entry at index i.
+func (l *memoryLog) configurationAt(i uint64) Configuration {
+	c := l.configurations[0].value
+	for _, at := range l.configurations[1:] {
+		if at.index <= i {
+			c = at.value
+		}
+	}
+	return c
+}
+
+func (l *memoryLog) append(entries ...Entry) {
+	l.entries = append(l.entries, entries...)
+	for _, e := range entries {
+		l.noteConfiguration(e)
+	}
+}
+
+// truncateFrom removes the entries from index i on.
+func (l *memoryLog) truncateFrom(i uint64) {
+	kept := i - l.offset - 1
+	// The capacity is cut so that a later append cannot overwrite entries that a Ready still refers to.
+	l.entries = l.entries[:kept:kept]
+	l.stable = min(l.stable, i-1)
+	for len(l.configurations) > 1 && l.configurationIndex() >= i {
+		l.configurations = l.configurations[:len(l.configurations)-1]
+	}
+}
+
+// merge appends the entries of a leader, which follow an entry that the log holds, and removes conflicting ones.
+func (l *memoryLog) merge(entries []Entry) {
+	for i, e := range entries {
+		if l.matches(e.Index, e.Term) {
+			continue
+		}
+		if e.Index <= l.lastIndex() {
+			l.truncateFrom(e.Index)
+		}
+		l.append(entries[i:]...)
+		return
+	}
+}
+
+// restore replaces the whole log with a snapshot.
+func (l *memoryLog) restore(s Snapshot) {
+	l.snapshot = s
+	l.offset, l.offsetTerm = s.Index, s.Term
+	l.entries = nil
+	l.stable, l.commit, l.applied = s.Index, s.Index, s.Index
+	l.configurations = []configurationAt{{s.Index, s.Configuration}}
+	l.pending = &s
+}
+
+// compact drops the entries up to index i, which must be covered by the snapshot.
+func (l *memoryLog) compact(i uint64) {
+	if i <= l.offset || i > l.snapshot.Index {
+		return
+	}
+	t, _ := l.term(i)
+	rest := l.slice(i+1, l.lastIndex())
+	l.entries = append(make([]Entry, 0, len(rest)), rest...)
+	l.offset, l.offsetTerm = i, t
+	for len(l.configurations) > 1 && l.configurations[1].index <= l.snapshot.Index {
+		l.configurations = l.configurations[1:]
+	}
+}
--- /dev/null
+++ b/internal/replica/replica.go
@@ -0,0 +1,268 @@
+// Package replica runs one control replica: it drives the agreement core with durable storage and a network, and
+// applies committed commands to a state machine.
+package replica
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"filbertledge/internal/errs"
+	"filbertledge/internal/events"
+	"filbertledge/internal/raft"
+	"filbertledge/internal/storage"
+)
+
+// StateMachine is the replicated state. The replica calls it from one goroutine.
+type StateMachine interface {
+	// Apply executes a committed command. It must be deterministic.
+	Apply(index uint64, data []byte) (result []byte)
+	Snapshot() ([]byte, error)
+	Restore(snapshot []byte) error
+}
+
+// Sender sends one-way messages. It must not block and may drop, delay, duplicate and reorder. The address of
+// the receiver is Replica.AddressOf(to).
+type Sender interface {
+	Send(to uint64, data []byte)
+}
+
+// Replica is one member of the group. Its methods are safe for concurrent use.
+type Replica struct {
+	opts  Options
+	store *storage.Store
+	self  raft.Member
+
+	inbox     chan []byte
+	proposals chan *proposal
+	reads     chan *readRequest
+	calls     chan func()
+	stopping  chan struct{}
+	stopped   chan struct{}
+	stopOnce  sync.Once
+	running   atomic.Bool
+
+	started    atomic.Bool  // the replica takes part in the group
+	leaseUntil atomic.Int64 // end of the lease on the replica's clock, in nanoseconds
+	status     atomic.Pointer[Status]
+	addresses  addressBook
+	bootstrap  bootstrapState
+
+	loop loopState
+}
+
+// Open opens or creates the data folder and restores the state machine. Run must be called to take part in the
+// group. Errors are of the kinds StorageFailed, StorageCorrupt and ConfigInvalid.
+func Open(o Options) (*Replica, error) {
+	o = o.withDefaults()
+	if err := o.validate(); err != nil {
+		return nil, err
+	}
+	store, err := storage.Open(storage.Options{Folder: o.Folder, Commit: o.Commit})
+	if err != nil {
+		return nil, err
+	}
+	r := newReplica(o, store)
+	if err := r.startNode(store.TakeState()); err != nil {
+		_ = store.Close()
+		return nil, err
+	}
+	return r, nil
+}
+
+func newReplica(o Options, store *storage.Store) *Replica {
+	self := o.Self
+	self.ID = store.Instance()
+	r := &Replica{
+		opts:      o,
+		store:     store,
+		self:      self,
+		inbox:     make(chan []byte, inboxMessages),
+		proposals: make(chan *proposal, queuedProposals),
+		reads:     make(chan *readRequest, queuedProposals),
+		calls:     make(chan func()),
+		stopping:  make(chan struct{}),
+		stopped:   make(chan struct{}),
+	}
+	r.addresses.learn(self.ID, self.Address)
+	r.status.Store(&Status{})
+	return r
+}
+
+// startNode restores the state machine and creates the agreement core from durable state.
+func (r *Replica) startNode(state raft.State) error {
+	if err := r.restore(&state.Snapshot); err != nil {
+		return err
+	}
+	r.loop = newLoopState(state.Snapshot.Index)
+	r.loop.node = raft.New(raft.Options{
+		ID:                r.self.ID,
+		Seed:              r.opts.Seed,
+		Now:               r.opts.Clock(),
+		ElectionTimeout:   r.opts.ElectionTimeout,
+		HeartbeatInterval: r.opts.HeartbeatInterval,
+		LeaderLease:       r.opts.LeaderLease,
+	}, state)
+	r.started.Store(state.Initialized())
+	r.publish()
+	return nil
+}
+
+// restore loads a snapshot into the state machine. The initial snapshot of a group carries no state.
+func (r *Replica) restore(s *raft.Snapshot) error {
+	if s.Index <= initialIndex {
+		return nil
+	}
+	if err := r.opts.StateMachine.Restore(s.Data); err != nil {
+		return errs.Wrap(err, errs.StorageCorrupt, "replace the replica", "cannot restore the snapshot at index %d from %s", s.Index, r.store.Path())
+	}
+	return nil
+}
+
+// ID returns the instance number of this replica.
+func (r *Replica) ID() uint64 { return r.self.ID }
+
+// AddressOf returns the address of an instance, or an empty string if it is unknown.
+func (r *Replica) AddressOf(id uint64) string { return r.addresses.get(id) }
+
+// Receive takes one message of a Sender. It never blocks; when the replica is overloaded the message is dropped.
+func (r *Replica) Receive(data []byte) {
+	select {
+	case r.inbox <- data:
+	default:
+	}
+}
+
+// HoldsLease reports whether this replica is the leader and may act as such now. No other replica holds the
+// lease at the same time, as long as the clocks' rates differ by at most 1%.
+func (r *Replica) HoldsLease() bool {
+	return int64(r.opts.Clock()) < r.leaseUntil.Load()
+}
+
+// Close stops the replica and closes its files. A leader hands its leadership over first.
+func (r *Replica) Close() error {
+	r.stopOnce.Do(func() { close(r.stopping) })
+	if !r.running.Load() {
+		return r.store.Close()
+	}
+	<-r.stopped
+	return nil
+}
+
+// Propose replicates data and returns the result of the state machine. Errors are of these kinds:
+// NotLeader (not proposed here, see LeaderOf), Unavailable (certainly not proposed), OutcomeUnknown (the command
+// may still be applied) and InvalidArgument.
+func (r *Replica) Propose(ctx context.Context, data []byte) ([]byte, error) {
+	if len(data) == 0 {
+		return nil, errs.New(errs.InvalidArgument, "propose a command", "the proposal is empty")
+	}
+	p := &proposal{data: data, done: make(chan outcome, 1)}
+	select {
+	case r.proposals <- p:
+	case <-ctx.Done():
+		return nil, errNotProposed(ctx.Err())
+	case <-r.stopped:
+		return nil, errNotProposed(errStopped)
+	}
+	return r.await(ctx, p)
+}
+
+func (r *Replica) await(ctx context.Context, p *proposal) ([]byte, error) {
+	select {
+	case o := <-p.done:
+		return o.result, o.err
+	case <-ctx.Done():
+		return nil, p.abandon(ctx.Err())
+	case <-r.stopped:
+		select {
+		case o := <-p.done:
+			return o.result, o.err
+		default:
+			return nil, p.abandon(errStopped)
+		}
+	}
+}
+
+// ReadIndex returns once the local state machine has applied everything that was committed when it was called,
+// and returns the index that it has applied at least. It works on any started replica that reaches the leader.
+// Errors are of the kind Unavailable.
+func (r *Replica) ReadIndex(ctx context.Context) (uint64, error) {
+	q := &readRequest{done: make(chan readOutcome, 1)}
+	select {
+	case r.reads <- q:
+	case <-ctx.Done():
+		return 0, errReadFailed(ctx.Err())
+	case <-r.stopped:
+		return 0, errReadFailed(errStopped)
+	}
+	select {
+	case o := <-q.done:
+		return o.index, o.err
+	case <-ctx.Done():
+		return 0, errReadFailed(ctx.Err())
+	case <-r.stopped:
+		return 0, errReadFailed(errStopped)
+	}
+}
+
+// call runs f in the replica's goroutine, which owns the agreement core.
+func (r *Replica) call(ctx context.Context, f func()) error {
+	done := make(chan struct{})
+	select {
+	case r.calls <- func() { f(); close(done) }:
+	case <-ctx.Done():
+		return errNotProposed(ctx.Err())
+	case <-r.stopped:
+		return errNotProposed(errStopped)
+	}
+	select {
+	case <-done:
+		return nil
+	case <-r.stopped:
+		return errNotProposed(errStopped)
+	}
+}
+
+func (r *Replica) record(name events.Name, peer, detail string) {
+	if r.opts.Events != nil {
+		r.opts.Events.Record(event(name, peer, detail))
+	}
+}
+
+// addressBook maps instances to addresses. Addresses of new members are learned from their messages.
+type addressBook struct {
+	mu   sync.RWMutex
+	byID map[uint64]string
+}
+
+func (a *addressBook) learn(id uint64, address string) {
+	if a.get(id) == address || address == "" {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.byID == nil {
+		a.byID = map[uint64]string{}
+	}
+	a.byID[id] = address
+}
+
+// learnConfigured notes the address in the configuration. An address learned from a message is newer.
+func (a *addressBook) learnConfigured(m raft.Member) {
+	if a.get(m.ID) == "" {
+		a.learn(m.ID, m.Address)
+	}
+}
+
+func (a *addressBook) get(id uint64) string {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	return a.byID[id]
+}
+
+// monotonicClock returns a clock that starts at zero and is not affected by changes of the wall clock.
+func monotonicClock() func() time.Duration {
+	start := time.Now()
+	return func() time.Duration { return time.Since(start) }
+}
--- /dev/null
+++ b/internal/replica/snapshot.go
@@ -0,0 +1,77 @@
+package replica
+
+import (
+	"fmt"
+	"time"
+
+	"filbertledge/internal/errs"
+	"filbertledge/internal/events"
+	"filbertledge/internal/raft"
+)
+
+// keptEntriesDivisor leaves a quarter of the snapshot interval in the log, so that a follower that is a little
+// behind needs no snapshot.
+const keptEntriesDivisor = 4
+
+// maybeSnapshot takes a snapshot and compacts the log after enough applied entries.
+func (r *Replica) maybeSnapshot() {
+	if r.loop.failed != nil || r.loop.applied < r.loop.snapshot+r.opts.SnapshotEntries {
+		return
+	}
+	data, err := r.opts.StateMachine.Snapshot()
+	if err != nil {
+		r.fail(errs.Wrap(err, errs.Internal, "report this fault", "the state machine cannot write a snapshot"))
+		return
+	}
+	compactTo := r.loop.applied - r.opts.SnapshotEntries/keptEntriesDivisor
+	s := r.loop.node.CreateSnapshot(r.loop.applied, compactTo, data)
+	// The first kept entry carries the term of the log's beginning after a restart.
+	if err := r.store.SaveSnapshot(s, compactTo-1); err != nil {
+		r.fail(err)
+		return
+	}
+	r.loop.snapshot = s.Index
+	r.record(events.SnapshotTaken, r.self.Name, fmt.Sprintf("index %d, %d bytes", s.Index, len(data)))
+}
+
+// stop ends everything that still waits.
+func (r *Replica) stop() error {
+	r.leaseUntil.Store(0)
+	for _, p := range r.loop.waiters {
+		p.done <- outcome{err: errUnknown(errStopped)}
+	}
+	r.loop.waiters = nil
+	return r.loop.failed
+}
+
+// handOver asks the most current voter to take over, so that edits do not wait for an election timeout.
+func (r *Replica) handOver() {
+	s := r.loop.node.Status()
+	target := r.successor(s)
+	if s.Role != raft.Leader || target == 0 || r.loop.node.TransferLeadership(target) != nil {
+		return
+	}
+	deadline := time.NewTimer(handOverTime)
+	defer deadline.Stop()
+	for r.loop.failed == nil && r.loop.node.Status().Role == raft.Leader {
+		r.process()
+		select {
+		case data := <-r.inbox:
+			r.step(data)
+		case <-deadline.C:
+			return
+		}
+	}
+	// The vote for the successor is sent before the replica stops.
+	r.process()
+}
+
+func (r *Replica) successor(s raft.Status) uint64 {
+	best, match := uint64(0), uint64(0)
+	for _, v := range s.Configuration.Voters {
+		if m := r.loop.node.Match(v.ID); v.ID != s.ID && m > match {
+			best, match = v.ID, m
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/replica/status.go
@@ -0,0 +1,116 @@
+package replica
+
+import (
+	"cmp"
+
+	"filbertledge/internal/raft"
+)
+
+// Role is the role of a replica in its group.
+type Role string
+
+// Roles of a replica.
+const (
+	RoleJoining   Role = "joining" // not yet a member
+	RoleLearner   Role = "learner"
+	RoleFollower  Role = "follower"
+	RoleCandidate Role = "candidate"
+	RoleLeader    Role = "leader"
+	RoleRefused   Role = "refused" // runs on an older disk and must be replaced
+)
+
+// MemberStatus is one member of the group.
+type MemberStatus struct {
+	raft.Member
+	Voter    bool
+	Learner  bool
+	Leaving  bool   // a voter of the old configuration only
+	Replaces uint64 // the instance that this learner replaces
+	Match    uint64 // acknowledged index, known to the leader only
+}
+
+// Status is a view of a replica and its group.
+type Status struct {
+	ID            uint64
+	Name          string
+	Role          Role
+	Term          uint64
+	LeaderID      uint64
+	LeaderName    string
+	LeaderAddress string
+	Commit        uint64
+	Applied       uint64
+	LastIndex     uint64
+	FirstIndex    uint64
+	Members       []MemberStatus
+	HoldsLease    bool
+	Joined        bool // the group has committed this replica as a member
+	Placement     []PlacementProblem
+}
+
+// Status returns the current view.
+func (r *Replica) Status() Status {
+	s := *r.status.Load()
+	s.HoldsLease = r.HoldsLease()
+	return s
+}
+
+// buildStatus reads the core. It must run in the replica's goroutine.
+func (r *Replica) buildStatus() *Status {
+	n := r.loop.node.Status()
+	s := &Status{
+		ID: r.self.ID, Name: r.self.Name, Role: r.roleOf(n), Term: n.Term, LeaderID: n.Leader, Commit: n.Commit,
+		Applied: r.loop.applied, LastIndex: n.LastIndex, FirstIndex: n.FirstIndex,
+	}
+	if m, ok := n.Configuration.Member(n.Leader); ok {
+		s.LeaderName, s.LeaderAddress = m.Name, m.Address
+	}
+	s.LeaderAddress = cmp.Or(r.AddressOf(n.Leader), s.LeaderAddress)
+	_, member := n.Configuration.Member(n.ID)
+	s.Joined = member && n.Commit >= n.ConfigurationIndex
+	for _, m := range n.Configuration.Members() {
+		s.Members = append(s.Members, r.memberStatus(n.Configuration, m))
+	}
+	if len(n.Configuration.Voters) > 0 {
+		s.Placement = CheckPlacement(n.Configuration.Voters)
+	}
+	return s
+}
+
+func (r *Replica) roleOf(n raft.Status) Role {
+	_, member := n.Configuration.Member(n.ID)
+	switch {
+	case n.Refused:
+		return RoleRefused
+	case !r.started.Load() || !member:
+		return RoleJoining
+	case !n.Configuration.IsVoter(n.ID):
+		return RoleLearner
+	}
+	switch n.Role {
+	case raft.Leader:
+		return RoleLeader
+	case raft.Candidate, raft.PreCandidate:
+		return RoleCandidate
+	default:
+		return RoleFollower
+	}
+}
+
+func (r *Replica) memberStatus(c raft.Configuration, m raft.Member) MemberStatus {
+	s := MemberStatus{Member: m, Match: r.loop.node.Match(m.ID)}
+	for _, v := range c.Voters {
+		s.Voter = s.Voter || v.ID == m.ID
+	}
+	for _, l := range c.Learners {
+		if l.Member.ID == m.ID {
+			s.Learner, s.Replaces = true, l.Replaces
+		}
+	}
+	s.Leaving = !s.Voter && !s.Learner
+	return s
+}
+
+func (s *Status) leader() Leader {
+	return Leader{ID: s.LeaderID, Name: s.LeaderName, Address: s.LeaderAddress}
+}
--- /dev/null
+++ b/internal/storage/records.go
@@ -0,0 +1,212 @@
+package storage
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"go.etcd.io/bbolt"
+	bbolterrors "go.etcd.io/bbolt/errors"
+
+	"filbertledge/internal/raft"
+)
+
+var (
+	metaBucket = []byte("meta")
+	logBucket  = []byte("log")
+
+	keyInstance  = []byte("instance")
+	keyHardState = []byte("hard_state")
+	keySnapshot  = []byte("snapshot")
+	keyInitial   = []byte("initial")
+)
+
+const checksumBytes = 8
+
+// errChecksum reports a record whose content does not match its checksum.
+var errChecksum = errors.New("the checksum does not match")
+
+// decoding refuses what this package never writes.
+var decoding = mustDecMode(cbor.DecOptions{
+	DupMapKey:   cbor.DupMapKeyEnforcedAPF,
+	IndefLength: cbor.IndefLengthForbidden,
+	TagsMd:      cbor.TagsForbidden,
+})
+
+func mustDecMode(o cbor.DecOptions) cbor.DecMode {
+	mode, err := o.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func isCorruption(err error) bool {
+	return errors.Is(err, bbolterrors.ErrInvalid) || errors.Is(err, bbolterrors.ErrChecksum) ||
+		errors.Is(err, bbolterrors.ErrVersionMismatch)
+}
+
+func isTimeout(err error) bool { return errors.Is(err, bbolterrors.ErrTimeout) }
+
+func indexKey(index uint64) []byte { return binary.BigEndian.AppendUint64(nil, index) }
+
+// checksum covers the key, so a record that is found under another key is detected.
+func checksum(key, payload []byte) uint64 {
+	d := xxhash.New()
+	_, _ = d.Write(key)
+	_, _ = d.Write(payload)
+	return d.Sum64()
+}
+
+// put stores value as checksum and CBOR.
+func put(b *bbolt.Bucket, key []byte, value any) error {
+	payload, err := cbor.Marshal(value)
+	if err != nil {
+		return err
+	}
+	record := make([]byte, 0, checksumBytes+len(payload))
+	record = binary.BigEndian.AppendUint64(record, checksum(key, payload))
+	return b.Put(key, append(record, payload...))
+}
+
+func decodeRecord(key, record []byte, value any) error {
+	if len(record) < checksumBytes {
+		return fmt.Errorf("the record has %d bytes, too few for a checksum", len(record))
+	}
+	payload := record[checksumBytes:]
+	if checksum(key, payload) != binary.BigEndian.Uint64(record) {
+		return errChecksum
+	}
+	return decoding.Unmarshal(payload, value)
+}
+
+func createBuckets(tx *bbolt.Tx, instance uint64) error {
+	meta, err := tx.CreateBucketIfNotExists(metaBucket)
+	if err != nil {
+		return err
+	}
+	if _, err := tx.CreateBucketIfNotExists(logBucket); err != nil {
+		return err
+	}
+	return put(meta, keyInstance, instance)
+}
+
+func replaceLog(tx *bbolt.Tx, snapshot raft.Snapshot) error {
+	if err := tx.DeleteBucket(logBucket); err != nil {
+		return err
+	}
+	if _, err := tx.CreateBucket(logBucket); err != nil {
+		return err
+	}
+	return put(tx.Bucket(metaBucket), keySnapshot, snapshot)
+}
+
+func putEntries(tx *bbolt.Tx, entries []raft.Entry) error {
+	if len(entries) == 0 {
+		return nil
+	}
+	if err := deleteEntries(tx, entries[0].Index, ^uint64(0)); err != nil {
+		return err
+	}
+	log := tx.Bucket(logBucket)
+	// Entries are appended in order, so full pages need no room for later inserts.
+	log.FillPercent = 1
+	for _, e := range entries {
+		if err := put(log, indexKey(e.Index), e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// deleteEntries removes the entries from index lo to hi, both included.
+func deleteEntries(tx *bbolt.Tx, lo, hi uint64) error {
+	log := tx.Bucket(logBucket)
+	var keys [][]byte
+	c := log.Cursor()
+	for k, _ := c.Seek(indexKey(lo)); k != nil && binary.BigEndian.Uint64(k) <= hi; k, _ = c.Next() {
+		keys = append(keys, k)
+	}
+	// Deleting through the cursor while iterating may skip keys.
+	for _, k := range keys {
+		if err := log.Delete(k); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// load reads and checks every record of the file.
+func (s *Store) load() error {
+	return s.db.View(func(tx *bbolt.Tx) error {
+		meta, log := tx.Bucket(metaBucket), tx.Bucket(logBucket)
+		if meta == nil || log == nil {
+			return s.corrupt("a bucket is missing")
+		}
+		if err := s.loadMeta(meta); err != nil {
+			return err
+		}
+		return s.loadEntries(log)
+	})
+}
+
+func (s *Store) loadMeta(meta *bbolt.Bucket) error {
+	records := []struct {
+		key   []byte
+		value any
+	}{
+		{keyInstance, &s.instance},
+		{keyHardState, &s.state.HardState},
+		{keySnapshot, &s.state.Snapshot},
+		{keyInitial, &s.initial},
+	}
+	for _, r := range records {
+		record := meta.Get(r.key)
+		if record == nil {
+			continue
+		}
+		if err := decodeRecord(r.key, record, r.value); err != nil {
+			return s.corrupt("record %q (snapshot index %d): %v", r.key, s.state.Snapshot.Index, err)
+		}
+	}
+	if s.instance == 0 {
+		return s.corrupt("the instance number is missing")
+	}
+	return nil
+}
+
+func (s *Store) loadEntries(log *bbolt.Bucket) error {
+	expected := uint64(0)
+	c := log.Cursor()
+	for k, v := c.First(); k != nil; k, v = c.Next() {
+		if len(k) != len(indexKey(0)) {
+			return s.corrupt("log key %x is not an index", k)
+		}
+		index := binary.BigEndian.Uint64(k)
+		var e raft.Entry
+		if err := decodeRecord(k, v, &e); err != nil {
+			return s.corrupt("log entry %d: %v", index, err)
+		}
+		if e.Index != index || expected != 0 && index != expected {
+			return s.corrupt("log entry %d: found index %d where %d was expected", index, e.Index, max(expected, index))
+		}
+		expected = index + 1
+		s.state.Entries = append(s.state.Entries, e)
+	}
+	return s.checkContinuity()
+}
+
+// checkContinuity reports a gap between the snapshot and the log.
+func (s *Store) checkContinuity() error {
+	list := s.state.Entries
+	if len(list) == 0 {
+		return nil
+	}
+	first, last, snapshot := list[0].Index, list[len(list)-1].Index, s.state.Snapshot.Index
+	if first > snapshot+1 || last < snapshot {
+		return s.corrupt("log entries %d to %d do not continue the snapshot at index %d", first, last, snapshot)
+	}
+	return nil
+}
