--- /dev/null
+++ b/internal/backend/stream.go
@@ -0,0 +1,202 @@
+package backend
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/tidwall/gjson"
+	"github.com/valyala/fasthttp"
+
+	"filbertledge/internal/api"
+	"filbertledge/internal/errs"
+)
+
+// drainFor bounds the wait for the end of a chunked body after [DONE]; the connection is reused if it comes.
+const drainFor = 200 * time.Millisecond
+
+// Chunk is one checked piece of a stream.
+type Chunk struct {
+	Data   []byte // JSON as the engine sent it; valid until the next call of Next
+	Text   string // generated text of the piece
+	Offset int    // generated tokens before the piece
+	Tokens int    // generated tokens of the piece
+	Pieces []api.PieceLabel
+	Finish string // finish reason of the last piece
+}
+
+// Stream is a running stream of an engine.
+type Stream struct {
+	ex      *exchange
+	events  *eventReader
+	attempt string
+	offset  int
+	done    bool
+	closed  bool
+}
+
+// Stream starts a stream. offset is the number of tokens that the engine is asked to continue from. The error
+// is a *Failure; it has Status and Body if the engine answered with an error status.
+func (c *Client) Stream(ctx context.Context, req Request, offset int) (*Stream, error) {
+	ex, err := c.begin(ctx, &req)
+	if err != nil {
+		return nil, err
+	}
+	if ex.header.StatusCode() != fasthttp.StatusOK {
+		return nil, refusedStream(ex)
+	}
+	return &Stream{ex: ex, events: newEventReader(ex.body), attempt: req.AttemptID, offset: offset}, nil
+}
+
+func refusedStream(ex *exchange) error {
+	answer, err := ex.whole()
+	ex.end(err == nil)
+	if err != nil {
+		return ex.failure(err)
+	}
+	return &Failure{
+		Status: answer.Status, Body: answer.Body,
+		Err: errs.New(errs.BackendFailed, "resend the request", "engine answered with status %d", answer.Status),
+	}
+}
+
+var doneMark = "[DONE]"
+
+// Next returns the next piece, or io.EOF after the end mark. Any other error is a *Failure and ends the
+// stream: a lost connection, a missing end mark, a piece of another attempt, a gap or a repeated offset.
+func (s *Stream) Next() (Chunk, error) {
+	data, err := s.events.next()
+	if err != nil {
+		return Chunk{}, s.ex.failure(err)
+	}
+	if string(data) == doneMark {
+		s.done = true
+		return Chunk{}, io.EOF
+	}
+	chunk, attempt, err := parseChunk(data)
+	if err == nil {
+		err = s.check(chunk, attempt)
+	}
+	if err != nil {
+		return Chunk{}, s.ex.failure(err)
+	}
+	s.offset += chunk.Tokens
+	return chunk, nil
+}
+
+func (s *Stream) check(c Chunk, attempt string) error {
+	if attempt != s.attempt {
+		return errs.New(errs.BackendFailed, "resend the request", "piece belongs to attempt %q, not %q", attempt, s.attempt)
+	}
+	if c.Offset != s.offset {
+		return errs.New(errs.BackendFailed, "resend the request", "piece starts at token %d, not %d", c.Offset, s.offset)
+	}
+	return nil
+}
+
+// Close ends the stream. Before the end mark it closes the connection, which cancels the work.
+func (s *Stream) Close() {
+	if s.closed {
+		return
+	}
+	s.closed = true
+	if !s.done {
+		s.ex.end(false)
+		return
+	}
+	go s.drain()
+}
+
+func (s *Stream) drain() {
+	s.ex.conn.SetReadDeadline(time.Now().Add(drainFor))
+	_, err := s.events.br.ReadByte()
+	s.ex.conn.SetReadDeadline(time.Time{})
+	s.ex.end(errors.Is(err, io.EOF))
+}
+
+// attemptOf returns the attempt id in an engine's whole answer.
+func attemptOf(body []byte) string { return gjson.GetBytes(body, "filbertledge.attempt_id").String() }
+
+// LabelsOf returns the piece labels in an engine's whole answer.
+func LabelsOf(body []byte) []api.PieceLabel {
+	return appendPieces(nil, gjson.GetBytes(body, "filbertledge.pieces"))
+}
+
+func appendPieces(out []api.PieceLabel, pieces gjson.Result) []api.PieceLabel {
+	pieces.ForEach(func(_, p gjson.Result) bool {
+		out = append(out, pieceOf(p))
+		return true
+	})
+	return out
+}
+
+func pieceOf(p gjson.Result) api.PieceLabel {
+	var label api.PieceLabel
+	p.ForEach(func(key, value gjson.Result) bool {
+		switch key.Str {
+		case "version":
+			label.Version = api.WeightVersion(value.Uint())
+		case "tokens":
+			label.Tokens = int(value.Int())
+		case "cached":
+			label.Cached = value.Bool()
+		}
+		return true
+	})
+	return label
+}
+
+// parseChunk reads the fields of a streamed chunk that the service acts on.
+func parseChunk(data []byte) (c Chunk, attempt string, err error) {
+	if !gjson.ValidBytes(data) {
+		return c, "", errs.New(errs.BackendFailed, "resend the request", "piece of the stream is not valid JSON")
+	}
+	c.Data = data
+	gjson.ParseBytes(data).ForEach(func(key, value gjson.Result) bool {
+		switch key.Str {
+		case "filbertledge":
+			attempt = c.readLabel(value)
+		case "choices":
+			c.readChoice(value.Get("0"))
+		}
+		return true
+	})
+	if c.Offset < 0 || c.Tokens < 0 {
+		return c, attempt, errs.New(errs.BackendFailed, "resend the request", "piece of the stream has negative counts")
+	}
+	return c, attempt, nil
+}
+
+func (c *Chunk) readLabel(label gjson.Result) (attempt string) {
+	label.ForEach(func(key, value gjson.Result) bool {
+		switch key.Str {
+		case "attempt_id":
+			attempt = value.String()
+		case "offset":
+			c.Offset = int(value.Int())
+		case "pieces":
+			c.Pieces = appendPieces(c.Pieces, value)
+		}
+		return true
+	})
+	for _, p := range c.Pieces {
+		c.Tokens += p.Tokens
+	}
+	return attempt
+}
+
+// readChoice takes the text of a chat chunk (delta.content) or of a completion chunk (text).
+func (c *Chunk) readChoice(choice gjson.Result) {
+	choice.ForEach(func(key, value gjson.Result) bool {
+		switch key.Str {
+		case "delta":
+			c.Text = value.Get("content").String()
+		case "text":
+			c.Text = value.String()
+		case "finish_reason":
+			c.Finish = value.String()
+		}
+		return true
+	})
+}
--- /dev/null
+++ b/internal/membership/gossip.go
@@ -0,0 +1,484 @@
+package membership
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"filbertledge/internal/api"
+	"filbertledge/internal/errs"
+)
+
+// Method is the transport method of gossip messages.
+const Method = "membership.gossip"
+
+// Timing of gossip.
+const (
+	roundEvery  = 100 * time.Millisecond
+	digestEvery = time.Second
+	useFor      = 3 * time.Second // a count of requests in flight that is not repeated for so long is dropped
+)
+
+// Bounds of one message. A full record takes about 200 bytes and a renewal about 25, so a message stays under
+// 16 KiB.
+const (
+	maxFull      = 32
+	maxRenewals  = 300
+	maxCrashes   = 64
+	maxUses      = 128
+	maxWants     = 256
+	maxSuspects  = 4096
+	maxReceived  = 64 << 10
+	maxDecodeLen = 4096
+)
+
+// Hops of a message. They prevent loops: only messages with hopRelay are passed on, with hopFinal.
+const (
+	hopFinal = 0
+	hopRelay = 1
+)
+
+// fullRecord is a whole announcement.
+type fullRecord struct {
+	Announcement api.Announcement `cbor:"1,keyasint"`
+	AgeMS        uint32           `cbor:"2,keyasint"`
+}
+
+// renewal renews a record whose seldom changing fields the receiver knows by their digest.
+type renewal struct {
+	_        struct{} `cbor:",toarray"`
+	Static   uint64
+	Sequence uint64
+	AgeMS    uint32
+	Running  int
+	Waiting  int
+	Speed    float32 // tokens a second
+}
+
+// useReport is the number of requests that a VM has in flight on a server.
+type useReport struct {
+	_        struct{} `cbor:",toarray"`
+	Server   uint64
+	VM       api.VMID
+	InFlight int
+}
+
+type message struct {
+	From     api.VMID          `cbor:"1,keyasint"`
+	Address  string            `cbor:"2,keyasint"` // of the sender, for wants
+	Domain   api.FailureDomain `cbor:"3,keyasint"`
+	Hop      uint8             `cbor:"4,keyasint"`
+	Full     []fullRecord      `cbor:"5,keyasint,omitempty"`
+	Renewals []renewal         `cbor:"6,keyasint,omitempty"`
+	Crashes  []crash           `cbor:"7,keyasint,omitempty"`
+	Uses     []useReport       `cbor:"8,keyasint,omitempty"`
+	Wants    []uint64          `cbor:"9,keyasint,omitempty"` // static digests that the sender does not know
+	// Digest marks a message that repeats the sender's records to repair gaps.
+	Digest bool `cbor:"10,keyasint,omitempty"`
+}
+
+func (m *message) empty() bool {
+	return len(m.Full)+len(m.Renewals)+len(m.Crashes)+len(m.Uses)+len(m.Wants) == 0
+}
+
+type useKey struct {
+	server uint64
+	vm     api.VMID
+}
+
+type use struct {
+	inFlight int
+	at       time.Duration
+}
+
+// gossipState is what changed since the last round, and the cursors of the digests.
+type gossipState struct {
+	dirty      map[api.ServerID]bool
+	sentStatic map[api.ServerID]uint64 // static digest last sent in full
+	reported   map[api.ServerID]int
+	lastDigest time.Duration
+	lastUses   time.Duration
+	cursor     int
+}
+
+func (g *gossipState) reset() {
+	g.dirty = map[api.ServerID]bool{}
+	g.sentStatic = map[api.ServerID]uint64{}
+	g.reported = map[api.ServerID]int{}
+}
+
+var decMode = mustDecMode()
+
+func mustDecMode() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxArrayElements: maxDecodeLen, MaxMapPairs: maxDecodeLen, MaxNestedLevels: 8}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+func keyOf(id api.ServerID) uint64 { return xxhash.Sum64String(string(id)) }
+
+// staticDigest covers every field of an announcement but the sequence, the load and the cache events.
+func staticDigest(a *api.Announcement) uint64 {
+	c := *a
+	c.Sequence, c.Load, c.CacheEvents = 0, api.Load{}, nil
+	data, err := cbor.Marshal(&c)
+	if err != nil {
+		return keyOf(a.ID)
+	}
+	return xxhash.Sum64(data)
+}
+
+// Run gossips until ctx ends.
+func (r *Registry) Run(ctx context.Context) {
+	ticker := time.NewTicker(roundEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			r.Tick()
+		}
+	}
+}
+
+// outgoing is a message for one VM.
+type outgoing struct {
+	addr string
+	msg  message
+}
+
+// Tick runs one round of gossip: it sends what changed since the last round, and once a second a digest.
+func (r *Registry) Tick() {
+	now := r.opts.Now()
+	vms := r.vms()
+	r.mu.Lock()
+	r.expire(now)
+	r.expireSuspects(now)
+	r.expireUses(now)
+	out := r.round(now, vms)
+	r.mu.Unlock()
+	r.send(out)
+}
+
+func (r *Registry) vms() []api.VM {
+	if r.opts.VMs == nil {
+		return nil
+	}
+	return r.opts.VMs()
+}
+
+func (r *Registry) send(out []outgoing) {
+	if r.opts.Send == nil {
+		return
+	}
+	for i := range out {
+		data, err := cbor.Marshal(&out[i].msg)
+		if err == nil {
+			r.opts.Send(out[i].addr, Method, data)
+		}
+	}
+}
+
+func (r *Registry) round(now time.Duration, vms []api.VM) []outgoing {
+	self := r.self(vms)
+	delta := r.delta(now)
+	delta.From, delta.Address, delta.Domain = r.opts.VM, self.Address, r.opts.Domain
+	var out []outgoing
+	if !delta.empty() {
+		out = r.spread(delta, vms)
+	}
+	if now-r.gossip.lastDigest >= digestEvery {
+		r.gossip.lastDigest = now
+		out = append(out, r.digests(now, self, vms)...)
+	}
+	return out
+}
+
+func (r *Registry) self(vms []api.VM) api.VM {
+	for _, vm := range vms {
+		if vm.ID == r.opts.VM {
+			return vm
+		}
+	}
+	return api.VM{ID: r.opts.VM, Domain: r.opts.Domain}
+}
+
+// spread addresses a delta to all VMs of the own failure domain and to one VM in each other failure domain.
+func (r *Registry) spread(m message, vms []api.VM) []outgoing {
+	var out []outgoing
+	for _, addr := range r.neighbours(vms) {
+		m.Hop = hopFinal
+		out = append(out, outgoing{addr, m})
+	}
+	for _, vm := range r.relays(vms) {
+		m.Hop = hopRelay
+		out = append(out, outgoing{vm.Address, m})
+	}
+	return out
+}
+
+func (r *Registry) neighbours(vms []api.VM) []string {
+	var out []string
+	for _, vm := range vms {
+		if vm.Domain == r.opts.Domain && vm.ID != r.opts.VM {
+			out = append(out, vm.Address)
+		}
+	}
+	return out
+}
+
+// relays chooses one VM at random in each other failure domain, so that a lost one costs one round at most.
+func (r *Registry) relays(vms []api.VM) []api.VM {
+	chosen := map[api.FailureDomain]api.VM{}
+	seen := map[api.FailureDomain]int{}
+	for _, vm := range vms {
+		if vm.Domain == r.opts.Domain || vm.ID == r.opts.VM {
+			continue
+		}
+		seen[vm.Domain]++
+		if r.rng.IntN(seen[vm.Domain]) == 0 {
+			chosen[vm.Domain] = vm
+		}
+	}
+	out := make([]api.VM, 0, len(chosen))
+	for _, vm := range chosen {
+		out = append(out, vm)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Domain < out[j].Domain })
+	return out
+}
+
+// delta collects what changed at this VM since the last round, up to the bounds of a message.
+func (r *Registry) delta(now time.Duration) message {
+	var m message
+	for _, id := range sortedKeys(r.gossip.dirty) {
+		s := r.servers[id]
+		if s == nil {
+			delete(r.gossip.dirty, id)
+			continue
+		}
+		if r.addRecord(&m, s, now) {
+			delete(r.gossip.dirty, id)
+		}
+	}
+	for _, c := range r.suspects {
+		if c.dirty && len(m.Crashes) < maxCrashes {
+			c.dirty = false
+			m.Crashes = append(m.Crashes, aged(*c, now))
+		}
+	}
+	r.addUses(&m, now)
+	return m
+}
+
+// addRecord adds a server's record: in full if its static fields changed since they were last sent.
+func (r *Registry) addRecord(m *message, s *Server, now time.Duration) bool {
+	rec := s.rec.Load()
+	if r.gossip.sentStatic[s.id] == rec.static {
+		if len(m.Renewals) >= maxRenewals {
+			return false
+		}
+		m.Renewals = append(m.Renewals, renewalOf(rec, now))
+		return true
+	}
+	if len(m.Full) >= maxFull {
+		return false
+	}
+	m.Full = append(m.Full, fullOf(rec, now))
+	r.gossip.sentStatic[s.id] = rec.static
+	return true
+}
+
+func renewalOf(rec *record, now time.Duration) renewal {
+	a := &rec.announcement
+	return renewal{
+		Static: rec.static, Sequence: a.Sequence, AgeMS: ageMS(now - rec.renewed),
+		Running: a.Load.Running, Waiting: a.Load.Waiting, Speed: float32(a.Load.TokensPerSecond),
+	}
+}
+
+func fullOf(rec *record, now time.Duration) fullRecord {
+	a := rec.announcement
+	a.CacheEvents = nil
+	return fullRecord{Announcement: a, AgeMS: ageMS(now - rec.renewed)}
+}
+
+func ageMS(d time.Duration) uint32 { return uint32(max(0, d.Milliseconds())) }
+
+func aged(c crash, now time.Duration) crash {
+	c.AgeMS = ageMS(now - c.since)
+	return c
+}
+
+// addUses adds this VM's requests in flight: the counts that changed, and once a second all of them.
+func (r *Registry) addUses(m *message, now time.Duration) {
+	all := now-r.gossip.lastUses >= digestEvery
+	if all {
+		r.gossip.lastUses = now
+	}
+	for _, id := range sortedKeys(r.listed) {
+		n := int(r.servers[id].inFlight.Load())
+		last := r.gossip.reported[id]
+		if (n == last && (!all || n == 0)) || len(m.Uses) >= maxUses {
+			continue
+		}
+		r.gossip.reported[id] = n
+		m.Uses = append(m.Uses, useReport{Server: r.servers[id].key, VM: r.opts.VM, InFlight: n})
+	}
+}
+
+// digests repeats known records to one VM of the own failure domain and to one in another. The receiver asks
+// for records that it does not know.
+func (r *Registry) digests(now time.Duration, self api.VM, vms []api.VM) []outgoing {
+	m := message{From: r.opts.VM, Address: self.Address, Domain: r.opts.Domain, Digest: true}
+	ids := sortedKeys(r.listed)
+	for range min(len(ids), maxRenewals) {
+		r.gossip.cursor = (r.gossip.cursor + 1) % len(ids)
+		m.Renewals = append(m.Renewals, renewalOf(r.servers[ids[r.gossip.cursor]].rec.Load(), now))
+	}
+	for _, c := range r.suspects {
+		if len(m.Crashes) < maxCrashes {
+			m.Crashes = append(m.Crashes, aged(*c, now))
+		}
+	}
+	if m.empty() {
+		return nil
+	}
+	var out []outgoing
+	if near := r.neighbours(vms); len(near) > 0 {
+		out = append(out, outgoing{near[r.rng.IntN(len(near))], m})
+	}
+	if far := r.relays(vms); len(far) > 0 {
+		out = append(out, outgoing{far[r.rng.IntN(len(far))].Address, m})
+	}
+	return out
+}
+
+func sortedKeys[V any](m map[api.ServerID]V) []api.ServerID {
+	out := make([]api.ServerID, 0, len(m))
+	for id := range m {
+		out = append(out, id)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out
+}
+
+// Receive merges a gossip message of another VM.
+func (r *Registry) Receive(data []byte) error {
+	if len(data) > maxReceived {
+		return errs.New(errs.PayloadTooLarge, "check the version of the sender", "gossip message of %d bytes exceeds %d", len(data), maxReceived)
+	}
+	var m message
+	if err := decMode.Unmarshal(data, &m); err != nil {
+		return errs.Wrap(err, errs.InvalidArgument, "check the version of the sender", "gossip message is malformed")
+	}
+	now := r.opts.Now()
+	vms := r.vms()
+	r.mu.Lock()
+	out := r.receive(&m, now, vms)
+	r.mu.Unlock()
+	r.send(out)
+	return nil
+}
+
+func (r *Registry) receive(m *message, now time.Duration, vms []api.VM) []outgoing {
+	reply := message{From: r.opts.VM, Address: r.self(vms).Address, Domain: r.opts.Domain}
+	r.mergeRecords(m, now, &reply)
+	for _, c := range m.Crashes {
+		if since := now - time.Duration(c.AgeMS)*time.Millisecond; now-since < SuspectFor {
+			r.mergeCrash(c, since)
+		}
+	}
+	r.mergeUses(m, now)
+	r.answerWants(m, now, &reply)
+	var out []outgoing
+	if !reply.empty() && m.Address != "" {
+		out = append(out, outgoing{m.Address, reply})
+	}
+	if m.Hop == hopRelay {
+		out = append(out, r.passOn(*m, vms)...)
+	}
+	return out
+}
+
+// passOn relays a message of another failure domain to the VMs of this one. Wants stay with this VM.
+func (r *Registry) passOn(m message, vms []api.VM) []outgoing {
+	m.Hop, m.Wants = hopFinal, nil
+	var out []outgoing
+	for _, addr := range r.neighbours(vms) {
+		out = append(out, outgoing{addr, m})
+	}
+	return out
+}
+
+func (r *Registry) mergeRecords(m *message, now time.Duration, reply *message) {
+	for _, f := range m.Full {
+		r.merge(f.Announcement, now-time.Duration(f.AgeMS)*time.Millisecond)
+	}
+	for _, w := range m.Renewals {
+		s := r.byKey[w.Static]
+		if s == nil || s.rec.Load().static != w.Static {
+			if len(reply.Wants) < maxWants {
+				reply.Wants = append(reply.Wants, w.Static)
+			}
+			continue
+		}
+		a := s.rec.Load().announcement
+		a.Sequence = w.Sequence
+		a.Load = api.Load{Running: w.Running, Waiting: w.Waiting, TokensPerSecond: float64(w.Speed)}
+		r.merge(a, now-time.Duration(w.AgeMS)*time.Millisecond)
+	}
+}
+
+func (r *Registry) answerWants(m *message, now time.Duration, reply *message) {
+	for _, static := range m.Wants {
+		if s := r.byKey[static]; s != nil && len(reply.Full) < maxFull {
+			reply.Full = append(reply.Full, fullOf(s.rec.Load(), now))
+		}
+	}
+}
+
+func (r *Registry) mergeUses(m *message, now time.Duration) {
+	for _, u := range m.Uses {
+		s := r.byKey[u.Server]
+		if s == nil || u.VM == r.opts.VM {
+			continue
+		}
+		r.setUse(s, useKey{u.Server, u.VM}, max(0, u.InFlight), now)
+	}
+}
+
+func (r *Registry) setUse(s *Server, key useKey, n int, now time.Duration) {
+	old := r.use[key]
+	s.others.Add(int64(n - old.inFlight))
+	if old.inFlight == 0 && n > 0 {
+		s.users.Add(1)
+	}
+	if old.inFlight > 0 && n == 0 {
+		s.users.Add(-1)
+	}
+	if n == 0 {
+		delete(r.use, key)
+		return
+	}
+	r.use[key] = use{inFlight: n, at: now}
+}
+
+func (r *Registry) expireUses(now time.Duration) {
+	for key, u := range r.use {
+		s := r.byKey[key.server]
+		if s == nil {
+			delete(r.use, key)
+			continue
+		}
+		if now-u.at >= useFor {
+			r.setUse(s, key, 0, now)
+		}
+	}
+}
--- /dev/null
+++ b/internal/platform/respond.go
@@ -0,0 +1,83 @@
+// Package platform faces the platform's balancer: readiness, liveness and drain. It also holds the HTTP server
+// of a VM, on which the other packages mount their handlers, and the one form of HTTP errors.
+package platform
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+
+	"github.com/valyala/fasthttp"
+
+	"filbertledge/internal/api"
+	"filbertledge/internal/errs"
+)
+
+// errorBody is the error body of the OpenAI API.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message string  `json:"message"`
+	Type    string  `json:"type"`
+	Param   *string `json:"param"`
+	Code    string  `json:"code"`
+}
+
+// ErrorBody returns the OpenAI error body of err. The message holds the remedy, and only the typed part of err:
+// causes may hold internal addresses.
+func ErrorBody(err error) []byte {
+	kind := errs.KindOf(err)
+	body, _ := json.Marshal(errorBody{errorDetail{Message: message(err), Type: errorType(kind), Code: string(kind)}})
+	return body
+}
+
+func message(err error) string {
+	var typed *errs.Error
+	if !errors.As(err, &typed) {
+		return "internal error; resend the request and report it if it persists"
+	}
+	if typed.Remedy == "" {
+		return typed.Message
+	}
+	return typed.Message + "; " + typed.Remedy
+}
+
+// errorType maps a kind to the OpenAI error types.
+func errorType(kind errs.Kind) string {
+	status := errs.HTTPStatus(kind)
+	switch {
+	case kind == errs.Unauthenticated:
+		return "authentication_error"
+	case kind == errs.PermissionDenied:
+		return "permission_error"
+	case kind == errs.Overloaded:
+		return "rate_limit_error"
+	case status < http.StatusInternalServerError:
+		return "invalid_request_error"
+	default:
+		return "server_error"
+	}
+}
+
+// WriteError answers with err's status, the error body and the header Filbertledge-Error.
+func WriteError(ctx *fasthttp.RequestCtx, err error) {
+	kind := errs.KindOf(err)
+	ctx.Response.ResetBody()
+	ctx.SetStatusCode(errs.HTTPStatus(kind))
+	ctx.SetContentType("application/json")
+	ctx.Response.Header.Set(api.HeaderError, string(kind))
+	ctx.SetBody(ErrorBody(err))
+}
+
+// WriteJSON answers 200 with v as JSON.
+func WriteJSON(ctx *fasthttp.RequestCtx, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		WriteError(ctx, errs.Wrap(err, errs.Internal, "report this error", "answer cannot be encoded"))
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
