Add dispatch, caller API and platform server

First working version of the request path: the dispatcher with retries, resumed streams and hedging, the callers' API with at-most-once calls, and the HTTP server with readiness and drain. Membership, policy and backend have no tests of their own yet.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -318,4 +318,3 @@
 		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, fasthttp.ErrConnectionClosed) ||
 		errors.Is(err, net.ErrClosed)
 }
-
--- /dev/null
+++ b/internal/caller/chat_test.go
@@ -0,0 +1,119 @@
+package caller
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+
+	"filbertledge/internal/api"
+)
+
+func openaiClient(v *vm) openai.Client {
+	return openai.NewClient(option.WithBaseURL(v.url+"/v1/"), option.WithAPIKey(testToken), option.WithMaxRetries(0))
+}
+
+func chatParams() openai.ChatCompletionNewParams {
+	return openai.ChatCompletionNewParams{
+		Model:    "chat",
+		Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("hello")},
+	}
+}
+
+// Guards against answers that the public OpenAI client cannot read.
+func TestOpenAIClientUnary(t *testing.T) {
+	v := newVM(t, newControl(chatRow))
+	v.join(t, "e1", listen(t, (&fakeEngine{words: 5}).ServeHTTP), "llm", true)
+	client := openaiClient(v)
+	got, err := client.Chat.Completions.New(context.Background(), chatParams())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got.Choices[0].Message.Content != wordsOf(0, 5) {
+		t.Fatalf("content %q", got.Choices[0].Message.Content)
+	}
+	models, err := client.Models.List(context.Background())
+	if err != nil || len(models.Data) != 1 || models.Data[0].ID != "chat" {
+		t.Fatalf("models %v, %v", models, err)
+	}
+}
+
+// Guards against gaps and repeated tokens when a stream is resumed on another server.
+func TestOpenAIClientStreamResumes(t *testing.T) {
+	v := newVM(t, newControl(chatRow))
+	engine := &fakeEngine{words: 40}
+	engine.breakAfter.Store(17)
+	v.join(t, "e1", listen(t, engine.ServeHTTP), "llm", true)
+	v.join(t, "e2", listen(t, engine.ServeHTTP), "llm", true)
+	client := openaiClient(v)
+	stream := client.Chat.Completions.NewStreaming(context.Background(), chatParams())
+	var text strings.Builder
+	for stream.Next() {
+		for _, c := range stream.Current().Choices {
+			text.WriteString(c.Delta.Content)
+		}
+	}
+	if err := stream.Err(); err != nil {
+		t.Fatal(err)
+	}
+	if text.String() != wordsOf(0, 40) {
+		t.Fatalf("text %q", text.String())
+	}
+	if engine.runs.Load() != 2 {
+		t.Fatalf("%d runs, want 2", engine.runs.Load())
+	}
+}
+
+// Guards against an answer of another request, or one without its end mark, being passed on as whole.
+func TestWrongStreamsFail(t *testing.T) {
+	for name, engine := range map[string]*fakeEngine{
+		"crossed":   {words: 3, attempt: "other"},
+		"truncated": {words: 3, omitDone: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			v := newVM(t, newControl(chatRow))
+			v.join(t, "e1", listen(t, engine.ServeHTTP), "llm", true)
+			_, body := send(t, "POST", v.url+pathChat, `{"model":"chat","stream":true}`)
+			if strings.Contains(body, "[DONE]") || !strings.Contains(body, `"error"`) {
+				t.Fatalf("body %q", body)
+			}
+		})
+	}
+}
+
+// Guards against a crossed unary answer being passed on.
+func TestCrossedUnaryAnswerFails(t *testing.T) {
+	v := newVM(t, newControl(chatRow))
+	v.join(t, "e1", listen(t, (&fakeEngine{words: 3, attempt: "other"}).ServeHTTP), "llm", true)
+	resp, body := send(t, "POST", v.url+pathChat, `{"model":"chat"}`)
+	if resp.StatusCode != http.StatusBadGateway || strings.Contains(body, "w0") {
+		t.Fatalf("status %d, body %q", resp.StatusCode, body)
+	}
+	if resp.Header.Get(api.HeaderOutcome) != string(api.OutcomeUnknown) {
+		t.Fatalf("outcome %q", resp.Header.Get(api.HeaderOutcome))
+	}
+}
+
+// Guards against engines that go on generating for a caller that left.
+func TestLeavingCallerCancelsWork(t *testing.T) {
+	for name, body := range map[string]string{"unary": `{"model":"chat"}`, "stream": `{"model":"chat","stream":true}`} {
+		t.Run(name, func(t *testing.T) {
+			engine := &fakeEngine{words: 1000, delay: 300 * time.Millisecond}
+			v := newVM(t, newControl(chatRow))
+			v.join(t, "e1", listen(t, engine.ServeHTTP), "llm", true)
+			conn, err := net.Dial("tcp", strings.TrimPrefix(v.url, "http://"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			writeRaw(t, conn, "POST /v1/chat/completions HTTP/1.1", body)
+			waitFor(t, func() bool { return engine.runs.Load() == 1 })
+			conn.Close()
+			waitFor(t, func() bool { return engine.canceled.Load() == 1 && v.caller.InFlight() == 0 })
+		})
+	}
+}
--- /dev/null
+++ b/internal/dispatch/dispatcher.go
@@ -0,0 +1,152 @@
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"filbertledge/internal/api"
+	"filbertledge/internal/backend"
+	"filbertledge/internal/control"
+	"filbertledge/internal/events"
+	"filbertledge/internal/membership"
+	"filbertledge/internal/metrics"
+	"filbertledge/internal/policy"
+	"filbertledge/internal/table"
+)
+
+// judgeEvery is the time between comparisons of a pool's servers. It also bounds how long waiting work misses
+// a change of the registry.
+const judgeEvery = 20 * time.Millisecond
+
+// Options configures a Dispatcher. Share, Metrics and Events may be nil.
+type Options struct {
+	Domain   api.FailureDomain // of this VM
+	Registry *membership.Registry
+	Backend  *backend.Client
+	Control  control.Client
+	// Share returns how many requests of the row this VM may have in flight; it is asked only for rows with
+	// MaxInFlight. The default is MaxInFlight divided by the number of known VMs, at least 1.
+	Share   func(row table.Row) int
+	Metrics *metrics.Metrics
+	Events  *events.Recorder
+	Seed    uint64
+}
+
+// Dispatcher runs requests on backend servers. It is safe for concurrent use.
+type Dispatcher struct {
+	opts  Options
+	start time.Time
+
+	mu      sync.Mutex
+	pools   map[api.Pool]*pool
+	lengths map[api.RowName]*policy.Lengths
+}
+
+var _ Generator = (*Dispatcher)(nil)
+
+// New returns a dispatcher. Run must be running for it to work.
+func New(opts Options) *Dispatcher {
+	d := &Dispatcher{opts: opts, start: time.Now(), pools: map[api.Pool]*pool{}, lengths: map[api.RowName]*policy.Lengths{}}
+	if d.opts.Share == nil {
+		d.opts.Share = d.evenShare
+	}
+	return d
+}
+
+// evenShare divides a row's limit between the known VMs.
+func (d *Dispatcher) evenShare(row table.Row) int {
+	return max(1, row.MaxInFlight/max(1, len(d.opts.Control.VMs())))
+}
+
+// Run compares the servers and places waiting work until ctx ends.
+func (d *Dispatcher) Run(ctx context.Context) {
+	ticker := time.NewTicker(judgeEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			d.tick()
+		}
+	}
+}
+
+func (d *Dispatcher) tick() {
+	d.mu.Lock()
+	pools := make([]*pool, 0, len(d.pools))
+	for _, p := range d.pools {
+		pools = append(pools, p)
+	}
+	d.mu.Unlock()
+	for _, p := range pools {
+		p.tick()
+	}
+}
+
+func (d *Dispatcher) now() time.Duration { return time.Since(d.start) }
+
+func (d *Dispatcher) pool(name api.Pool) *pool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.pools[name]
+	if p == nil {
+		p = &pool{
+			d: d, name: name,
+			rng:      rand.New(rand.NewPCG(d.opts.Seed, xxhash.Sum64String(string(name)))),
+			servers:  map[*membership.Server]*serverState{},
+			rows:     map[api.RowName]int{},
+			affinity: map[uint64]*membership.Server{},
+		}
+		d.pools[name] = p
+	}
+	return p
+}
+
+// predict returns the quantile q of the row's run times for a request of that size.
+func (d *Dispatcher) predict(row api.RowName, bytes int, q float64) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if l := d.lengths[row]; l != nil {
+		return l.Quantile(bytes, q)
+	}
+	return policy.DefaultPrediction
+}
+
+// known reports whether the row has enough history to hedge its requests.
+func (d *Dispatcher) known(row api.RowName) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l := d.lengths[row]
+	return l != nil && l.Known()
+}
+
+func (d *Dispatcher) learn(row api.RowName, bytes int, ran time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l := d.lengths[row]
+	if l == nil {
+		l = &policy.Lengths{}
+		d.lengths[row] = l
+	}
+	l.Add(bytes, ran)
+}
+
+func (d *Dispatcher) event(name events.Name, r *run, server api.ServerID, detail string) {
+	if d.opts.Events != nil {
+		d.opts.Events.Record(events.Event{Name: name, Request: r.work.RequestID, Row: r.work.Row.Name, Server: server, Detail: detail})
+	}
+}
+
+// InFlight returns the number of this VM's requests on backend servers.
+func (d *Dispatcher) InFlight() int {
+	n := 0
+	for _, s := range d.opts.Registry.All() {
+		n += int(s.InFlight())
+	}
+	return n
+}
--- /dev/null
+++ b/internal/dispatch/pool.go
@@ -0,0 +1,414 @@
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"filbertledge/internal/api"
+	"filbertledge/internal/errs"
+	"filbertledge/internal/events"
+	"filbertledge/internal/membership"
+	"filbertledge/internal/policy"
+)
+
+const (
+	// maxAffinities bounds the memory of prefixes; the map is cleared when it is full.
+	maxAffinities = 4096
+	// shortWindow is how long slots stay reserved after short work was seen.
+	shortWindow = 10 * time.Second
+	// shortPart of the mean predicted time makes a job short.
+	shortPart = 0.5
+	// maxQueue bounds the waiting work of a pool.
+	maxQueue = 8192
+	// judgeInterval is the time between comparisons of servers.
+	judgeInterval = 100 * time.Millisecond
+)
+
+// serverState is what this VM knows of a server beyond the registry.
+type serverState struct {
+	stats    policy.Stats
+	budget   policy.RetryBudget
+	isolated bool
+	flights  map[*lease]uint64 // content digests of the requests in flight
+}
+
+// pool queues the work for one pool of servers and places it.
+type pool struct {
+	d    *Dispatcher
+	name api.Pool
+
+	mu        sync.Mutex
+	rng       *rand.Rand
+	queue     policy.Queue
+	servers   map[*membership.Server]*serverState
+	rows      map[api.RowName]int // requests in flight
+	affinity  map[uint64]*membership.Server
+	meanRun   float64 // EWMA of predicted times in seconds
+	shortSeen time.Duration
+	lastJudge time.Duration
+}
+
+// waiter is a run that waits for a server.
+type waiter struct {
+	run   *run
+	job   policy.Job
+	grant chan *lease
+}
+
+// lease is the right to run one attempt on a server.
+type lease struct {
+	pool   *pool
+	server *membership.Server
+	state  *serverState
+	run    *run
+	at     time.Duration
+}
+
+// acquire waits for a server. The error says that the attempt did not run.
+func (p *pool) acquire(ctx context.Context, r *run) (*lease, error) {
+	w := &waiter{run: r, grant: make(chan *lease, 1)}
+	if err := p.enqueue(ctx, w); err != nil {
+		return nil, err
+	}
+	select {
+	case l := <-w.grant:
+		return l, nil
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	waiting := p.queue.Remove(&w.job)
+	p.mu.Unlock()
+	if !waiting {
+		(<-w.grant).release()
+	}
+	return nil, p.waitError(ctx)
+}
+
+func (p *pool) waitError(ctx context.Context) error {
+	if ctx.Err() == context.Canceled {
+		return errs.New(errs.Canceled, "resend the request if it is still wanted", "request was canceled while it waited")
+	}
+	if !slices.ContainsFunc(p.d.opts.Registry.Servers(p.name), p.usable) {
+		return errs.New(errs.Unavailable, "start backend servers for the pool", "no backend server of pool %q is available", p.name)
+	}
+	return errs.New(errs.DeadlineExceeded, "resend the request later or with a longer deadline", "deadline passed while the request waited for a backend server")
+}
+
+func (p *pool) usable(s *membership.Server) bool { return s.Usable(p.d.opts.Registry.Now()) }
+
+// enqueue adds a waiter and places what can be placed.
+func (p *pool) enqueue(ctx context.Context, w *waiter) error {
+	now := p.d.now()
+	w.job = p.jobOf(w.run, now)
+	w.job.Data = w
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err := p.refuseEarly(ctx, w); err != nil {
+		return err
+	}
+	p.noteLength(&w.job, now)
+	p.queue.Push(&w.job)
+	p.pump(now)
+	return nil
+}
+
+// jobOf describes a run to the queue. Runs that only some servers can take queue apart, so that they do not
+// hold up the others of their row.
+func (p *pool) jobOf(r *run, now time.Duration) policy.Job {
+	name := r.work.Row.Name
+	if r.isolated {
+		name += "\x00isolated"
+	} else if len(r.exclude)+len(r.never) > 0 {
+		name += "\x00retry"
+	}
+	return policy.Job{Row: name, Class: r.class, Priority: r.work.Row.Priority, Predicted: r.predicted, Arrived: now}
+}
+
+// refuseEarly refuses work whose predicted wait passes its deadline.
+func (p *pool) refuseEarly(ctx context.Context, w *waiter) error {
+	if p.queue.Len() >= maxQueue {
+		return errs.New(errs.Overloaded, "resend the request later", "queue of pool %q is full", p.name)
+	}
+	deadline, ok := ctx.Deadline()
+	if !ok || p.queue.Len() == 0 {
+		return nil
+	}
+	slots := p.slots()
+	if slots == 0 {
+		return nil // servers may return before the deadline
+	}
+	wait := p.queue.PredictedWait(w.job.Class, w.job.Priority, w.job.Row, w.job.Predicted, slots)
+	if wait > time.Until(deadline) {
+		return errs.New(errs.Overloaded, "resend the request later or with a longer deadline",
+			"predicted wait of %d ms passes the deadline", wait.Milliseconds())
+	}
+	return nil
+}
+
+// slots sums the requests that this VM may have in flight on the pool.
+func (p *pool) slots() int {
+	now := p.d.opts.Registry.Now()
+	sum := 0
+	for _, s := range p.d.opts.Registry.Servers(p.name) {
+		if s.Usable(now) {
+			c := p.candidate(s, now)
+			sum += policy.Limit(&c)
+		}
+	}
+	return sum
+}
+
+func (p *pool) noteLength(j *policy.Job, now time.Duration) {
+	seconds := j.Predicted.Seconds()
+	if p.meanRun == 0 {
+		p.meanRun = seconds
+	}
+	if seconds < shortPart*p.meanRun {
+		p.shortSeen = now
+	}
+	p.meanRun += 0.05 * (seconds - p.meanRun)
+}
+
+// pump places waiting work until nothing more can be placed. p.mu must be held.
+func (p *pool) pump(now time.Duration) {
+	for p.queue.Len() > 0 {
+		var granted *lease
+		job := p.queue.Next(func(j *policy.Job) bool {
+			granted = p.place(j.Data.(*waiter).run, j, now)
+			return granted != nil
+		})
+		if job == nil {
+			return
+		}
+		job.Data.(*waiter).grant <- granted
+	}
+}
+
+// place chooses a server for a run and takes a slot on it, or returns nil.
+func (p *pool) place(r *run, j *policy.Job, now time.Duration) *lease {
+	row := &r.work.Row
+	if r.class == policy.Trainer && !p.d.opts.Control.Fresh() {
+		return nil // a newer table could forbid the weights
+	}
+	if row.MaxInFlight > 0 && p.rows[row.Name] >= p.d.opts.Share(*row) {
+		return nil
+	}
+	r.again = len(r.exclude) > 0 && p.onlyExcluded(r)
+	s := p.choose(r, j, now)
+	if s == nil {
+		return nil
+	}
+	return p.take(s, r, now)
+}
+
+// onlyExcluded reports whether every server that could run the work has already failed it. It may then be
+// tried there again.
+func (p *pool) onlyExcluded(r *run) bool {
+	clock := p.d.opts.Registry.Now()
+	for _, s := range p.d.opts.Registry.Servers(p.name) {
+		if s.Usable(clock) && r.admits(s.Announcement()) && !slices.Contains(r.exclude, s.ID()) && !slices.Contains(r.never, s.ID()) {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *pool) take(s *membership.Server, r *run, now time.Duration) *lease {
+	st := p.state(s)
+	l := &lease{pool: p, server: s, state: st, run: r, at: now}
+	s.AddInFlight(1)
+	st.flights[l] = r.digest
+	st.stats.Started(now)
+	if r.attempts == 0 {
+		st.budget.Request(now)
+	} else {
+		st.budget.Retry(now)
+	}
+	if r.isolated {
+		st.isolated = true
+		s.SetExclusive(true)
+	}
+	p.rows[r.work.Row.Name]++
+	if r.prefix != 0 {
+		p.remember(r.prefix, s)
+	}
+	return l
+}
+
+func (p *pool) remember(prefix uint64, s *membership.Server) {
+	if len(p.affinity) >= maxAffinities {
+		clear(p.affinity)
+	}
+	p.affinity[prefix] = s
+}
+
+func (p *pool) state(s *membership.Server) *serverState {
+	st := p.servers[s]
+	if st == nil {
+		st = &serverState{flights: map[*lease]uint64{}}
+		p.servers[s] = st
+	}
+	return st
+}
+
+// release returns the slot and places waiting work.
+func (l *lease) release() {
+	p := l.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(l.state.flights, l)
+	l.server.AddInFlight(-1)
+	if l.run.isolated {
+		l.state.isolated = false
+		l.server.SetExclusive(false)
+	}
+	name := l.run.work.Row.Name
+	if p.rows[name]--; p.rows[name] == 0 {
+		delete(p.rows, name)
+	}
+	p.pump(p.d.now())
+}
+
+// measured adds a finished attempt to the server's statistics.
+func (l *lease) measured(m policy.Measurement) {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	l.state.stats.Measured(m)
+}
+
+// suspects returns the digests of all requests in flight on the server.
+func (l *lease) suspects() []uint64 {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	out := make([]uint64, 0, len(l.state.flights))
+	for _, d := range l.state.flights {
+		out = append(out, d)
+	}
+	return out
+}
+
+// choose returns a server that may take the run now, or nil.
+func (p *pool) choose(r *run, j *policy.Job, now time.Duration) *membership.Server {
+	servers := p.d.opts.Registry.Servers(p.name)
+	clock := p.d.opts.Registry.Now()
+	short := j.Predicted.Seconds() < shortPart*p.meanRun
+	reserve := !short && p.shortSeen > 0 && now-p.shortSeen < shortWindow
+	describe := func(s *membership.Server, c *policy.Candidate) {
+		*c = p.candidate(s, clock)
+		c.Eligible = p.eligible(r, s, c, now, clock, reserve)
+	}
+	i := policy.Choose(len(servers), p.rng, func(i int, c *policy.Candidate) { describe(servers[i], c) })
+	if i < 0 {
+		return nil
+	}
+	return p.preferCached(r, servers[i], describe)
+}
+
+// preferCached takes the server that ran the same prefix last, if its load allows it.
+func (p *pool) preferCached(r *run, chosen *membership.Server, describe func(*membership.Server, *policy.Candidate)) *membership.Server {
+	cached := p.affinity[r.prefix]
+	if r.prefix == 0 || cached == nil || cached == chosen {
+		return chosen
+	}
+	var a, b policy.Candidate
+	describe(chosen, &a)
+	describe(cached, &b)
+	b.Cached = true
+	if b.Eligible && policy.Score(&b) < policy.Score(&a) {
+		return cached
+	}
+	return chosen
+}
+
+func (p *pool) candidate(s *membership.Server, clock time.Duration) policy.Candidate {
+	a := s.Announcement()
+	others, users := s.Others()
+	c := policy.Candidate{
+		Local:    a.Domain == p.d.opts.Domain,
+		InFlight: int(s.InFlight()),
+		Others:   int(others),
+		Users:    int(users),
+		Reported: a.Load.Running + a.Load.Waiting,
+		Age:      s.Age(clock),
+		Capacity: a.Capacity,
+	}
+	if st := p.servers[s]; st != nil {
+		c.Speed = st.stats.Relative
+	}
+	return c
+}
+
+// eligible reports whether a server may take the run now.
+func (p *pool) eligible(r *run, s *membership.Server, c *policy.Candidate, now, clock time.Duration, reserve bool) bool {
+	if !s.Usable(clock) || s.Exclusive() || r.excludes(s.ID()) || !r.admits(s.Announcement()) {
+		return false
+	}
+	limit := policy.Limit(c)
+	if reserve {
+		limit = policy.LongLimit(limit)
+	}
+	if c.InFlight >= limit {
+		return false
+	}
+	if r.isolated && (c.InFlight > 0 || c.Others > 0) {
+		return false
+	}
+	st := p.servers[s]
+	if st == nil {
+		return true
+	}
+	return !st.isolated && st.stats.Admits(now) && (r.attempts == 0 || st.budget.Allows(now))
+}
+
+// tick places waiting work and compares the servers.
+func (p *pool) tick() {
+	now := p.d.now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now-p.lastJudge >= judgeInterval {
+		p.lastJudge = now
+		p.judge(now)
+	}
+	p.pump(now)
+}
+
+func (p *pool) judge(now time.Duration) {
+	servers := p.d.opts.Registry.Servers(p.name)
+	stats := make([]*policy.Stats, len(servers))
+	for i, s := range servers {
+		stats[i] = &p.state(s).stats
+	}
+	for _, v := range policy.Judge(stats, now) {
+		p.judged(servers[v.Index], v.Ejected)
+	}
+	if len(p.servers) > len(servers) {
+		p.forget(servers)
+	}
+}
+
+func (p *pool) judged(s *membership.Server, ejected bool) {
+	if p.d.opts.Events == nil {
+		return
+	}
+	name := events.ServerReadmitted
+	if ejected {
+		name = events.ServerEjected
+	}
+	p.d.opts.Events.Record(events.Event{Name: name, Server: s.ID()})
+}
+
+// forget drops the state of servers that left the registry and have nothing in flight.
+func (p *pool) forget(listed []*membership.Server) {
+	keep := make(map[*membership.Server]bool, len(listed))
+	for _, s := range listed {
+		keep[s] = true
+	}
+	for s, st := range p.servers {
+		if !keep[s] && len(st.flights) == 0 {
+			delete(p.servers, s)
+		}
+	}
+}
--- /dev/null
+++ b/internal/dispatch/stream.go
@@ -0,0 +1,200 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"filbertledge/internal/api"
+	"filbertledge/internal/backend"
+	"filbertledge/internal/errs"
+	"filbertledge/internal/policy"
+)
+
+// Emit receives the pieces of a stream in order, without gap or repetition. Its error cancels the work. The
+// chunk's Data is valid only during the call.
+type Emit func(backend.Chunk) error
+
+// DoStream runs customer work on an engine as a stream. It returns without error only after the end mark; the
+// caller writes its own. Its errors are *Error.
+func (d *Dispatcher) DoStream(ctx context.Context, w Work, emit Emit) (Answer, error) {
+	r := d.newRun(&w, policy.Customer)
+	return r.stream(ctx, emit)
+}
+
+// Generate implements Generator.
+func (d *Dispatcher) Generate(ctx context.Context, o Rollout) (Generated, error) {
+	w := Work{
+		Row: o.Row, RequestID: uuid.Must(uuid.NewV7()).String(), Method: http.MethodPost,
+		Path: "/v1/chat/completions", ContentType: "application/json", Body: o.Body,
+	}
+	r := d.newRun(&w, policy.Trainer)
+	r.minVersion = max(r.minVersion, o.MinVersion)
+	r.seed = &o.Seed
+	r.never = o.Exclude
+	a, err := r.stream(ctx, func(backend.Chunk) error { return nil })
+	if err != nil {
+		return Generated{}, err
+	}
+	return Generated{Text: a.Text, Tokens: a.Tokens, Labels: a.Labels, Server: a.Server, QueuedFor: a.QueuedFor, RanFor: a.RanFor}, nil
+}
+
+// relay is what was passed on of a stream over its attempts.
+type relay struct {
+	run    *run
+	emit   Emit
+	text   strings.Builder
+	tokens int
+	labels []api.PieceLabel
+	begun  bool            // a piece was passed on
+	held   []backend.Chunk // last pieces, passed on only after the end mark
+}
+
+func (r *run) stream(ctx context.Context, emit Emit) (Answer, error) {
+	s := &relay{run: r, emit: emit}
+	for {
+		l, err := r.acquire(ctx)
+		if err != nil {
+			return s.answer(nil), r.fail(err)
+		}
+		err = s.attempt(ctx, l)
+		if err == nil {
+			l.release()
+			return s.answer(l), nil
+		}
+		again := r.failed(ctx, l, err) && s.resumable(err)
+		l.release()
+		if !again {
+			return s.answer(l), r.fail(err)
+		}
+	}
+}
+
+// resumable reports whether another server may go on. An emit error and a refusal of the request itself end
+// the stream.
+func (s *relay) resumable(err error) bool {
+	f := backend.FailureOf(err)
+	if f.Status != 0 && !transient(f.Status) {
+		return false
+	}
+	return !errs.Is(err, errs.Canceled)
+}
+
+// attempt runs the stream on one server, from the first token that was not yet passed on.
+func (s *relay) attempt(ctx context.Context, l *lease) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.held = s.held[:0]
+	body, err := s.run.prepare(prepared{stream: true, text: s.text.String(), tokens: s.tokens})
+	if err != nil {
+		return &backend.Failure{NotSent: true, Status: http.StatusBadRequest, Err: err}
+	}
+	start := time.Now()
+	stream, err := s.run.d.opts.Backend.Stream(ctx, s.run.request(l, s.run.attemptID(), body), s.tokens)
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	return s.copy(stream, l, start)
+}
+
+// copy passes the pieces on until the end mark.
+func (s *relay) copy(stream *backend.Stream, l *lease, start time.Time) error {
+	before := s.tokens
+	var first time.Time
+	for {
+		c, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			return s.end(l, start, first, s.tokens-before)
+		}
+		if err != nil {
+			return err
+		}
+		if first.IsZero() && c.Tokens > 0 {
+			first = time.Now()
+			s.firstToken()
+		}
+		if err := s.pass(c); err != nil {
+			return err
+		}
+	}
+}
+
+func (s *relay) firstToken() {
+	if m := s.run.d.opts.Metrics; m != nil && s.tokens == 0 {
+		m.FirstToken(s.run.work.Row.Name, s.run.queued+s.run.ranFor())
+	}
+}
+
+// pass passes one piece on. A piece without content that opens a resumed stream was already passed on. The last
+// piece is held back: if the end mark does not follow, another server produces it anew.
+func (s *relay) pass(c backend.Chunk) error {
+	if err := s.run.checkVersions(c.Pieces); err != nil && s.tokens == 0 {
+		return err
+	}
+	if c.Finish != "" || len(s.held) > 0 {
+		c.Data = append([]byte(nil), c.Data...)
+		s.held = append(s.held, c)
+		return nil
+	}
+	if s.begun && c.Tokens == 0 && c.Text == "" {
+		s.labels = append(s.labels, c.Pieces...)
+		return nil
+	}
+	return s.deliver(c)
+}
+
+func (s *relay) deliver(c backend.Chunk) error {
+	s.begun = true
+	s.text.WriteString(c.Text)
+	s.tokens += c.Tokens
+	s.labels = append(s.labels, c.Pieces...)
+	if err := s.emit(c); err != nil {
+		return &backend.Failure{Err: errs.Wrap(err, errs.Canceled, "resend the request", "caller left")}
+	}
+	return nil
+}
+
+// end passes the held pieces on and notes the attempt.
+func (s *relay) end(l *lease, start, first time.Time, tokens int) error {
+	if len(s.held) == 0 {
+		return &backend.Failure{Err: errs.New(errs.TruncatedAnswer, "resend the request", "stream ended without a finish reason")}
+	}
+	for _, c := range s.held {
+		if err := s.deliver(c); err != nil {
+			return err
+		}
+		tokens += c.Tokens
+	}
+	firstToken := first.Sub(start)
+	if first.IsZero() {
+		firstToken = time.Since(start)
+	}
+	s.run.succeeded(l, policy.Measurement{FirstToken: firstToken, Speed: speed(tokens, time.Since(start)-firstToken)})
+	return nil
+}
+
+// speed is zero if too few tokens were generated to measure it.
+func speed(tokens int, took time.Duration) float64 {
+	const enough = 4
+	if tokens < enough || took <= 0 {
+		return 0
+	}
+	return float64(tokens-1) / took.Seconds()
+}
+
+func (s *relay) answer(l *lease) Answer {
+	a := Answer{
+		Status: http.StatusOK, Text: s.text.String(), Tokens: s.tokens, Labels: s.labels,
+		Attempts: s.run.attempts, QueuedFor: s.run.queued, RanFor: s.run.ranFor(),
+	}
+	if l != nil {
+		a.Server = l.server.ID()
+	}
+	return a
+}
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -58,7 +58,10 @@
 	Speed    float32 // tokens a second
 }
 
-// useReport is the number of requests that a VM has in flight on a server.
+// exclusiveUse as the number of requests in flight claims a server for one suspect request.
+const exclusiveUse = -1
+
+// useReport is the number of requests that a VM has in flight on a server, or exclusiveUse.
 type useReport struct {
 	_        struct{} `cbor:",toarray"`
 	Server   uint64
@@ -323,7 +326,7 @@
 		r.gossip.lastUses = now
 	}
 	for _, id := range sortedKeys(r.listed) {
-		n := int(r.servers[id].inFlight.Load())
+		n := r.servers[id].ownUse()
 		last := r.gossip.reported[id]
 		if (n == last && (!all || n == 0)) || len(m.Uses) >= maxUses {
 			continue
@@ -450,19 +453,21 @@
 		if s == nil || u.VM == r.opts.VM {
 			continue
 		}
-		r.setUse(s, useKey{u.Server, u.VM}, max(0, u.InFlight), now)
+		r.setUse(s, useKey{u.Server, u.VM}, max(exclusiveUse, u.InFlight), now)
 	}
 }
 
-func (r *Registry) setUse(s *Server, key useKey, n int, now time.Duration) {
-	old := r.use[key]
-	s.others.Add(int64(n - old.inFlight))
-	if old.inFlight == 0 && n > 0 {
-		s.users.Add(1)
-	}
-	if old.inFlight > 0 && n == 0 {
-		s.users.Add(-1)
+func (s *Server) ownUse() int {
+	if s.exclusive.Load() {
+		return exclusiveUse
 	}
+	return int(s.inFlight.Load())
+}
+
+// setUse replaces what another VM reported of a server.
+func (r *Registry) setUse(s *Server, key useKey, n int, now time.Duration) {
+	s.countUse(r.use[key].inFlight, -1)
+	s.countUse(n, 1)
 	if n == 0 {
 		delete(r.use, key)
 		return
@@ -470,6 +475,19 @@
 	r.use[key] = use{inFlight: n, at: now}
 }
 
+// countUse adds or subtracts one VM's report.
+func (s *Server) countUse(n int, sign int64) {
+	if n == 0 {
+		return
+	}
+	s.users.Add(sign)
+	if n == exclusiveUse {
+		s.claims.Add(sign)
+		n = 1
+	}
+	s.others.Add(sign * int64(n))
+}
+
 func (r *Registry) expireUses(now time.Duration) {
 	for key, u := range r.use {
 		s := r.byKey[key.server]
--- a/internal/membership/registry.go
+++ b/internal/membership/registry.go
@@ -58,6 +58,8 @@
 	others    atomic.Int64 // requests in flight from other VMs, as last heard
 	users     atomic.Int64 // other VMs with requests in flight
 	inFlight  atomic.Int64 // requests of this VM in flight
+	exclusive atomic.Bool  // this VM runs a suspect request on it alone
+	claims    atomic.Int64 // other VMs that do
 }
 
 // ID returns the server's id.
@@ -309,3 +311,13 @@
 	defer r.mu.Unlock()
 	r.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 }
+
+// Now reads the registry's clock.
+func (r *Registry) Now() time.Duration { return r.opts.Now() }
+
+// SetExclusive claims the server for one request of this VM, or ends the claim. Other VMs hear of it by gossip
+// and send no new work meanwhile.
+func (s *Server) SetExclusive(on bool) { s.exclusive.Store(on) }
+
+// Exclusive reports whether this VM or another claims the server for one request.
+func (s *Server) Exclusive() bool { return s.exclusive.Load() || s.claims.Load() > 0 }
--- /dev/null
+++ b/internal/platform/server.go
@@ -0,0 +1,235 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"filbertledge/internal/api"
+	"filbertledge/internal/errs"
+	"filbertledge/internal/events"
+	"filbertledge/internal/metrics"
+)
+
+// Paths for the platform's balancer.
+const (
+	PathReady = "/readyz"
+	PathLive  = "/livez"
+)
+
+// Limits of the HTTP server.
+const (
+	MaxBodyBytes   = 4 << 20
+	maxHeaderBytes = 16 << 10
+	readTimeout    = 30 * time.Second
+	idleTimeout    = 75 * time.Second
+	// writeTimeout is above the longest deadline of a request, since it also covers streams.
+	writeTimeout = 11 * time.Minute
+	// maxConnections bounds the memory that slow callers can hold.
+	maxConnections = 16384
+)
+
+const (
+	// LateAccept is how long a draining VM goes on accepting, until every balancer has seen its readiness.
+	LateAccept = 5 * time.Second
+	// DefaultDrainLimit is longer than any request's deadline.
+	DefaultDrainLimit = 10 * time.Minute
+	drainPoll         = 20 * time.Millisecond
+)
+
+// unknownRow is the row under which requests are counted that could not be read.
+const unknownRow api.RowName = "(unknown)"
+
+// Handler serves a request if the path is its own, and reports whether it is.
+type Handler = func(*fasthttp.RequestCtx) bool
+
+// Options configures a Server. All fields but Handlers may be zero.
+type Options struct {
+	// Handlers are asked in order: the callers' API, the trainers' API, the announce endpoint.
+	Handlers []Handler
+	// Ready reports whether the VM can serve, for example whether it has a table.
+	Ready func() bool
+	// InFlight returns the number of requests that are not yet answered in full.
+	InFlight   func() int
+	LateAccept time.Duration // default LateAccept
+	DrainLimit time.Duration // default DefaultDrainLimit
+	Metrics    *metrics.Metrics
+	Events     *events.Recorder
+}
+
+// Server is the HTTP server of a VM towards callers, trainers, backend servers and the balancer.
+type Server struct {
+	opts     Options
+	http     *fasthttp.Server
+	draining atomic.Bool
+}
+
+// New mounts the handlers into one server.
+func New(opts Options) *Server {
+	if opts.LateAccept == 0 {
+		opts.LateAccept = LateAccept
+	}
+	if opts.DrainLimit == 0 {
+		opts.DrainLimit = DefaultDrainLimit
+	}
+	s := &Server{opts: opts}
+	s.http = &fasthttp.Server{
+		Handler: s.handle, ErrorHandler: s.badRequest, Logger: discard{},
+		ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: MaxBodyBytes, Concurrency: maxConnections,
+		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout,
+		NoDefaultServerHeader: true, TCPKeepalive: true, SecureErrorLogMessage: true, CloseOnShutdown: true,
+	}
+	return s
+}
+
+// discard drops the HTTP server's own messages: they repeat what callers sent.
+type discard struct{}
+
+// Printf implements fasthttp.Logger.
+func (discard) Printf(string, ...any) {}
+
+// Serve serves connections of ln until Drain ends.
+func (s *Server) Serve(ln net.Listener) error { return s.http.Serve(ln) }
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	defer s.recoverPanic(ctx)
+	if err := checkFraming(ctx); err != nil {
+		s.refuse(ctx, err, true)
+		ctx.SetConnectionClose()
+		return
+	}
+	s.route(ctx)
+	if s.draining.Load() {
+		ctx.SetConnectionClose()
+	}
+}
+
+func (s *Server) route(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case PathReady:
+		s.ready(ctx)
+		return
+	case PathLive:
+		ctx.SetBodyString("live\n")
+		return
+	}
+	for _, h := range s.opts.Handlers {
+		if h(ctx) {
+			return
+		}
+	}
+	WriteError(ctx, errs.New(errs.NotFound, "check the path", "path is not served"))
+}
+
+// recoverPanic keeps one request's fault from ending the process.
+func (s *Server) recoverPanic(ctx *fasthttp.RequestCtx) {
+	p := recover()
+	if p == nil {
+		return
+	}
+	if s.opts.Events != nil {
+		s.opts.Events.Log().WithField("stack", string(debug.Stack())).Errorf("panic in a handler: %v", p)
+	}
+	ctx.Response.Reset()
+	s.refuse(ctx, errs.New(errs.Internal, "report this error", "internal error"), false)
+}
+
+// checkFraming refuses a request with both Content-Length and Transfer-Encoding: another proxy may have read
+// the boundary between two requests differently.
+func checkFraming(ctx *fasthttp.RequestCtx) error {
+	raw := bytes.ToLower(ctx.Request.Header.RawHeaders())
+	if hasLine(raw, "content-length:") && hasLine(raw, "transfer-encoding:") {
+		return errs.New(errs.InvalidArgument, "send one of them", "request has both Content-Length and Transfer-Encoding")
+	}
+	return nil
+}
+
+func hasLine(raw []byte, prefix string) bool {
+	return bytes.HasPrefix(raw, []byte(prefix)) || bytes.Contains(raw, []byte("\n"+prefix))
+}
+
+// badRequest answers a request that could not be read.
+func (s *Server) badRequest(ctx *fasthttp.RequestCtx, err error) {
+	s.refuse(ctx, readError(err), true)
+	ctx.SetConnectionClose()
+}
+
+func readError(err error) error {
+	var small *fasthttp.ErrSmallBuffer
+	var timeout net.Error
+	switch {
+	case errors.As(err, &small):
+		return errs.New(errs.PayloadTooLarge, "send shorter headers", "request header exceeds %d bytes", maxHeaderBytes)
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return errs.New(errs.PayloadTooLarge, "send a shorter body", "request body exceeds %d bytes", MaxBodyBytes)
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return errs.New(errs.InvalidArgument, "send the whole request faster", "request was not received within %s", readTimeout)
+	}
+	return errs.New(errs.InvalidArgument, "send a well-formed HTTP/1.1 request", "request is malformed")
+}
+
+// refuse answers and counts a request that was not served. The outcome is unknown, because earlier attempts of
+// the same call may have run; notRun tells that this one did not.
+func (s *Server) refuse(ctx *fasthttp.RequestCtx, err error, notRun bool) {
+	WriteError(ctx, err)
+	ctx.Response.Header.Set(api.HeaderOutcome, string(api.OutcomeUnknown))
+	if notRun {
+		ctx.Response.Header.Set(api.HeaderAttempt, string(api.OutcomeNotRun))
+	}
+	if s.opts.Metrics != nil {
+		s.opts.Metrics.RequestRefused(unknownRow, string(errs.KindOf(err)), time.Now())
+	}
+	if s.opts.Events != nil {
+		s.opts.Events.Record(events.Event{Name: events.RequestRefused, Row: unknownRow, Detail: fmt.Sprintf("from %s: %v", ctx.RemoteAddr(), err)})
+	}
+}
+
+func (s *Server) ready(ctx *fasthttp.RequestCtx) {
+	if s.draining.Load() || (s.opts.Ready != nil && !s.opts.Ready()) {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		ctx.SetBodyString("not ready\n")
+		return
+	}
+	ctx.SetBodyString("ready\n")
+}
+
+// Draining reports whether Drain was called.
+func (s *Server) Draining() bool { return s.draining.Load() }
+
+// Drain turns readiness off, goes on accepting for LateAccept, then closes the listeners and waits for the
+// requests in flight. It returns an error if they did not end within the drain limit, or when ctx ends.
+func (s *Server) Drain(ctx context.Context) error {
+	s.draining.Store(true)
+	if s.opts.Events != nil {
+		s.opts.Events.Record(events.Event{Name: events.VMDraining})
+	}
+	select {
+	case <-time.After(s.opts.LateAccept):
+	case <-ctx.Done():
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.opts.DrainLimit)
+	defer cancel()
+	err := s.http.ShutdownWithContext(ctx)
+	if err == nil {
+		err = s.waitInFlight(ctx)
+	}
+	return errs.Wrap(err, errs.DeadlineExceeded, "raise the drain limit in the settings", "requests were still running at the end of the drain")
+}
+
+func (s *Server) waitInFlight(ctx context.Context) error {
+	for s.opts.InFlight != nil && s.opts.InFlight() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(drainPoll):
+		}
+	}
+	return nil
+}
--- a/internal/policy/eject.go
+++ b/internal/policy/eject.go
@@ -20,31 +20,40 @@
 	ProbeEvery = time.Second
 )
 
-// Stats holds what this VM measured of one server. The zero value has no measurement.
+// Measurement is what a finished attempt tells of its server. Zero fields were not measured.
+type Measurement struct {
+	FirstToken time.Duration // or the time to the answer of a plain service
+	Speed      float64       // tokens a second after the first token of a stream
+	WholeSpeed float64       // tokens a second over a whole answer, the time to first token included
+}
+
+// Stats holds what this VM measured of one server, as EWMAs. The zero value has no measurement.
 type Stats struct {
-	FirstToken float64 // EWMA of the time to first token in seconds
-	Speed      float64 // EWMA of tokens a second of one request; zero for plain services
+	FirstToken float64 // seconds
+	Speed      float64
+	WholeSpeed float64
 	Samples    int
 	Relative   float64 // speed relative to the pool's median, set by Judge
 	Ejected    bool
 	NextProbe  time.Duration
 }
 
-// Measured adds the time to first token and the tokens a second of a finished attempt. A speed of zero means
-// that it was not measured.
-func (s *Stats) Measured(firstToken time.Duration, speed float64) {
+// Measured adds a measurement.
+func (s *Stats) Measured(m Measurement) {
 	weight := ewmaWeight
 	if s.Ejected {
 		weight = probeWeight
 	}
-	s.FirstToken = ewma(s.FirstToken, firstToken.Seconds(), weight)
-	if speed > 0 {
-		s.Speed = ewma(s.Speed, speed, weight)
-	}
+	s.FirstToken = ewma(s.FirstToken, m.FirstToken.Seconds(), weight)
+	s.Speed = ewma(s.Speed, m.Speed, weight)
+	s.WholeSpeed = ewma(s.WholeSpeed, m.WholeSpeed, weight)
 	s.Samples++
 }
 
 func ewma(old, sample, weight float64) float64 {
+	if sample <= 0 {
+		return old
+	}
 	if old == 0 {
 		return sample
 	}
@@ -70,10 +79,10 @@
 // Judge compares the servers of one pool with the pool's medians, sets their relative speeds, ejects slow ones
 // and readmits those that recovered. It runs off the path of requests.
 func Judge(pool []*Stats, now time.Duration) []Verdict {
-	firstToken, speed := medians(pool)
+	m := medians(pool)
 	slow := make([]bool, len(pool))
 	for i, s := range pool {
-		s.Relative = relative(s, firstToken, speed)
+		s.Relative = relative(s, &m)
 		slow[i] = s.Samples >= minSamples && s.Relative > 0 && s.Relative*ejectFactor < 1
 	}
 	var out []Verdict
@@ -119,30 +128,47 @@
 	return out
 }
 
-// relative is the lower of the server's two relative speeds; zero if it was not measured.
-func relative(s *Stats, firstToken, speed float64) float64 {
+// relative is the lowest of the server's relative speeds; zero if none was measured.
+func relative(s *Stats, m *Stats) float64 {
 	out := 0.0
-	if s.FirstToken > 0 && firstToken > 0 {
-		out = firstToken / s.FirstToken
-	}
-	if s.Speed > 0 && speed > 0 && (out == 0 || s.Speed/speed < out) {
-		out = s.Speed / speed
+	for _, r := range [...]float64{
+		ratio(m.FirstToken, s.FirstToken),
+		ratio(s.Speed, m.Speed),
+		ratio(s.WholeSpeed, m.WholeSpeed),
+	} {
+		if r > 0 && (out == 0 || r < out) {
+			out = r
+		}
 	}
 	return out
 }
 
-func medians(pool []*Stats) (firstToken, speed float64) {
-	var times, speeds []float64
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
+
+// medians returns the medians of the pool's measurements.
+func medians(pool []*Stats) Stats {
+	var first, speeds, whole []float64
 	for _, s := range pool {
 		if s.Samples < minSamples {
 			continue
 		}
-		times = append(times, s.FirstToken)
-		if s.Speed > 0 {
-			speeds = append(speeds, s.Speed)
-		}
+		first = appendPositive(first, s.FirstToken)
+		speeds = appendPositive(speeds, s.Speed)
+		whole = appendPositive(whole, s.WholeSpeed)
+	}
+	return Stats{FirstToken: median(first), Speed: median(speeds), WholeSpeed: median(whole)}
+}
+
+func appendPositive(list []float64, v float64) []float64 {
+	if v > 0 {
+		return append(list, v)
 	}
-	return median(times), median(speeds)
+	return list
 }
 
 func median(list []float64) float64 {
