--- /dev/null
+++ b/internal/standin/engine/engine_test.go
@@ -0,0 +1,305 @@
+package engine
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"filbertledge/internal/api"
+	"filbertledge/internal/standin"
+	"filbertledge/internal/standin/weightstore"
+)
+
+const waitLimit = 10 * time.Second
+
+func start(t *testing.T, o Options) *Engine {
+	t.Helper()
+	o.ID, o.Pool = "e1", "drafter-llm"
+	e, err := Start(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Close)
+	return e
+}
+
+type extension struct {
+	AttemptID string           `json:"attempt_id"`
+	Offset    int              `json:"offset"`
+	Pieces    []api.PieceLabel `json:"pieces"`
+}
+
+type completion struct {
+	Choices []struct {
+		Message      Message `json:"message"`
+		Delta        Message `json:"delta"`
+		Text         string  `json:"text"`
+		FinishReason string  `json:"finish_reason"`
+	} `json:"choices"`
+	Usage     *struct{ CompletionTokens int } `json:"usage"`
+	Extension extension                       `json:"filbertledge"`
+}
+
+func post(t *testing.T, ctx context.Context, e *Engine, path, attempt, body string) (*http.Response, error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.Address()+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set(api.HeaderAttemptID, attempt)
+	return http.DefaultClient.Do(req)
+}
+
+func mustPost(t *testing.T, e *Engine, path, attempt, body string) (int, []byte) {
+	t.Helper()
+	resp, err := post(t, context.Background(), e, path, attempt, body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, b
+}
+
+// readStream returns the text of a stream, its pieces, and whether the end mark came. It fails on a gap.
+func readStream(t *testing.T, resp *http.Response, attempt string) (text string, pieces []api.PieceLabel, whole bool) {
+	t.Helper()
+	defer resp.Body.Close()
+	offset := -1
+	sc := bufio.NewScanner(resp.Body)
+	for sc.Scan() {
+		data, ok := strings.CutPrefix(sc.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return text, pieces, true
+		}
+		var c completion
+		if err := json.Unmarshal([]byte(data), &c); err != nil {
+			t.Fatalf("chunk %q: %v", data, err)
+		}
+		if c.Extension.AttemptID != attempt {
+			t.Errorf("chunk of attempt %q in the answer to %q", c.Extension.AttemptID, attempt)
+		}
+		if offset >= 0 && c.Extension.Offset != offset {
+			t.Errorf("offset %d, want %d", c.Extension.Offset, offset)
+		}
+		offset = c.Extension.Offset
+		for _, p := range c.Extension.Pieces {
+			offset += p.Tokens
+		}
+		pieces = append(pieces, c.Extension.Pieces...)
+		text += c.Choices[0].Delta.Content + c.Choices[0].Text
+	}
+	return text, pieces, false
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(waitLimit); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("not seen in %v: %s", waitLimit, what)
+}
+
+const chat = "/v1/chat/completions"
+
+// Guards against answers that a checker could not verify token by token.
+func TestAnswersAreTheExpectedText(t *testing.T) {
+	for _, fast := range []bool{false, true} {
+		e := start(t, Options{Fast: fast})
+		request := `{"model":"m","messages":[{"role":"user","content":"hello"}],"max_tokens":20,"seed":3`
+		r, err := ParseRequest([]byte(request + "}"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		status, body := mustPost(t, e, chat, "a1", request+"}")
+		var c completion
+		if err := json.Unmarshal(body, &c); err != nil || status != http.StatusOK {
+			t.Fatalf("status %d, body %s: %v", status, body, err)
+		}
+		if got := c.Choices[0].Message.Content; got != FullText(r) || c.Choices[0].FinishReason != "length" {
+			t.Errorf("fast %v: whole answer %q, want %q", fast, got, FullText(r))
+		}
+		resp, err := post(t, context.Background(), e, chat, "a2", request+`,"stream":true}`)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, _, whole := readStream(t, resp, "a2")
+		if text != FullText(r) || !whole {
+			t.Errorf("fast %v: stream %q whole %v, want %q", fast, text, whole, FullText(r))
+		}
+		for _, rec := range e.Log().Requests {
+			if rec.State != standin.RunCompleted || rec.TextDigest != standin.TextDigest(FullText(r)) || rec.Tokens != 20 {
+				t.Errorf("fast %v: log record %+v", fast, rec)
+			}
+		}
+	}
+}
+
+// Guards against a resumed answer with a gap or a repetition.
+func TestResume(t *testing.T) {
+	e := start(t, Options{})
+	r := &Request{Prompt: "p", MaxTokens: 10}
+	body := fmt.Sprintf(`{"prompt":"p","max_tokens":10,"stream":true,"filbertledge":{"continue_from":{"text":%q,"tokens":4}}}`, ExpectedText(r, 4))
+	resp, err := post(t, context.Background(), e, "/v1/completions", "a", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, _, whole := readStream(t, resp, "a")
+	if ExpectedText(r, 4)+text != FullText(r) || !whole {
+		t.Errorf("resumed with %q", text)
+	}
+	rec := e.Log().Requests[0]
+	if rec.ResumedAt != 4 || rec.ResumeMismatch || rec.TextDigest != standin.TextDigest(FullText(r)) {
+		t.Errorf("log record %+v", rec)
+	}
+}
+
+// Guards against labels that name what was ordered: the version changes in the middle of a stream, and a
+// prefix that is cached under the old version is reported as such.
+func TestSwitchInMidStreamAndCachedPrefix(t *testing.T) {
+	store, err := weightstore.Start(weightstore.Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(store.Close)
+	store.Publish(weightstore.Version{Model: "drafter-llm", Version: 2})
+	e := start(t, Options{Store: "http://" + store.Address(), LoadTime: time.Millisecond, SwitchTime: time.Millisecond})
+	prompt := strings.Repeat("x", 2*cacheBlock)
+	body := fmt.Sprintf(`{"prompt":%q,"max_tokens":400,"stream":true}`, prompt)
+	resp, err := post(t, context.Background(), e, "/v1/completions", "a", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	order(t, e, "load", 2, 1, http.StatusOK)
+	eventually(t, "version 2 is loaded", func() bool { return len(e.State().LoadedVersions) == 2 })
+	order(t, e, "switch", 2, 1, http.StatusOK)
+	_, pieces, whole := readStream(t, resp, "a")
+	seen := map[api.WeightVersion]int{}
+	for _, p := range pieces {
+		seen[p.Version] += p.Tokens
+	}
+	if !whole || seen[1] == 0 || seen[2] == 0 || seen[1]+seen[2] != 400 {
+		t.Errorf("tokens by version: %v", seen)
+	}
+	resp, err = post(t, context.Background(), e, "/v1/completions", "b", `{"max_tokens":1,"stream":true,"prompt":"`+prompt+`"}`)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, pieces, _ = readStream(t, resp, "b")
+	if len(pieces) == 0 || pieces[0] != (api.PieceLabel{Version: 1, Cached: true}) {
+		t.Errorf("pieces %v, want first the cached prefix of version 1", pieces)
+	}
+}
+
+func order(t *testing.T, e *Engine, kind string, v, token, want int) {
+	t.Helper()
+	body := fmt.Sprintf(`{"order_id":"o","kind":%q,"model":"drafter-llm","version":%d,"fencing_token":%d}`, kind, v, token)
+	if status, answer := mustPost(t, e, "/engine/v1/orders", "", body); status != want {
+		t.Errorf("order %s: status %d, body %s, want %d", kind, status, answer, want)
+	}
+}
+
+// Guards against a stand-in that hides a missing fencing check or a failed swap from the tests.
+func TestOrdersFencingAndFailedSwap(t *testing.T) {
+	e := start(t, Options{LoadTime: time.Millisecond, SwitchTime: time.Millisecond})
+	e.faults.Apply(standin.Faults{FailSwaps: 1})
+	order(t, e, "load", 2, 5, http.StatusOK)
+	order(t, e, "load", 3, 4, http.StatusConflict)
+	eventually(t, "version 2 is loaded", func() bool { return len(e.State().LoadedVersions) == 2 })
+	order(t, e, "switch", 2, 5, http.StatusOK)
+	eventually(t, "the swap failed", func() bool { return strings.Contains(e.Log().Orders[2].Result, "injected") })
+	if e.Version() != 1 {
+		t.Errorf("version %d after a failed swap", e.Version())
+	}
+	on := true
+	e.faults.Apply(standin.Faults{IgnoreFencing: &on})
+	order(t, e, "switch", 2, 1, http.StatusOK)
+	eventually(t, "the order with an old token was run", func() bool { return e.Version() == 2 })
+	status, _ := mustPost(t, e, chat, "a", `{"prompt":"p","filbertledge":{"min_version":3}}`)
+	if status != http.StatusConflict {
+		t.Errorf("status %d for weights older than min_version", status)
+	}
+}
+
+// Guards against injected faults that do not happen.
+func TestCutCrossAndCrash(t *testing.T) {
+	e := start(t, Options{})
+	n := 3
+	e.faults.Apply(standin.Faults{CutAfterTokens: &n})
+	resp, err := post(t, context.Background(), e, chat, "a", `{"prompt":"p","max_tokens":50,"stream":true}`)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, _, whole := readStream(t, resp, "a")
+	// The reset may overtake tokens that were sent before it.
+	if whole || !strings.HasPrefix(ExpectedText(&Request{Prompt: "p"}, 3), text) {
+		t.Errorf("cut stream: %q whole %v", text, whole)
+	}
+	e.faults.Apply(standin.Faults{Cross: 1})
+	bodies := [2][]byte{}
+	var wg sync.WaitGroup
+	for i := range 2 {
+		wg.Go(func() { _, bodies[i] = mustPost(t, e, chat, fmt.Sprint("x", i), `{"prompt":"p","max_tokens":60}`) })
+	}
+	wg.Wait()
+	if !strings.Contains(string(bodies[0]), `"attempt_id":"x1"`) || !strings.Contains(string(bodies[1]), `"attempt_id":"x0"`) {
+		t.Errorf("the answers were not exchanged: %s\n%s", bodies[0], bodies[1])
+	}
+	marker := "poison"
+	e.faults.Apply(standin.Faults{CrashMarker: &marker})
+	if resp, err := post(t, context.Background(), e, chat, "c", `{"prompt":"some poison"}`); err == nil {
+		resp.Body.Close()
+		t.Error("the engine answered a request on which it crashes")
+	}
+	eventually(t, "the engine is down", func() bool {
+		resp, err := http.Get("http://" + e.Address() + "/engine/v1/state")
+		if err == nil {
+			resp.Body.Close()
+		}
+		return err != nil
+	})
+}
+
+// Guards against work that goes on for a caller that left, whether it is a stream, a whole answer or waits.
+func TestCancellation(t *testing.T) {
+	e := start(t, Options{Capacity: 2})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for _, body := range []string{`{"prompt":"p","max_tokens":100000}`, `{"prompt":"p","max_tokens":100000,"stream":true}`, `{"prompt":"p"}`} {
+		wg.Go(func() {
+			resp, err := post(t, ctx, e, chat, "a", body)
+			if err == nil {
+				_, _ = io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+			}
+		})
+		count := len(e.Log().Requests)
+		eventually(t, "the request arrived", func() bool { return len(e.Log().Requests) > count })
+	}
+	eventually(t, "one request waits", func() bool { s := e.State(); return s.Running == 2 && s.Waiting == 1 })
+	cancel()
+	wg.Wait()
+	eventually(t, "all were cancelled", func() bool {
+		for _, r := range e.Log().Requests {
+			if r.State != standin.RunCancelled {
+				return false
+			}
+		}
+		return e.Idle()
+	})
+}
--- /dev/null
+++ b/internal/standin/engine/orders.go
@@ -0,0 +1,195 @@
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"filbertledge/internal/api"
+	"filbertledge/internal/standin"
+)
+
+// Order is the body of POST /engine/v1/orders.
+type Order struct {
+	OrderID      string            `json:"order_id"`
+	Kind         string            `json:"kind"` // load, switch or unload
+	Model        string            `json:"model"`
+	Version      api.WeightVersion `json:"version"`
+	FencingToken uint64            `json:"fencing_token"`
+}
+
+// Results of orders in the log, besides failure texts.
+const (
+	OrderAccepted = "accepted"
+	OrderRefused  = "refused"
+	OrderDone     = "done"
+)
+
+const (
+	maxLoadAttempts = 20
+	maxRetryAfter   = 5 * time.Second
+)
+
+func (e *Engine) handleOrder(ctx *fasthttp.RequestCtx) {
+	var o Order
+	if err := json.Unmarshal(ctx.PostBody(), &o); err != nil {
+		standin.ReplyError(ctx, http.StatusBadRequest, "invalid_request_error", err.Error())
+		return
+	}
+	if o.Kind != "load" && o.Kind != "switch" && o.Kind != "unload" || o.Model != e.opts.Model {
+		standin.ReplyError(ctx, http.StatusBadRequest, "invalid_request_error", "the kind or the model of the order is not known")
+		return
+	}
+	highest, ok := e.admitOrder(o.FencingToken)
+	rec := standin.OrderRecord{
+		Server: e.opts.ID, OrderID: o.OrderID, Kind: o.Kind, Model: o.Model, Version: o.Version,
+		FencingToken: o.FencingToken, At: time.Now(), Result: OrderAccepted,
+	}
+	if !ok {
+		rec.Result = OrderRefused
+		e.log.Order(rec)
+		standin.ReplyJSON(ctx, http.StatusConflict, struct {
+			Error   string `json:"error"`
+			Highest uint64 `json:"highest"`
+		}{"fencing_token_too_old", highest})
+		return
+	}
+	seq := e.log.Order(rec)
+	e.background.Go(func() { e.execute(o, seq) })
+	standin.ReplyJSON(ctx, http.StatusOK, struct {
+		Accepted bool `json:"accepted"`
+	}{true})
+}
+
+// admitOrder checks a fencing token against the highest so far.
+func (e *Engine) admitOrder(token uint64) (highest uint64, ok bool) {
+	ignore := e.faults.IgnoreFencing()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if token < e.highest && !ignore {
+		return e.highest, false
+	}
+	e.highest = max(e.highest, token)
+	return e.highest, true
+}
+
+func (e *Engine) execute(o Order, sequence uint64) {
+	var err error
+	switch o.Kind {
+	case "load":
+		err = e.load(o)
+	case "switch":
+		err = e.switchTo(o)
+	case "unload":
+		err = e.unload(o)
+	}
+	result := OrderDone
+	if err != nil {
+		result = err.Error()
+	}
+	e.log.OrderResult(sequence, result)
+	e.announcer.Changed()
+}
+
+func (e *Engine) load(o Order) error {
+	e.mu.Lock()
+	known := slices.Contains(e.loaded, o.Version) || e.loading[o.Version]
+	if !known {
+		e.loading[o.Version] = true
+	}
+	e.mu.Unlock()
+	if known {
+		return nil
+	}
+	start := time.Now()
+	err := e.fetch(o)
+	e.pause(e.opts.LoadTime - time.Since(start))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.loading, o.Version)
+	if err == nil {
+		e.loaded = append(e.loaded, o.Version)
+	}
+	return err
+}
+
+// pause sleeps for d or until the engine ends.
+func (e *Engine) pause(d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-time.After(d):
+	case <-e.ctx.Done():
+	}
+}
+
+// fetch reads the blob from the weight store and waits when the store's rate is used up.
+func (e *Engine) fetch(o Order) error {
+	if e.opts.Store == "" {
+		return nil
+	}
+	url := fmt.Sprintf("%s/models/%s/versions/%d/blob", e.opts.Store, o.Model, o.Version)
+	for range maxLoadAttempts {
+		wait, err := e.fetchOnce(url)
+		if err != nil || wait == 0 {
+			return err
+		}
+		e.pause(wait)
+	}
+	return fmt.Errorf("the weight store refused the blob %d times", maxLoadAttempts)
+}
+
+func (e *Engine) fetchOnce(url string) (retryAfter time.Duration, err error) {
+	req, err := http.NewRequestWithContext(e.ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0, fmt.Errorf("read the blob: %w", err)
+	}
+	resp, err := e.client.Do(req)
+	if err != nil {
+		return 0, fmt.Errorf("read the blob: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusTooManyRequests {
+		seconds, _ := strconv.Atoi(resp.Header.Get("Retry-After"))
+		return min(max(time.Duration(seconds)*time.Second, 100*time.Millisecond), maxRetryAfter), nil
+	}
+	if resp.StatusCode != http.StatusOK {
+		return 0, fmt.Errorf("the weight store answered %s", resp.Status)
+	}
+	n, err := io.Copy(io.Discard, resp.Body)
+	if err != nil {
+		return 0, fmt.Errorf("read the blob after %d bytes: %w", n, err)
+	}
+	return 0, nil
+}
+
+func (e *Engine) switchTo(o Order) error {
+	e.pause(e.opts.SwitchTime)
+	if e.faults.TakeFailSwap() {
+		return fmt.Errorf("the swap failed by an injected fault")
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !slices.Contains(e.loaded, o.Version) {
+		return fmt.Errorf("version %d is not loaded", o.Version)
+	}
+	e.current = o.Version
+	return nil
+}
+
+func (e *Engine) unload(o Order) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.current == o.Version {
+		return fmt.Errorf("version %d is in use", o.Version)
+	}
+	e.loaded = slices.DeleteFunc(e.loaded, func(v api.WeightVersion) bool { return v == o.Version })
+	return nil
+}
--- /dev/null
+++ b/internal/standin/server.go
@@ -0,0 +1,167 @@
+// Package standin holds what the stand-ins for backend servers share: announcements, injected faults, the log
+// of what a server saw, and an HTTP server whose connections can be broken. It is for tests and measurements
+// only and is not part of the product.
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	maxBody       = 4 << 20
+	maxHeader     = 16 << 10
+	shutdownLimit = time.Second
+)
+
+// Server is an HTTP server on loopback that knows its open connections.
+type Server struct {
+	http     *fasthttp.Server
+	listener *trackingListener
+	done     chan struct{}
+}
+
+// Serve starts an HTTP server on address, for example 127.0.0.1:0.
+func Serve(address string, handler fasthttp.RequestHandler) (*Server, error) {
+	inner, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	s := &Server{
+		http: &fasthttp.Server{
+			Handler:               handler,
+			MaxRequestBodySize:    maxBody,
+			ReadBufferSize:        maxHeader,
+			NoDefaultServerHeader: true,
+			Logger:                quiet{},
+		},
+		listener: &trackingListener{Listener: inner, open: map[net.Conn]struct{}{}},
+		done:     make(chan struct{}),
+	}
+	go func() {
+		defer close(s.done)
+		_ = s.http.Serve(s.listener)
+	}()
+	return s, nil
+}
+
+// quiet drops the messages of fasthttp about broken connections, which the tests cause on purpose.
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
+
+// Address returns the IP:port of the server.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Abort closes the listener and resets all connections, as the death of the process would.
+func (s *Server) Abort() {
+	_ = s.listener.Close()
+	s.listener.resetAll()
+	<-s.done
+}
+
+type trackingListener struct {
+	net.Listener
+	mu   sync.Mutex
+	open map[net.Conn]struct{}
+}
+
+type trackedConn struct {
+	*net.TCPConn
+	owner *trackingListener
+}
+
+// Accept waits for a connection and remembers it until it is closed.
+func (l *trackingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	t := &trackedConn{TCPConn: c.(*net.TCPConn), owner: l}
+	l.mu.Lock()
+	l.open[t] = struct{}{}
+	l.mu.Unlock()
+	return t, nil
+}
+
+// Close closes the connection and forgets it.
+func (c *trackedConn) Close() error {
+	c.owner.mu.Lock()
+	delete(c.owner.open, c)
+	c.owner.mu.Unlock()
+	return c.TCPConn.Close()
+}
+
+func (l *trackingListener) resetAll() {
+	l.mu.Lock()
+	conns := make([]net.Conn, 0, len(l.open))
+	for c := range l.open {
+		conns = append(conns, c)
+	}
+	l.mu.Unlock()
+	for _, c := range conns {
+		Reset(c)
+	}
+}
+
+// Reset breaks a connection at once; data that was not sent yet is lost.
+func Reset(c net.Conn) {
+	if t, ok := c.(*trackedConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// PeerGone reports whether the peer of c has closed the connection. It does not consume data.
+func PeerGone(c net.Conn) bool {
+	t, ok := c.(*trackedConn)
+	if !ok {
+		return false
+	}
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return true
+	}
+	gone := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		gone = n == 0 && err == nil || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
+		return true
+	})
+	return gone || err != nil
+}
+
+// ReplyJSON answers with v as JSON.
+func ReplyJSON(ctx *fasthttp.RequestCtx, status int, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(b)
+}
+
+// ErrorBody is the OpenAI error body.
+type ErrorBody struct {
+	Error ErrorDetail `json:"error"`
+}
+
+// ErrorDetail tells what was wrong with a request.
+type ErrorDetail struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+}
+
+// ReplyError answers with an OpenAI error body.
+func ReplyError(ctx *fasthttp.RequestCtx, status int, kind, message string) {
+	ReplyJSON(ctx, status, ErrorBody{Error: ErrorDetail{Message: message, Type: kind}})
+}
