Add a harness that starts a deployment as real processes

The demo and the scenarios need processes that can be killed, frozen and restarted one by one. Stand-ins record each request in a file as it arrives, so that the view of a killed server can be checked. Children end with the harness (parent death signal) if Close is never reached.

--- /dev/null
+++ b/internal/harness/control.go
@@ -0,0 +1,78 @@
+package harness
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"filbertledge/internal/api"
+	"filbertledge/internal/standin"
+	"filbertledge/internal/standin/weightstore"
+)
+
+// Inject puts faults in force on a stand-in.
+func (d *Deployment) Inject(ctx context.Context, b *Backend, f standin.Faults) error {
+	return d.post(ctx, b.Address, "/standin/v1/faults", f)
+}
+
+// Leave makes a backend server announce that it is leaving. Its process goes on.
+func (d *Deployment) Leave(ctx context.Context, b *Backend) error {
+	return d.post(ctx, b.Address, "/standin/v1/leave", struct{}{})
+}
+
+// Publish puts a new version of the layout's model into the weight store.
+func (d *Deployment) Publish(ctx context.Context, version api.WeightVersion) error {
+	v := weightstore.Version{Model: d.Layout.Model, Version: version}
+	return d.post(ctx, d.Store.Address, "/standin/v1/publish", v)
+}
+
+func (d *Deployment) post(ctx context.Context, address, path string, body any) error {
+	b, err := json.Marshal(body)
+	if err != nil {
+		return fmt.Errorf("encode the body of %s: %w", path, err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(b))
+	if err != nil {
+		return fmt.Errorf("post %s: %w", path, err)
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return fmt.Errorf("post %s: %w", path, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, tailBytes))
+		return fmt.Errorf("post %s: %s: %s", path, resp.Status, text)
+	}
+	return nil
+}
+
+// Seen returns what a backend server saw over all its runs, also after its death.
+func (b *Backend) Seen() (standin.LogContent, error) {
+	var all standin.LogContent
+	var errsFound []error
+	for _, file := range b.logFiles {
+		c, err := standin.ReadLogFile(file)
+		errsFound = append(errsFound, err)
+		all.Requests = append(all.Requests, c.Requests...)
+		all.Orders = append(all.Orders, c.Orders...)
+	}
+	return all, errors.Join(errsFound...)
+}
+
+// Seen returns what all backend servers saw.
+func (d *Deployment) Seen() (standin.LogContent, error) {
+	var all standin.LogContent
+	var errsFound []error
+	for _, b := range d.Backends() {
+		c, err := b.Seen()
+		errsFound = append(errsFound, err)
+		all.Requests = append(all.Requests, c.Requests...)
+		all.Orders = append(all.Orders, c.Orders...)
+	}
+	return all, errors.Join(errsFound...)
+}
--- /dev/null
+++ b/internal/harness/deployment.go
@@ -0,0 +1,341 @@
+package harness
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Options configures a deployment. The zero value of a field selects the stated default.
+type Options struct {
+	Layout       Layout
+	Filbertledge string        // path of the product's binary
+	Standin      string        // path of the stand-in binary
+	Dir          string        // default: a new temporary folder, removed by Close unless Keep is set
+	Keep         bool          // keep the folder
+	ReadyWithin  time.Duration // default 20 s
+	EngineArgs   []string      // additional arguments of all engines
+	ServiceArgs  []string      // additional arguments of all services
+	SkipTable    bool          // do not load the layout's table
+}
+
+// VM is one entry VM.
+type VM struct {
+	VMSpec
+	*Process
+	HTTP     string // IP:port of each endpoint
+	Internal string
+	Metrics  string
+}
+
+// Backend is one backend server, the weight store or the scoring service.
+type Backend struct {
+	BackendSpec
+	*Process
+	Address  string // IP:port
+	logFiles []string
+	base     []string // arguments without the address and the log file
+}
+
+// Deployment is a running deployment.
+type Deployment struct {
+	Layout   Layout
+	Dir      string
+	VMs      []*VM
+	Engines  []*Backend
+	Services []*Backend
+	Store    *Backend
+	Scoring  *Backend
+
+	opts   Options
+	client *http.Client
+}
+
+const (
+	defaultReadyWithin = 20 * time.Second
+	commandTimeout     = 15 * time.Second
+	operatorName       = "harness"
+)
+
+// Start starts a deployment and loads its table. On an error, everything that was started is ended.
+func Start(ctx context.Context, opts Options) (*Deployment, error) {
+	if opts.ReadyWithin == 0 {
+		opts.ReadyWithin = defaultReadyWithin
+	}
+	d := &Deployment{Layout: opts.Layout, opts: opts, Dir: opts.Dir, client: &http.Client{Timeout: commandTimeout}}
+	if err := d.makeDir(); err != nil {
+		return nil, err
+	}
+	if err := d.start(ctx); err != nil {
+		return nil, errors.Join(err, d.Close())
+	}
+	return d, nil
+}
+
+func (d *Deployment) makeDir() error {
+	var err error
+	if d.Dir == "" {
+		d.Dir, err = os.MkdirTemp("", "filbertledge-"+d.Layout.Name+"-")
+	} else {
+		d.Dir, err = filepath.Abs(d.Dir)
+	}
+	if err != nil {
+		return fmt.Errorf("create the deployment's folder: %w", err)
+	}
+	return os.MkdirAll(d.Dir, 0o755)
+}
+
+func (d *Deployment) start(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, d.opts.ReadyWithin)
+	defer cancel()
+	steps := []func(context.Context) error{d.startStores, d.planVMs, d.createKeys, d.startVMs, d.startBackends, d.waitReady, d.loadTable}
+	for _, step := range steps {
+		if err := step(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) startStores(ctx context.Context) error {
+	d.Store = d.newBackend(BackendSpec{ID: "weightstore"}, "weightstore")
+	d.Scoring = d.newBackend(BackendSpec{ID: "scoring"}, "scoring")
+	if err := d.Store.launch(ctx); err != nil {
+		return err
+	}
+	return d.Scoring.launch(ctx)
+}
+
+func (d *Deployment) newBackend(spec BackendSpec, args ...string) *Backend {
+	return &Backend{BackendSpec: spec, base: args, Process: newProcess(d.Dir, spec.ID, d.opts.Standin)}
+}
+
+// launch starts a stand-in and learns its address. A restarted one keeps its address.
+func (b *Backend) launch(ctx context.Context) error {
+	args := append([]string{}, b.base...)
+	if b.Address != "" {
+		args = append(args, "--listen", b.Address)
+	}
+	if b.Pool != "" {
+		file := filepath.Join(b.dir, fmt.Sprintf("%s.%d.jsonl", b.ID, len(b.logFiles)+1))
+		b.logFiles = append(b.logFiles, file)
+		args = append(args, "--log-file", file)
+	}
+	b.args = args
+	if err := b.Process.Start(); err != nil {
+		return err
+	}
+	line, err := b.firstLine(ctx)
+	if err != nil {
+		return err
+	}
+	var started struct {
+		Address string `json:"address"`
+	}
+	if err := json.Unmarshal([]byte(line), &started); err != nil {
+		return fmt.Errorf("decode the address of %s from %q: %w", b.ID, line, err)
+	}
+	b.Address = started.Address
+	return nil
+}
+
+// Restart starts a stand-in that has ended again at its address, with a new incarnation.
+func (b *Backend) Restart(ctx context.Context) error { return b.launch(ctx) }
+
+func (d *Deployment) planVMs(context.Context) error {
+	addresses, err := freeAddresses(3 * len(d.Layout.VMs))
+	if err != nil {
+		return err
+	}
+	for i, spec := range d.Layout.VMs {
+		vm := &VM{VMSpec: spec, HTTP: addresses[3*i], Internal: addresses[3*i+1], Metrics: addresses[3*i+2]}
+		vm.Process = newProcess(d.Dir, spec.Name, d.opts.Filbertledge, "serve", "--config", spec.Name+".toml")
+		d.VMs = append(d.VMs, vm)
+	}
+	for _, vm := range d.VMs {
+		if err := d.writeSettings(vm); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) createKeys(ctx context.Context) error {
+	if _, err := d.Run(ctx, "keys", "init", "--dir", keysDir); err != nil {
+		return err
+	}
+	for _, vm := range d.VMs {
+		if _, err := d.Run(ctx, "keys", "issue", "--dir", keysDir, "--role", "vm", "--name", vm.Name, "--ip", "127.0.0.1"); err != nil {
+			return err
+		}
+	}
+	_, err := d.Run(ctx, "keys", "issue", "--dir", keysDir, "--role", "operator", "--name", operatorName)
+	return err
+}
+
+func (d *Deployment) startVMs(context.Context) error {
+	for _, vm := range d.VMs {
+		if err := vm.Process.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) startBackends(ctx context.Context) error {
+	for i, spec := range d.Layout.Engines {
+		args := append(d.backendArgs("engine", spec, i), "--model", d.Layout.Model, "--store", "http://"+d.Store.Address)
+		d.Engines = append(d.Engines, d.newBackend(spec, append(args, d.opts.EngineArgs...)...))
+	}
+	for i, spec := range d.Layout.Services {
+		args := d.backendArgs("service", spec, len(d.Layout.Engines)+i)
+		d.Services = append(d.Services, d.newBackend(spec, append(args, d.opts.ServiceArgs...)...))
+	}
+	for _, b := range d.Backends() {
+		if err := b.launch(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) backendArgs(kind string, spec BackendSpec, index int) []string {
+	return []string{
+		kind, "--id", spec.ID, "--pool", spec.Pool, "--failure-domain", spec.Domain, "--token", Token(spec.Pool),
+		"--entry", strings.Join(d.entries(spec.Domain), ","), "--capacity", strconv.Itoa(spec.Capacity), "--seed", strconv.Itoa(index + 1),
+	}
+}
+
+// entries returns the entry VMs that a backend server starts with: those of its failure domain and the first
+// of another one, from which it learns more.
+func (d *Deployment) entries(domain string) []string {
+	var own, other []string
+	for _, vm := range d.VMs {
+		if vm.Domain == domain {
+			own = append(own, vm.HTTP)
+		} else {
+			other = append(other, vm.HTTP)
+		}
+	}
+	return append(own, other[:min(1, len(other))]...)
+}
+
+// Backends returns the engines and the services.
+func (d *Deployment) Backends() []*Backend {
+	return append(append([]*Backend{}, d.Engines...), d.Services...)
+}
+
+func (d *Deployment) waitReady(ctx context.Context) error {
+	for _, vm := range d.VMs {
+		if err := d.WaitReady(ctx, vm); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// WaitReady waits until an entry VM reports that it is ready.
+func (d *Deployment) WaitReady(ctx context.Context, vm *VM) error {
+	for {
+		if d.Ready(ctx, vm) {
+			return nil
+		}
+		if !vm.Running() {
+			return fmt.Errorf("%s ended before it was ready: %s", vm.Name, tail(vm.Log()))
+		}
+		if err := sleep(ctx, pollInterval); err != nil {
+			return fmt.Errorf("%s is not ready: %w; its log ends with: %s", vm.Name, err, tail(vm.Log()))
+		}
+	}
+}
+
+// Ready reports whether an entry VM answers GET /readyz with 200.
+func (d *Deployment) Ready(ctx context.Context, vm *VM) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+vm.HTTP+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// RestartVM starts an entry VM that has ended again and waits until it is ready.
+func (d *Deployment) RestartVM(ctx context.Context, vm *VM) error {
+	if err := vm.Process.Start(); err != nil {
+		return err
+	}
+	return d.WaitReady(ctx, vm)
+}
+
+func (d *Deployment) loadTable(ctx context.Context) error {
+	if d.opts.SkipTable {
+		return nil
+	}
+	csv, err := d.Layout.TableCSV("http://" + d.Scoring.Address + "/score")
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(d.Dir, "table.csv"), []byte(csv), 0o644); err != nil {
+		return fmt.Errorf("write the table: %w", err)
+	}
+	_, err = d.Operate(ctx, d.VMs[0], "table", "import", "table.csv")
+	return err
+}
+
+// Operate runs an operator command of the product against an entry VM and returns its standard output.
+func (d *Deployment) Operate(ctx context.Context, vm *VM, args ...string) (string, error) {
+	files := certPaths(operatorName)
+	return d.Run(ctx, append(args, "--server", vm.Internal, "--ca", files.CA, "--cert", files.Cert, "--key", files.Key)...)
+}
+
+// Run runs the product's command line in the deployment's folder and returns its standard output.
+func (d *Deployment) Run(ctx context.Context, args ...string) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	cmd := exec.CommandContext(ctx, d.opts.Filbertledge, args...)
+	cmd.Dir = d.Dir
+	var stdout, stderr bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &stdout, &stderr
+	if err := cmd.Run(); err != nil {
+		return stdout.String(), fmt.Errorf("filbertledge %s: %w: %s", strings.Join(args, " "), err, tail(stderr.String()))
+	}
+	return stdout.String(), nil
+}
+
+// Close ends all processes that the deployment started and removes its folder unless it is to be kept.
+func (d *Deployment) Close() error {
+	var list []*Process
+	for _, vm := range d.VMs {
+		list = append(list, vm.Process)
+	}
+	for _, b := range append(d.Backends(), d.Store, d.Scoring) {
+		if b != nil {
+			list = append(list, b.Process)
+		}
+	}
+	errsFound := make([]error, len(list))
+	var wg sync.WaitGroup
+	for i, p := range list {
+		wg.Go(func() { errsFound[i] = p.Kill() })
+	}
+	wg.Wait()
+	d.client.CloseIdleConnections()
+	if !d.opts.Keep {
+		errsFound = append(errsFound, os.RemoveAll(d.Dir))
+	}
+	return errors.Join(errsFound...)
+}
--- /dev/null
+++ b/internal/harness/process.go
@@ -0,0 +1,201 @@
+package harness
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Process is one process that the harness started. Its output goes to files in the deployment's folder.
+type Process struct {
+	name string
+	dir  string
+	path string
+
+	mu   sync.Mutex
+	args []string
+	cmd  *exec.Cmd
+	done chan struct{}
+	runs int
+}
+
+func newProcess(dir, name, path string, args ...string) *Process {
+	return &Process{dir: dir, name: name, path: path, args: args}
+}
+
+// Start starts the process. It must not be running.
+func (p *Process) Start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.runs++
+	out, err := os.Create(p.outputPath())
+	if err != nil {
+		return fmt.Errorf("start %s: %w", p.name, err)
+	}
+	defer out.Close()
+	errFile, err := os.OpenFile(p.logPath(), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+	if err != nil {
+		return fmt.Errorf("start %s: %w", p.name, err)
+	}
+	defer errFile.Close()
+	cmd := exec.Command(p.path, p.args...)
+	cmd.Dir = p.dir
+	cmd.Stdout, cmd.Stderr = out, errFile
+	// The kernel ends the child if the harness dies without Close.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("start %s: %w", p.name, err)
+	}
+	done := make(chan struct{})
+	p.cmd, p.done = cmd, done
+	go reap(cmd, done)
+	return nil
+}
+
+func reap(cmd *exec.Cmd, done chan struct{}) {
+	_ = cmd.Wait() // ExitCode reports the status
+	close(done)
+}
+
+// outputPath is the file of the standard output of the current run.
+func (p *Process) outputPath() string {
+	return filepath.Join(p.dir, fmt.Sprintf("%s.%d.out", p.name, p.runs))
+}
+
+func (p *Process) logPath() string { return filepath.Join(p.dir, p.name+".log") }
+
+// PID returns the process id of the last run.
+func (p *Process) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.Process.Pid
+}
+
+// Running reports whether the process has not ended.
+func (p *Process) Running() bool {
+	p.mu.Lock()
+	done := p.done
+	p.mu.Unlock()
+	if done == nil {
+		return false
+	}
+	select {
+	case <-done:
+		return false
+	default:
+		return true
+	}
+}
+
+// Signal sends a signal. A process that has ended already is not an error.
+func (p *Process) Signal(s os.Signal) error {
+	p.mu.Lock()
+	cmd := p.cmd
+	p.mu.Unlock()
+	if cmd == nil {
+		return nil
+	}
+	if err := cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return fmt.Errorf("signal %s: %w", p.name, err)
+	}
+	return nil
+}
+
+// Kill ends the process at once (SIGKILL) and waits for its end.
+func (p *Process) Kill() error {
+	if err := p.Signal(syscall.SIGKILL); err != nil {
+		return err
+	}
+	return p.Wait(context.Background())
+}
+
+// Stop freezes the process (SIGSTOP).
+func (p *Process) Stop() error { return p.Signal(syscall.SIGSTOP) }
+
+// Resume continues a frozen process (SIGCONT).
+func (p *Process) Resume() error { return p.Signal(syscall.SIGCONT) }
+
+// Drain asks the process to shut down gracefully (SIGTERM). Wait tells when it has ended.
+func (p *Process) Drain() error { return p.Signal(syscall.SIGTERM) }
+
+// Wait waits for the end of the process. It does not report the exit status.
+func (p *Process) Wait(ctx context.Context) error {
+	p.mu.Lock()
+	done := p.done
+	p.mu.Unlock()
+	if done == nil {
+		return nil
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("%s has not ended: %w", p.name, ctx.Err())
+	}
+}
+
+// ExitCode returns the exit code of a process that has ended, which Wait must have reported; -1 if a signal ended it.
+func (p *Process) ExitCode() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.ProcessState.ExitCode()
+}
+
+// Log returns what the process wrote to its standard error, over all runs.
+func (p *Process) Log() string {
+	b, err := os.ReadFile(p.logPath())
+	if err != nil {
+		return err.Error()
+	}
+	return string(b)
+}
+
+// firstLine waits for the first line of the standard output of the current run.
+func (p *Process) firstLine(ctx context.Context) (string, error) {
+	for {
+		b, err := os.ReadFile(p.outputPath())
+		if err != nil {
+			return "", fmt.Errorf("read the output of %s: %w", p.name, err)
+		}
+		for i, c := range b {
+			if c == '\n' {
+				return string(b[:i]), nil
+			}
+		}
+		if !p.Running() {
+			return "", fmt.Errorf("%s ended before it was ready: %s", p.name, tail(p.Log()))
+		}
+		if err := sleep(ctx, pollInterval); err != nil {
+			return "", fmt.Errorf("wait for the output of %s: %w", p.name, err)
+		}
+	}
+}
+
+const (
+	pollInterval = 10 * time.Millisecond
+	tailBytes    = 2000
+)
+
+func tail(s string) string {
+	if len(s) > tailBytes {
+		return s[len(s)-tailBytes:]
+	}
+	return s
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
