--- a/cmd/filbertledge/main.go
+++ b/cmd/filbertledge/main.go
@@ -2,5 +2,15 @@
 // command-line client in one binary.
 package main
 
+import (
+	"os"
+
+	"filbertledge/internal/cli"
+)
+
+// version is set by the linker for releases.
+var version string
+
 func main() {
+	os.Exit(cli.Main(cli.Options{Version: version}))
 }
--- /dev/null
+++ b/internal/cli/serve.go
@@ -0,0 +1,221 @@
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"path/filepath"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"filbertledge/internal/api"
+	"filbertledge/internal/config"
+	"filbertledge/internal/errs"
+	"filbertledge/internal/pki"
+)
+
+func (a *app) serveCommand() *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use:   "serve --config FILE",
+		Short: "Run one VM of the service",
+		Long: `Run one VM of the service in the foreground. It logs JSON lines to stderr. SIGTERM and SIGINT start a
+graceful shutdown; a second signal ends the process at once.`,
+		Example: "  filbertledge serve --config szeged-a-1.toml",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			c, err := config.Load(path)
+			if err != nil {
+				return err
+			}
+			if a.Serve == nil {
+				return errs.New(errs.Internal, "use a complete build", "this build has no server")
+			}
+			for _, w := range c.Warnings() {
+				fmt.Fprintf(a.Stderr, "warning: %v\n", w)
+			}
+			return internalUnlessTyped(a.Serve(cmd.Context(), c))
+		},
+	}
+	cmd.Flags().StringVar(&path, "config", "", "settings file of the VM")
+	_ = cmd.MarkFlagRequired("config")
+	return cmd
+}
+
+// internalUnlessTyped keeps the exit code for wrong use from errors of the server.
+func internalUnlessTyped(err error) error {
+	var known *errs.Error
+	if err == nil || errors.As(err, &known) {
+		return err
+	}
+	return errs.Wrap(err, errs.Internal, "", "the VM stopped")
+}
+
+func (a *app) configCommand() *cobra.Command {
+	return group("config", "Check and write settings files", a.configCheckCommand(), a.configInitCommand())
+}
+
+// checkedFile is the result of config check for one file.
+type checkedFile struct {
+	File     string          `json:"file"`
+	Problems config.Problems `json:"problems"`
+	Warnings config.Problems `json:"warnings"`
+	Keys     []pki.Finding   `json:"keys"`
+}
+
+func (a *app) configCheckCommand() *cobra.Command {
+	var withKeys bool
+	cmd := &cobra.Command{
+		Use:   "check FILE...",
+		Short: "Check settings files",
+		Long: `Check settings files as serve does, and report all problems at once. With --keys, also check that the TLS
+files in [tls] fit the VM.`,
+		Example: "  filbertledge config check szeged-a-1.toml\n  filbertledge config check --keys *.toml",
+		Args:    cobra.MinimumNArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			results := []checkedFile{}
+			bad := 0
+			for _, path := range args {
+				r, err := checkFile(path, withKeys)
+				if err != nil {
+					return err
+				}
+				if r.failed() {
+					bad++
+				}
+				results = append(results, r)
+			}
+			if err := a.print(results, func(w io.Writer) { printChecked(w, results) }); err != nil {
+				return err
+			}
+			if bad > 0 {
+				return errs.New(errs.ConfigInvalid, "correct the keys listed above", "%d of %d settings files have problems", bad, len(args))
+			}
+			return nil
+		},
+	}
+	cmd.Flags().BoolVar(&withKeys, "keys", false, "also check the TLS files")
+	return cmd
+}
+
+func checkFile(path string, withKeys bool) (checkedFile, error) {
+	r := checkedFile{File: path, Problems: config.Problems{}, Warnings: config.Problems{}, Keys: []pki.Finding{}}
+	c, err := config.Read(path)
+	if err != nil {
+		return r, err
+	}
+	errors.As(c.Check(), &r.Problems)
+	r.Warnings = append(r.Warnings, c.Warnings()...)
+	if withKeys {
+		expect := pki.Expect{Name: string(c.VM.Name), Role: pki.RoleVM}
+		if ip := c.InternalIP(); ip != nil {
+			expect.IPs = append(expect.IPs, ip)
+		}
+		r.Keys = append(r.Keys, pki.Check(c.TLS.Files(), expect)...)
+	}
+	return r, nil
+}
+
+func (r checkedFile) failed() bool {
+	for _, f := range r.Keys {
+		if !f.Warning {
+			return true
+		}
+	}
+	return len(r.Problems) > 0
+}
+
+func printChecked(w io.Writer, results []checkedFile) {
+	for _, r := range results {
+		for _, p := range r.Problems {
+			fmt.Fprintf(w, "error: %v\n", p)
+		}
+		for _, p := range r.Warnings {
+			fmt.Fprintf(w, "warning: %v\n", p)
+		}
+		for _, f := range r.Keys {
+			fmt.Fprintln(w, f)
+		}
+		if !r.failed() {
+			fmt.Fprintf(w, "%s: ok\n", r.File)
+		}
+	}
+}
+
+// initFlags describe the deployment for config init.
+type initFlags struct {
+	dir   string
+	vms   []string
+	pools []string
+	store string
+	keys  string
+	data  string
+	ports config.Ports
+}
+
+func (a *app) configInitCommand() *cobra.Command {
+	var f initFlags
+	cmd := &cobra.Command{
+		Use:   "init --dir DIR --vm NAME,DOMAIN,IP[,replica]...",
+		Short: "Write commented settings files for a deployment",
+		Long: `Write one complete, commented settings file for each VM of a deployment. VMs that share an IP address get
+ascending ports. Existing files are not overwritten.`,
+		Example: `  filbertledge config init --dir deployment \
+    --vm szeged-a-1,szeged-a,127.0.0.1,replica --vm szeged-b-1,szeged-b,127.0.0.1,replica \
+    --vm bekes-a-1,bekes-a,127.0.0.1,replica --pool drafter-llm=DIGEST --store http://127.0.0.1:6001`,
+		Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			d, err := f.deployment()
+			if err != nil {
+				return err
+			}
+			paths, err := config.Write(f.dir, d)
+			if err != nil {
+				return err
+			}
+			return a.print(paths, func(w io.Writer) { fmt.Fprintln(w, strings.Join(paths, "\n")) })
+		},
+	}
+	flags := cmd.Flags()
+	flags.StringVar(&f.dir, "dir", ".", "folder of the settings files")
+	flags.StringArrayVar(&f.vms, "vm", nil, "NAME,DOMAIN,IP[,replica]; repeat for each VM")
+	flags.StringArrayVar(&f.pools, "pool", nil, "NAME=DIGEST of a pool of backend servers; filbertledge keys token creates a digest")
+	flags.StringVar(&f.store, "store", "", "URL of the weight store")
+	flags.StringVar(&f.keys, "keys", "keys", "folder of the TLS files, relative to the settings files")
+	flags.StringVar(&f.data, "data", "data", "folder of the data folders, relative to the settings files")
+	flags.Uint16Var(&f.ports.HTTP, "http-port", config.DefaultPorts.HTTP, "first HTTP port")
+	flags.Uint16Var(&f.ports.Internal, "internal-port", config.DefaultPorts.Internal, "first internal port")
+	flags.Uint16Var(&f.ports.Metrics, "metrics-port", config.DefaultPorts.Metrics, "first metrics port")
+	_ = cmd.MarkFlagRequired("vm")
+	return cmd
+}
+
+func (f initFlags) deployment() (config.Deployment, error) {
+	d := config.Deployment{WeightStore: f.store, Keys: filepath.Clean(f.keys), Data: filepath.Clean(f.data)}
+	onIP := map[netip.Addr]int{}
+	for _, text := range f.vms {
+		parts := strings.Split(text, ",")
+		if len(parts) < 3 || len(parts) > 4 || (len(parts) == 4 && parts[3] != "replica") {
+			return d, errs.New(errs.InvalidArgument, "write NAME,DOMAIN,IP or NAME,DOMAIN,IP,replica", "--vm %q is malformed", text)
+		}
+		ip, err := netip.ParseAddr(parts[2])
+		if err != nil {
+			return d, errs.New(errs.InvalidArgument, "give an IP address", "--vm %q: %q is not an IP address", text, parts[2])
+		}
+		d.VMs = append(d.VMs, config.DeploymentVM{
+			Name: api.VMID(parts[0]), FailureDomain: api.FailureDomain(parts[1]),
+			Listen: f.ports.Place(ip, onIP[ip]), Replica: len(parts) == 4,
+		})
+		onIP[ip]++
+	}
+	for _, text := range f.pools {
+		name, digest, ok := strings.Cut(text, "=")
+		if !ok {
+			return d, errs.New(errs.InvalidArgument, "write NAME=DIGEST", "--pool %q is malformed", text)
+		}
+		d.Pools = append(d.Pools, config.Pool{Name: api.Pool(name), TokenSHA256: digest})
+	}
+	return d, nil
+}
--- /dev/null
+++ b/internal/cli/table.go
@@ -0,0 +1,344 @@
+package cli
+
+import (
+	"context"
+	"encoding/csv"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/spf13/cobra"
+
+	"filbertledge/internal/api"
+	"filbertledge/internal/control"
+	"filbertledge/internal/errs"
+	"filbertledge/internal/operator"
+	"filbertledge/internal/table"
+)
+
+func (a *app) tableCommand() *cobra.Command {
+	return group("table", "Read and edit the table of workloads",
+		a.tableGetCommand(), a.tableSetCommand(), a.tableImportCommand(), a.tableExportCommand(),
+		a.tableHistoryCommand(), a.tableDiffCommand(), a.tableColumnsCommand())
+}
+
+// rowValues are the columns of a row in the form that table set takes.
+type rowValues map[string]string
+
+func valuesOf(row table.Row) rowValues {
+	out := rowValues{}
+	for _, c := range table.Columns() {
+		out[c.Name], _ = table.Get(row, c.Name) // all columns of the list exist
+	}
+	return out
+}
+
+// tableJSON is a table as JSON output.
+type tableJSON struct {
+	Version uint64      `json:"version"`
+	Fresh   bool        `json:"fresh"`
+	VM      api.VMID    `json:"vm"`
+	Rows    []rowValues `json:"rows"`
+}
+
+func (a *app) tableGetCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "get [ROW...]",
+		Short:   "Print the table, or all columns of single rows",
+		Example: "  filbertledge table get\n  filbertledge table get booking-chat -o json",
+		RunE: a.remoteArgs(func(ctx context.Context, c *operator.Client, names []string) error {
+			view, err := a.readTable(ctx, c)
+			if err != nil {
+				return err
+			}
+			rows, err := selectRows(view, names)
+			if err != nil {
+				return err
+			}
+			out := tableJSON{Version: view.Version, Fresh: view.Fresh, VM: view.VM, Rows: []rowValues{}}
+			for _, row := range rows {
+				out.Rows = append(out.Rows, valuesOf(row))
+			}
+			return a.print(out, func(w io.Writer) {
+				if len(names) > 0 {
+					printRows(w, rows)
+				} else {
+					printTable(w, view)
+				}
+			})
+		}),
+	}
+}
+
+// readTable returns the table and warns if the VM that answered cannot confirm it.
+func (a *app) readTable(ctx context.Context, c *operator.Client) (operator.TableView, error) {
+	ctx, cancel := a.limited(ctx)
+	defer cancel()
+	view, err := c.Table(ctx)
+	if err == nil && !view.Fresh {
+		a.note("warning: the table lease of VM %s has expired; this table may be old", view.VM)
+	}
+	return view, err
+}
+
+func selectRows(view operator.TableView, names []string) ([]table.Row, error) {
+	if len(names) == 0 {
+		return view.Rows, nil
+	}
+	var out []table.Row
+	for _, name := range names {
+		row, ok := view.Row(api.RowName(name))
+		if !ok {
+			return nil, noRow(name)
+		}
+		out = append(out, row)
+	}
+	return out, nil
+}
+
+func noRow(name string) error {
+	return errs.New(errs.NotFound, "list the rows with filbertledge table get", "row %q does not exist", name)
+}
+
+// shortColumns are the columns of the overview; table get ROW prints all.
+var shortColumns = []string{
+	"name", "version", "kind", "pool", "model", "weights", "max_staleness_versions", "max_in_flight", "priority", "deadline",
+}
+
+func printTable(w io.Writer, view operator.TableView) {
+	t := newTextTable(w, shortColumns...)
+	for _, row := range view.Rows {
+		values := valuesOf(row)
+		cells := make([]any, len(shortColumns))
+		for i, column := range shortColumns {
+			cells[i] = values[column]
+		}
+		t.row(cells...)
+	}
+	t.flush()
+	fmt.Fprintf(w, "table version %d, from VM %s\n", view.Version, view.VM)
+}
+
+func printRows(w io.Writer, rows []table.Row) {
+	for i, row := range rows {
+		if i > 0 {
+			fmt.Fprintln(w)
+		}
+		t := newTextTable(w)
+		values := valuesOf(row)
+		for _, c := range table.Columns() {
+			t.row(c.Name, values[c.Name])
+		}
+		t.flush()
+	}
+}
+
+func (a *app) tableColumnsCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "columns",
+		Short: "List the columns of the table",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			return a.print(table.Columns(), func(w io.Writer) {
+				t := newTextTable(w, "COLUMN", "TYPE", "UNIT", "MEANING")
+				for _, c := range table.Columns() {
+					t.row(c.Name, c.Type, c.Unit, c.Help)
+				}
+				t.flush()
+			})
+		},
+	}
+}
+
+func (a *app) tableExportCommand() *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use:     "export",
+		Short:   "Write the table as CSV",
+		Long:    "Write the table as CSV. The column version lets table import detect rows that changed in between.",
+		Example: "  filbertledge table export > table.csv\n  filbertledge table export --file table.csv",
+		Args:    cobra.NoArgs,
+		RunE: a.remote(func(ctx context.Context, c *operator.Client) error {
+			view, err := a.readTable(ctx, c)
+			if err != nil {
+				return err
+			}
+			if path == "" {
+				return errs.Wrap(table.WriteCSV(a.Stdout, view.Rows), errs.Internal, "", "cannot write the table")
+			}
+			return exportFile(path, view.Rows)
+		}),
+	}
+	cmd.Flags().StringVar(&path, "file", "", "file to write instead of standard output")
+	return cmd
+}
+
+func exportFile(path string, rows []table.Row) error {
+	const remedy = "choose a file that can be written"
+	f, err := os.Create(path)
+	if err != nil {
+		return errs.Wrap(err, errs.InvalidArgument, remedy, "cannot write the table")
+	}
+	err = table.WriteCSV(f, rows)
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	return errs.Wrap(err, errs.StorageFailed, remedy, "cannot write %s", path)
+}
+
+func (a *app) tableHistoryCommand() *cobra.Command {
+	var limit int
+	cmd := &cobra.Command{
+		Use:     "history ROW",
+		Short:   "List the accepted edits of a row, newest first",
+		Example: "  filbertledge table history booking-chat --limit 5",
+		Args:    cobra.ExactArgs(1),
+		RunE: a.remoteArgs(func(ctx context.Context, c *operator.Client, args []string) error {
+			ctx, cancel := a.limited(ctx)
+			defer cancel()
+			list, err := c.History(ctx, api.RowName(args[0]), limit)
+			if err != nil {
+				return err
+			}
+			return a.print(list, func(w io.Writer) { printHistory(w, list) })
+		}),
+	}
+	cmd.Flags().IntVar(&limit, "limit", 20, "number of edits; 0 for all that are kept")
+	return cmd
+}
+
+func printHistory(w io.Writer, list []control.RowChange) {
+	t := newTextTable(w, "VERSION", "TIME", "OPERATOR", "CHANGES", "EDIT")
+	for _, change := range list {
+		var parts []string
+		for _, c := range change.Changes {
+			parts = append(parts, fmt.Sprintf("%s: %s -> %s", c.Column, orEmpty(c.Before), orEmpty(c.After)))
+		}
+		if change.After.Deleted {
+			parts = []string{"deleted"}
+		}
+		t.row(change.After.Version, change.At.Format(time.RFC3339), change.Operator, strings.Join(parts, ", "), change.EditID)
+	}
+	t.flush()
+}
+
+func orEmpty(s string) string {
+	if s == "" {
+		return `""`
+	}
+	return s
+}
+
+// rowDiff is the difference between the table and what an edit or a file asks for.
+type rowDiff struct {
+	Row     api.RowName    `json:"row"`
+	Version uint64         `json:"version"` // that the edit starts from; zero for a new row
+	Changes []table.Change `json:"changes"`
+
+	after table.Row
+}
+
+func printDiffs(w io.Writer, diffs []rowDiff) {
+	for _, d := range diffs {
+		what := fmt.Sprintf("version %d", d.Version)
+		if d.Version == 0 {
+			what = "new row"
+		}
+		if d.after.Deleted {
+			what += ", deleted"
+		}
+		fmt.Fprintf(w, "%s (%s)\n", d.Row, what)
+		for _, c := range d.Changes {
+			fmt.Fprintf(w, "  %s: %s -> %s\n", c.Column, orEmpty(printable(c.Before)), orEmpty(printable(c.After)))
+		}
+	}
+}
+
+func (a *app) tableDiffCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "diff FILE.csv",
+		Short:   "Show what importing a CSV file would change",
+		Example: "  filbertledge table diff table.csv",
+		Args:    cobra.ExactArgs(1),
+		RunE: a.remoteArgs(func(ctx context.Context, c *operator.Client, args []string) error {
+			diffs, err := a.diffFile(ctx, c, args[0])
+			if err != nil {
+				return err
+			}
+			return a.print(diffs, func(w io.Writer) {
+				printDiffs(w, diffs)
+				fmt.Fprintf(w, "%d row(s) differ\n", len(diffs))
+			})
+		}),
+	}
+}
+
+// diffFile compares a CSV file with the table. Rows that only the table has are left alone.
+func (a *app) diffFile(ctx context.Context, c *operator.Client, path string) ([]rowDiff, error) {
+	text, err := a.readFile(path)
+	if err != nil {
+		return nil, err
+	}
+	view, err := a.readTable(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	rows, err := table.ReadCSV(strings.NewReader(text), view.Row)
+	if err != nil {
+		return nil, errs.Wrap(err, errs.InvalidArgument, "", "%s", path)
+	}
+	versioned := hasColumn(text, "version")
+	diffs := []rowDiff{}
+	for _, row := range rows {
+		current, exists := view.Row(row.Name)
+		if exists && table.SameContent(current, row) {
+			continue
+		}
+		if !versioned {
+			row.Version = current.Version
+		}
+		diffs = append(diffs, rowDiff{Row: row.Name, Version: row.Version, Changes: table.Diff(current, row), after: row})
+	}
+	return diffs, nil
+}
+
+func hasColumn(text, name string) bool {
+	header, _ := csv.NewReader(strings.NewReader(text)).Read()
+	for _, column := range header {
+		if strings.TrimSpace(strings.TrimPrefix(column, "\ufeff")) == name {
+			return true
+		}
+	}
+	return false
+}
+
+// maxTableFile bounds a CSV file; 10,000 rows are smaller.
+const maxTableFile = 4 << 20
+
+func (a *app) readFile(path string) (string, error) {
+	in := a.Stdin
+	if path != "-" {
+		f, err := os.Open(path)
+		if err != nil {
+			return "", errs.Wrap(err, errs.InvalidArgument, "give a CSV file, or - for standard input", "cannot read the table")
+		}
+		defer f.Close()
+		in = f
+	}
+	data, err := io.ReadAll(io.LimitReader(in, maxTableFile+1))
+	if err != nil {
+		return "", errs.Wrap(err, errs.InvalidArgument, "give a CSV file, or - for standard input", "cannot read %s", path)
+	}
+	if len(data) > maxTableFile {
+		return "", errs.New(errs.PayloadTooLarge, "split it", "%s is larger than %d bytes", path, maxTableFile)
+	}
+	return string(data), nil
+}
+
+func newEditID() (uuid.UUID, error) {
+	id, err := uuid.NewV7()
+	return id, errs.Wrap(err, errs.Internal, "", "cannot create an edit id")
+}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
-
 	"filbertledge/internal/api"
 	"filbertledge/internal/control"
 	"filbertledge/internal/errs"
@@ -103,8 +101,8 @@
 }
 
 // History returns the newest changes of a row, newest first. Zero limit returns all that are kept.
-func (c *Client) History(ctx context.Context, row api.RowName, limit int) ([]Change, error) {
-	return call[HistoryRequest, []Change](ctx, c, MethodHistory, HistoryRequest{Row: row, Limit: limit})
+func (c *Client) History(ctx context.Context, row api.RowName, limit int) ([]control.RowChange, error) {
+	return call[HistoryRequest, []control.RowChange](ctx, c, MethodHistory, HistoryRequest{Row: row, Limit: limit})
 }
 
 // Reach returns the VMs that may still use a table older than version. With wait it blocks until there are
@@ -129,10 +127,9 @@
 	return call[TimelineRequest, Timeline](ctx, c, MethodTimeline, TimelineRequest{Filter: f})
 }
 
-// CallRecord returns the record of a non-idempotent call, nil if there is none.
-func (c *Client) CallRecord(ctx context.Context, key uuid.UUID) (*control.CallRecord, error) {
-	view, err := call[CallRequest, CallView](ctx, c, MethodCall, CallRequest{Key: key})
-	return view.Record, err
+// Calls returns records of non-idempotent calls.
+func (c *Client) Calls(ctx context.Context, q control.CallsRequest) ([]control.CallView, error) {
+	return call[control.CallsRequest, []control.CallView](ctx, c, MethodCalls, q)
 }
 
 // Steps returns the steps of a row, or of all rows if row is empty, without their samples.
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -6,8 +6,6 @@
 	"strings"
 	"time"
 
-	"github.com/google/uuid"
-
 	"filbertledge/internal/api"
 	"filbertledge/internal/control"
 	"filbertledge/internal/errs"
@@ -17,10 +15,11 @@
 	"filbertledge/internal/transport"
 )
 
-// Options are what the operator API needs from its VM. Fields marked optional answer NotFound if nil.
+// Options are what the operator API needs from its VM.
 type Options struct {
 	VM      api.VMID
 	Control control.Client
+	Records Records
 	Events  *events.Recorder
 	Peers   Caller // to ask other VMs
 	Servers func() []ServerView
@@ -31,13 +30,15 @@
 	Drain func()
 	// Shutdown ends the process soon, without waiting for running requests.
 	Shutdown func()
+}
 
-	// History returns the newest changes of a row. Optional.
-	History func(ctx context.Context, row api.RowName, limit int) ([]Change, error)
-	// Steps returns the steps of a row, or of all rows if row is empty, without their samples. Optional.
-	Steps func(ctx context.Context, row api.RowName) ([]control.StepView, error)
-	// Call returns the record of a non-idempotent call, nil if there is none. Optional.
-	Call func(ctx context.Context, key uuid.UUID) (*control.CallRecord, error)
+// Records reads what the control replicas keep besides the table; *control.Remote is one.
+type Records interface {
+	// History returns the newest changes of a row, newest first. Zero limit means all that are kept.
+	History(ctx context.Context, row api.RowName, limit int) ([]control.RowChange, error)
+	Calls(ctx context.Context, q control.CallsRequest) ([]control.CallView, error)
+	// Steps returns the steps of a row, or of all rows if row is empty, without their samples.
+	Steps(ctx context.Context, row api.RowName) ([]control.StepView, error)
 }
 
 // Caller sends requests to other VMs; *transport.Client is one.
@@ -59,17 +60,13 @@
 	transport.Handle(t, MethodStatus, pki.RoleOperator, s.status)
 	transport.Handle(t, MethodServers, pki.RoleOperator, s.servers)
 	transport.Handle(t, MethodTimeline, pki.RoleOperator, s.timeline)
-	transport.Handle(t, MethodCall, pki.RoleOperator, s.call)
+	transport.Handle(t, MethodCalls, pki.RoleOperator, s.calls)
 	transport.Handle(t, MethodSamples, pki.RoleOperator, s.samples)
 	transport.Handle(t, MethodDrain, pki.RoleOperator, s.drain)
 	transport.Handle(t, MethodShutdown, pki.RoleOperator, s.shutdown)
 	transport.Handle(t, MethodEvents, pki.RoleAny, s.events)
 }
 
-func unsupported(what string) error {
-	return errs.New(errs.NotFound, "ask another VM, or update this one", "this VM does not offer %s", what)
-}
-
 func (s *server) edit(ctx context.Context, peer transport.Peer, q EditRequest) (EditResult, error) {
 	if q.EditID.Version() != 7 {
 		return EditResult{}, errs.New(errs.InvalidArgument, "use a UUID version 7", "edit id %s has version %d", q.EditID, q.EditID.Version())
@@ -81,13 +78,41 @@
 	answer, err := editResult(result, err)
 	if q.DryRun {
 		answer.TableVersion = 0
+		return answer, err
+	}
+	if err == nil && answer.Kind == "" {
+		s.awaitRow(ctx, *answer.Row)
 	}
 	return answer, err
 }
 
+const (
+	// ownReach bounds the wait of an accepted edit for this VM's own table.
+	ownReach     = 2 * time.Second
+	ownReachPoll = 5 * time.Millisecond
+)
+
+// awaitRow waits until this VM's own table holds the edit, so that an operator's next edit does not start from
+// the row before. The edit is accepted in any case.
+func (s *server) awaitRow(ctx context.Context, row table.Row) {
+	ctx, cancel := context.WithTimeout(ctx, ownReach)
+	defer cancel()
+	for {
+		have, ok := s.o.Control.Table().Row(row.Name)
+		if have.Version >= row.Version && ok != row.Deleted {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(ownReachPoll):
+		}
+	}
+}
+
 // editResult separates refusals of the state machine, which carry the row as it is, from failures to reach it.
 func editResult(result control.Result, err error) (EditResult, error) {
-	answer := EditResult{TableVersion: result.Index, Row: result.Row}
+	answer := EditResult{TableVersion: result.Index, Row: result.Row, Replayed: result.Replayed}
 	if result.ErrorKind != "" {
 		answer.Kind, answer.Message, answer.Remedy = errs.Kind(result.ErrorKind), result.Error, result.Remedy
 		return answer, nil
@@ -97,21 +122,11 @@
 
 func (s *server) table(context.Context, transport.Peer, None) (TableView, error) {
 	snapshot := s.o.Control.Table()
-	view := TableView{VM: s.o.VM, Fresh: s.o.Control.Fresh()}
-	if snapshot == nil {
-		return view, nil
-	}
-	view.Version = snapshot.Version()
-	snapshot.Rows(func(r table.Row) { view.Rows = append(view.Rows, r) })
-	slices.SortFunc(view.Rows, func(a, b table.Row) int { return strings.Compare(string(a.Name), string(b.Name)) })
-	return view, nil
+	return TableView{Version: snapshot.Version(), Fresh: s.o.Control.Fresh(), VM: s.o.VM, Rows: snapshot.Sorted()}, nil
 }
 
-func (s *server) history(ctx context.Context, _ transport.Peer, q HistoryRequest) ([]Change, error) {
-	if s.o.History == nil {
-		return nil, unsupported("the history of rows")
-	}
-	return s.o.History(ctx, q.Row, q.Limit)
+func (s *server) history(ctx context.Context, _ transport.Peer, q HistoryRequest) ([]control.RowChange, error) {
+	return s.o.Records.History(ctx, q.Row, q.Limit)
 }
 
 const (
@@ -149,12 +164,8 @@
 	return list, nil
 }
 
-func (s *server) call(ctx context.Context, _ transport.Peer, q CallRequest) (CallView, error) {
-	if s.o.Call == nil {
-		return CallView{}, unsupported("records of calls")
-	}
-	record, err := s.o.Call(ctx, q.Key)
-	return CallView{Record: record}, err
+func (s *server) calls(ctx context.Context, _ transport.Peer, q control.CallsRequest) ([]control.CallView, error) {
+	return s.o.Records.Calls(ctx, q)
 }
 
 func (s *server) samples(ctx context.Context, _ transport.Peer, q SamplesRequest) (SamplesAnswer, error) {
@@ -162,10 +173,7 @@
 		view, err := s.o.Control.Step(ctx, control.StepID{Row: q.Row, Step: *q.Step})
 		return SamplesAnswer{Steps: []control.StepView{view}}, err
 	}
-	if s.o.Steps == nil {
-		return SamplesAnswer{}, unsupported("the list of steps")
-	}
-	steps, err := s.o.Steps(ctx, q.Row)
+	steps, err := s.o.Records.Steps(ctx, q.Row)
 	return SamplesAnswer{Steps: steps}, err
 }
 
--- a/internal/operator/types.go
+++ b/internal/operator/types.go
@@ -25,7 +25,7 @@
 	MethodStatus   = "operator.status"
 	MethodServers  = "operator.servers"
 	MethodTimeline = "operator.timeline"
-	MethodCall     = "operator.call"
+	MethodCalls    = "operator.calls"
 	MethodSamples  = "operator.samples"
 	MethodDrain    = "operator.drain"
 	MethodShutdown = "operator.shutdown"
@@ -69,15 +69,7 @@
 	Kind         errs.Kind  `json:"error,omitempty" cbor:"3,keyasint,omitempty"`
 	Message      string     `json:"message,omitempty" cbor:"4,keyasint,omitempty"`
 	Remedy       string     `json:"remedy,omitempty" cbor:"5,keyasint,omitempty"`
-}
-
-// Change is one accepted edit of a row. Before is the zero row for the first edit.
-type Change struct {
-	EditID   uuid.UUID `json:"edit_id" cbor:"1,keyasint"`
-	Operator string    `json:"operator" cbor:"2,keyasint"`
-	At       time.Time `json:"at" cbor:"3,keyasint"`
-	Before   table.Row `json:"before" cbor:"4,keyasint"`
-	After    table.Row `json:"after" cbor:"5,keyasint"`
+	Replayed     bool       `json:"replayed,omitempty" cbor:"6,keyasint,omitempty"` // the edit was applied before
 }
 
 // HistoryRequest asks for the newest changes of a row. Zero Limit asks for all that are kept.
@@ -175,16 +167,6 @@
 	Reason  string   `json:"reason" cbor:"3,keyasint"`
 }
 
-// CallRequest asks for the record of a non-idempotent call.
-type CallRequest struct {
-	Key uuid.UUID `cbor:"1,keyasint"`
-}
-
-// CallView is the record of a non-idempotent call; nil if there is none.
-type CallView struct {
-	Record *control.CallRecord `json:"record,omitempty" cbor:"1,keyasint,omitempty"`
-}
-
 // SamplesRequest asks for the steps of a row, or of all rows if Row is empty. With Step, the answer holds that
 // step only, with its finished samples.
 type SamplesRequest struct {
