Repair lost renewals in gossip and test membership in virtual time

Sending every renewal twice was ruled out, as it doubles the bytes; a VM now asks another one for the records that it should have heard of. Renewals wait for a batch that grows with the failure domain, and digests are shorter.

--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -19,7 +19,15 @@
 const (
 	roundEvery  = 100 * time.Millisecond
 	digestEvery = time.Second
-	useFor      = 3 * time.Second // a count of requests in flight that is not repeated for so long is dropped
+	// Renewals and counts that change all the time wait for a batch, batchPerVM for each VM of the failure
+	// domain and at most maxBatch, so that the messages a VM sends do not grow with the square of the VMs.
+	batchPerVM = 20 * time.Millisecond
+	maxBatch   = 500 * time.Millisecond
+	// askAfter is the age at which a record should have been renewed; a lost message is the likely cause, so
+	// another VM is asked every askEvery until the record is no longer usable.
+	askAfter = 1300 * time.Millisecond
+	askEvery = 300 * time.Millisecond
+	useFor   = 3 * time.Second // a count of requests in flight that is not repeated for so long is dropped
 )
 
 // Bounds of one message. A full record takes about 200 bytes and a renewal about 25, so a message stays under
@@ -27,6 +35,7 @@
 const (
 	maxFull      = 32
 	maxRenewals  = 300
+	maxDigest    = 64
 	maxCrashes   = 64
 	maxUses      = 128
 	maxWants     = 256
@@ -79,12 +88,14 @@
 	Crashes  []crash           `cbor:"7,keyasint,omitempty"`
 	Uses     []useReport       `cbor:"8,keyasint,omitempty"`
 	Wants    []uint64          `cbor:"9,keyasint,omitempty"` // static digests that the sender does not know
+	// Late lists the keys of servers whose renewal the sender missed.
+	Late []uint64 `cbor:"11,keyasint,omitempty"`
 	// Digest marks a message that repeats the sender's records to repair gaps.
 	Digest bool `cbor:"10,keyasint,omitempty"`
 }
 
 func (m *message) empty() bool {
-	return len(m.Full)+len(m.Renewals)+len(m.Crashes)+len(m.Uses)+len(m.Wants) == 0
+	return len(m.Full)+len(m.Renewals)+len(m.Crashes)+len(m.Uses)+len(m.Wants)+len(m.Late) == 0
 }
 
 type useKey struct {
@@ -103,6 +114,9 @@
 	sentStatic map[api.ServerID]uint64 // static digest last sent in full
 	reported   map[api.ServerID]int
 	lastDigest time.Duration
+	lastAsk    time.Duration
+	lastBatch  time.Duration
+	batch      time.Duration // time between batches
 	lastUses   time.Duration
 	cursor     int
 }
@@ -190,7 +204,7 @@
 
 func (r *Registry) round(now time.Duration, vms []api.VM) []outgoing {
 	self := r.self(vms)
-	delta := r.delta(now)
+	delta := r.delta(now, r.batchDue(now, vms))
 	delta.From, delta.Address, delta.Domain = r.opts.VM, self.Address, r.opts.Domain
 	var out []outgoing
 	if !delta.empty() {
@@ -200,9 +214,59 @@
 		r.gossip.lastDigest = now
 		out = append(out, r.digests(now, self, vms)...)
 	}
+	if now-r.gossip.lastAsk >= askEvery {
+		r.gossip.lastAsk = now
+		out = append(out, r.ask(now, self, vms)...)
+	}
 	return out
 }
 
+// ask sends the records that miss a renewal to one other VM, which answers with those that it has fresh.
+func (r *Registry) ask(now time.Duration, self api.VM, vms []api.VM) []outgoing {
+	var late []uint64
+	for _, s := range r.servers {
+		rec := s.rec.Load()
+		age := now - rec.renewed
+		if age >= askAfter+r.gossip.batch && age < UsableFor && rec.announcement.State == api.ServerServing && len(late) < maxWants {
+			late = append(late, s.key)
+		}
+	}
+	if len(late) == 0 || len(vms) < 2 {
+		return nil
+	}
+	to := r.someVM(vms)
+	if to.ID == r.opts.VM {
+		return nil // asks again in the next round
+	}
+	return []outgoing{{to.Address, message{From: r.opts.VM, Address: self.Address, Domain: r.opts.Domain, Late: late}}}
+}
+
+// someVM returns a VM of the own failure domain or of any, with equal chance.
+func (r *Registry) someVM(vms []api.VM) api.VM {
+	if near := r.neighbours(vms); len(near) > 0 && r.rng.IntN(2) == 0 {
+		return api.VM{Address: near[r.rng.IntN(len(near))]}
+	}
+	return vms[r.rng.IntN(len(vms))]
+}
+
+// answerLate renews the records that the sender missed and that are fresh here. A server that is leaving is
+// sent in full.
+func (r *Registry) answerLate(m *message, now time.Duration, reply *message) {
+	for _, key := range m.Late {
+		s := r.byKey[key]
+		if s == nil {
+			continue
+		}
+		rec := s.rec.Load()
+		switch {
+		case rec.announcement.State == api.ServerLeaving && len(reply.Full) < maxFull:
+			reply.Full = append(reply.Full, fullOf(rec, now))
+		case now-rec.renewed < askAfter+r.gossip.batch && len(reply.Renewals) < maxRenewals:
+			reply.Renewals = append(reply.Renewals, renewalOf(rec, now))
+		}
+	}
+}
+
 func (r *Registry) self(vms []api.VM) api.VM {
 	for _, vm := range vms {
 		if vm.ID == r.opts.VM {
@@ -257,8 +321,19 @@
 	return out
 }
 
-// delta collects what changed at this VM since the last round, up to the bounds of a message.
-func (r *Registry) delta(now time.Duration) message {
+// batchDue reports whether this round sends what may wait for a batch.
+func (r *Registry) batchDue(now time.Duration, vms []api.VM) bool {
+	r.gossip.batch = min(time.Duration(len(r.neighbours(vms)))*batchPerVM, maxBatch)
+	if now-r.gossip.lastBatch < r.gossip.batch {
+		return false
+	}
+	r.gossip.lastBatch = now
+	return true
+}
+
+// delta collects what changed at this VM since the last round, up to the bounds of a message. Without batch it
+// leaves out renewals and counts, but not servers that are new, leaving or claimed.
+func (r *Registry) delta(now time.Duration, batch bool) message {
 	var m message
 	for _, id := range sortedKeys(r.gossip.dirty) {
 		s := r.servers[id]
@@ -266,6 +341,9 @@
 			delete(r.gossip.dirty, id)
 			continue
 		}
+		if !batch && r.gossip.sentStatic[id] == s.rec.Load().static {
+			continue
+		}
 		if r.addRecord(&m, s, now) {
 			delete(r.gossip.dirty, id)
 		}
@@ -276,7 +354,7 @@
 			m.Crashes = append(m.Crashes, aged(*c, now))
 		}
 	}
-	r.addUses(&m, now)
+	r.addUses(&m, now, batch)
 	return m
 }
 
@@ -320,8 +398,8 @@
 }
 
 // addUses adds this VM's requests in flight: the counts that changed, and once a second all of them.
-func (r *Registry) addUses(m *message, now time.Duration) {
-	all := now-r.gossip.lastUses >= digestEvery
+func (r *Registry) addUses(m *message, now time.Duration, batch bool) {
+	all := batch && now-r.gossip.lastUses >= digestEvery
 	if all {
 		r.gossip.lastUses = now
 	}
@@ -331,6 +409,9 @@
 		if (n == last && (!all || n == 0)) || len(m.Uses) >= maxUses {
 			continue
 		}
+		if !batch && n != exclusiveUse && last != exclusiveUse {
+			continue
+		}
 		r.gossip.reported[id] = n
 		m.Uses = append(m.Uses, useReport{Server: r.servers[id].key, VM: r.opts.VM, InFlight: n})
 	}
@@ -341,7 +422,7 @@
 func (r *Registry) digests(now time.Duration, self api.VM, vms []api.VM) []outgoing {
 	m := message{From: r.opts.VM, Address: self.Address, Domain: r.opts.Domain, Digest: true}
 	ids := sortedKeys(r.listed)
-	for range min(len(ids), maxRenewals) {
+	for range min(len(ids), maxDigest) {
 		r.gossip.cursor = (r.gossip.cursor + 1) % len(ids)
 		m.Renewals = append(m.Renewals, renewalOf(r.servers[ids[r.gossip.cursor]].rec.Load(), now))
 	}
@@ -400,6 +481,7 @@
 	}
 	r.mergeUses(m, now)
 	r.answerWants(m, now, &reply)
+	r.answerLate(m, now, &reply)
 	var out []outgoing
 	if !reply.empty() && m.Address != "" {
 		out = append(out, outgoing{m.Address, reply})
@@ -412,7 +494,7 @@
 
 // passOn relays a message of another failure domain to the VMs of this one. Wants stay with this VM.
 func (r *Registry) passOn(m message, vms []api.VM) []outgoing {
-	m.Hop, m.Wants = hopFinal, nil
+	m.Hop, m.Wants, m.Late = hopFinal, nil, nil
 	var out []outgoing
 	for _, addr := range r.neighbours(vms) {
 		out = append(out, outgoing{addr, m})
--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,277 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"pgregory.net/rapid"
+
+	"filbertledge/internal/api"
+)
+
+// Guards against new work for a server that told only one VM that it was leaving, which then died (P7).
+func TestLeavingHeardByOneVMThatDies(t *testing.T) {
+	for seed := range uint64(20) {
+		s := newSim(seed, 3, 3)
+		s.loss = 0.1
+		server := newBackend(1, "d0")
+		s.run(t, 5*time.Second, func() { server.announce(s) })
+		if got := s.usable("s1"); got != len(s.vms) {
+			t.Fatalf("seed %d: server is usable at %d of %d VMs before it leaves", seed, got, len(s.vms))
+		}
+		server.a.Sequence++
+		server.a.State = api.ServerLeaving
+		s.regs[s.vms[0].ID].Announce(server.a)
+		s.dead[s.vms[0].ID] = true
+		s.run(t, 3*time.Second, nil)
+		if got := s.usable("s1"); got != 0 {
+			t.Fatalf("seed %d: server is usable at %d VMs 3 s after it announced that it was leaving", seed, got)
+		}
+	}
+}
+
+// Guards against servers that disappear from VMs, because gossip messages were lost.
+func TestServersStayUsableUnderLoss(t *testing.T) {
+	for seed := range uint64(5) {
+		s := newSim(seed, 4, 2)
+		s.loss = 0.2
+		servers := make([]*backendServer, 12)
+		for i := range servers {
+			servers[i] = newBackend(i, s.vms[i%len(s.vms)].Domain)
+		}
+		checks, missing := 0, 0
+		s.run(t, 20*time.Second, func() {
+			for _, b := range servers {
+				b.announce(s)
+			}
+			if s.now < 4*time.Second || s.now%(100*time.Millisecond) != 0 {
+				return
+			}
+			for _, b := range servers {
+				checks += len(s.vms)
+				missing += len(s.vms) - s.usable(b.a.ID)
+			}
+		})
+		if missing*100 > checks*2 {
+			t.Fatalf("seed %d: servers were missing at %d of %d looks, want at most 2%%", seed, missing, checks)
+		}
+	}
+}
+
+// Guards against VMs that learn of a leaving server only when its last renewal is too old, because the message
+// that said so was lost.
+func TestLeavingReachesAllVMsAfterLoss(t *testing.T) {
+	for seed := range uint64(20) {
+		s := newSim(seed, 3, 3)
+		s.loss = 0.5
+		server := newBackend(1, "d0")
+		s.run(t, 6*time.Second, func() { server.announce(s) })
+		server.a.State = api.ServerLeaving
+		s.run(t, 2*time.Second, func() { server.announce(s) })
+		if got := s.usable("s1"); got != 0 {
+			t.Fatalf("seed %d: leaving server is usable at %d VMs", seed, got)
+		}
+	}
+}
+
+// Guards against a late message that brings a leaving or replaced server back.
+func TestMergeOrder(t *testing.T) {
+	now := time.Duration(0)
+	r := New(Options{VM: "vm", Now: func() time.Duration { return now }})
+	a := newBackend(1, "d0").a
+	say := func(incarnation, sequence uint64, state api.ServerState) {
+		a.Incarnation, a.Sequence, a.State = incarnation, sequence, state
+		r.Announce(a)
+	}
+	check := func(want bool) {
+		t.Helper()
+		s, ok := r.Server("s1")
+		if got := ok && s.Usable(now); got != want {
+			t.Fatalf("usable %v, want %v", got, want)
+		}
+	}
+	say(2, 5, api.ServerServing)
+	check(true)
+	say(2, 4, api.ServerLeaving) // final, even if it arrives after a later announcement
+	check(false)
+	say(2, 9, api.ServerServing)
+	check(false)
+	say(1, 99, api.ServerServing)
+	check(false)
+	say(3, 1, api.ServerServing)
+	check(true)
+	r.Refused("s1")
+	check(false)
+	say(3, 2, api.ServerServing)
+	check(true)
+	now += UsableFor
+	check(false)
+	now += DropAfter
+	r.Tick()
+	if len(r.Servers("llm")) != 0 {
+		t.Fatal("server is listed 10 s after its last renewal")
+	}
+	say(3, 2, api.ServerServing)
+	check(false)
+	say(3, 3, api.ServerServing)
+	check(true)
+}
+
+// Guards against merges whose result depends on the order of arrival.
+func TestMergeCommutes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) api.Announcement {
+			a := newBackend(1, "d0").a
+			a.Incarnation = rapid.Uint64Range(1, 3).Draw(t, "incarnation")
+			a.Sequence = rapid.Uint64Range(1, 4).Draw(t, "sequence")
+			if rapid.Bool().Draw(t, "leaving") {
+				a.State = api.ServerLeaving
+			}
+			return a
+		}), 1, 8).Draw(t, "announcements")
+		order := rapid.Permutation(list).Draw(t, "order")
+		if a, b := stateAfter(list), stateAfter(order); a != b {
+			t.Fatalf("usable %v in one order and %v in another", a, b)
+		}
+	})
+}
+
+func stateAfter(list []api.Announcement) bool {
+	r := New(Options{VM: "vm", Now: func() time.Duration { return 0 }})
+	for _, a := range list {
+		r.Announce(a)
+	}
+	s, _ := r.Server("s1")
+	return s.Usable(0)
+}
+
+// Guards against counts of other VMs' requests that are wrong or never end, and against shared use of a server
+// that runs a suspect request.
+func TestUseIsShared(t *testing.T) {
+	s := newSim(3, 2, 2)
+	server := newBackend(1, "d0")
+	announce := func() { server.announce(s) }
+	s.run(t, 2*time.Second, announce)
+	at := func(i int) *Server { b, _ := s.regs[s.vms[i].ID].Server("s1"); return b }
+	at(0).AddInFlight(3)
+	at(3).AddInFlight(2)
+	s.run(t, 2*time.Second, announce)
+	if n, users := at(1).Others(); n != 5 || users != 2 {
+		t.Fatalf("others %d from %d VMs, want 5 from 2", n, users)
+	}
+	at(0).SetExclusive(true)
+	s.run(t, time.Second, announce)
+	if !at(3).Exclusive() {
+		t.Fatal("claim was not heard in the other failure domain")
+	}
+	at(0).SetExclusive(false)
+	s.dead[s.vms[3].ID] = true
+	s.run(t, 5*time.Second, announce)
+	if n, users := at(1).Others(); n != 3 || users != 1 || at(1).Exclusive() {
+		t.Fatalf("others %d from %d VMs, want 3 from 1", n, users)
+	}
+}
+
+// Guards against suspects that are not shared, not cleared, or kept forever.
+func TestSuspects(t *testing.T) {
+	s := newSim(5, 3, 2)
+	first, last := s.regs[s.vms[0].ID], s.regs[s.vms[5].ID]
+	first.MarkSuspects("s1", []uint64{1, 2})
+	first.MarkSuspects("s1", []uint64{1})
+	s.run(t, time.Second, nil)
+	last.MarkSuspects("s2", []uint64{1})
+	last.ClearSuspect(2)
+	s.run(t, time.Second, nil)
+	for _, r := range s.regs {
+		if r.Crashes(1) != 2 || r.Crashes(2) != 0 {
+			t.Fatalf("crashes %d and %d, want 2 and 0", r.Crashes(1), r.Crashes(2))
+		}
+	}
+	s.now += SuspectFor
+	first.Tick()
+	if first.Crashes(1) != 0 {
+		t.Fatal("suspicion did not expire")
+	}
+}
+
+// Guards against messages that grow with the deployment, and against a panic on malformed ones.
+func TestMessagesAreBounded(t *testing.T) {
+	s := newSim(1, 3, 2)
+	servers := make([]*backendServer, 500)
+	for i := range servers {
+		servers[i] = newBackend(i, "d0")
+	}
+	s.run(t, 6*time.Second, func() {
+		for _, b := range servers {
+			b.announce(s)
+		}
+	})
+	if s.largest > 16<<10 {
+		t.Fatalf("a message has %d bytes, want at most 16 KiB", s.largest)
+	}
+	for _, vm := range s.vms {
+		if got := len(s.regs[vm.ID].Servers("llm")); got != len(servers) {
+			t.Fatalf("%s knows %d servers, want %d", vm.ID, got, len(servers))
+		}
+	}
+}
+
+func FuzzReceive(f *testing.F) {
+	data, err := cbor.Marshal(message{From: "x", Renewals: []renewal{{Static: 1}}, Wants: []uint64{2}, Hop: hopRelay})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		r := New(Options{VM: "vm", Now: func() time.Duration { return time.Second }})
+		_ = r.Receive(data)
+	})
+}
+
+func BenchmarkUsable(b *testing.B) {
+	r := New(Options{VM: "vm", Now: func() time.Duration { return 0 }})
+	for i := range 2000 {
+		a := newBackend(i, "d0").a
+		a.Sequence = 1
+		r.Announce(a)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		list := r.Servers("llm")
+		if !list[len(list)/2].Usable(0) {
+			b.Fatal("not usable")
+		}
+	}
+}
+
+// BenchmarkGossipBytes reports the bytes that a VM sends in a second of virtual time.
+func BenchmarkGossipBytes(b *testing.B) {
+	for name, size := range map[string]struct{ domains, vms, servers int }{"today": {4, 2, 12}, "domain": {2, 27, 266}} {
+		b.Run(name, func(b *testing.B) {
+			s := newSim(1, size.domains, size.vms)
+			servers := make([]*backendServer, size.servers)
+			for i := range servers {
+				servers[i] = newBackend(i, s.vms[i*len(s.vms)/len(servers)].Domain)
+			}
+			announce := func() {
+				for _, server := range servers {
+					server.announce(s)
+				}
+			}
+			var t testing.T
+			s.run(&t, 3*time.Second, announce)
+			clear(s.bytes)
+			seconds := 0
+			for b.Loop() {
+				s.run(&t, time.Second, announce)
+				seconds++
+			}
+			total := 0
+			for _, n := range s.bytes {
+				total += n
+			}
+			b.ReportMetric(float64(total)/float64(len(s.vms)*seconds), "bytes/vm-s")
+		})
+	}
+}
--- a/internal/membership/registry.go
+++ b/internal/membership/registry.go
@@ -273,6 +273,8 @@
 			delete(r.servers, id)
 			delete(r.byKey, s.key)
 			delete(r.byKey, s.rec.Load().static)
+			delete(r.gossip.sentStatic, id)
+			delete(r.gossip.reported, id)
 		}
 	}
 }
