--- a/cmd/demo/call.go
+++ b/cmd/demo/call.go
@@ -36,7 +36,6 @@
 	code    string
 	body    []byte // of a whole answer that is not a stream
 	text    string // of a whole stream
-	done    bool   // the stream had its end mark
 }
 
 // ok reports whether the attempt brought a whole answer.
--- /dev/null
+++ b/cmd/overhead/main.go
@@ -0,0 +1,120 @@
+// Command overhead measures what one entry VM adds to requests to a model engine: latency and throughput
+// through the entry VM against the stand-in engine directly, whole and streamed, and the processor time of the
+// entry VM for each token. The engine stand-in generates tokens without delay, so that the difference is the
+// entry VM's.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"filbertledge/internal/harness"
+)
+
+// Goals of the design page.
+const (
+	goalP50         = 300 * time.Microsecond
+	goalP99         = time.Millisecond
+	goalTokenCPU    = 5 * time.Microsecond
+	engineCapacity  = 1024
+	startLimit      = 30 * time.Second
+	defaultDuration = 4 * time.Second
+)
+
+type options struct {
+	bin         string
+	duration    time.Duration // of each measurement
+	concurrency int           // of the closed loops
+	tokens      int           // of each answer
+	seed        uint64
+}
+
+func main() {
+	path, err := os.Executable()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "overhead:", err)
+		os.Exit(1)
+	}
+	var o options
+	flag.StringVar(&o.bin, "bin", filepath.Dir(path), "folder with the binaries filbertledge and standin")
+	flag.DurationVar(&o.duration, "duration", defaultDuration, "time of each measurement")
+	flag.IntVar(&o.concurrency, "concurrency", 32, "concurrent requests when the throughput is measured")
+	flag.IntVar(&o.tokens, "tokens", 100, "tokens of each answer")
+	flag.Uint64Var(&o.seed, "seed", 1, "seed of the arrivals")
+	flag.Parse()
+	if err := run(o); err != nil {
+		fmt.Fprintln(os.Stderr, "overhead:", err)
+		os.Exit(1)
+	}
+}
+
+// layout has three entry VMs, because the control group needs three failure domains, and one engine. Only the
+// first entry VM gets requests.
+func layout() harness.Layout {
+	const pool, model = "llm", "model"
+	return harness.Layout{
+		Name:    "overhead",
+		VMs:     []harness.VMSpec{{Name: "vm-1", Domain: "a", Replica: true}, {Name: "vm-2", Domain: "b", Replica: true}, {Name: "vm-3", Domain: "c", Replica: true}},
+		Engines: []harness.BackendSpec{{ID: "engine-1", Domain: "a", Pool: pool, Capacity: engineCapacity}},
+		Model:   model,
+		Rows:    []harness.RowSpec{{Name: row, Kind: "chat", Pool: pool, Model: model, Deadline: 30 * time.Second}},
+	}
+}
+
+const row = "chat"
+
+func run(o options) error {
+	ctx, cancel := context.WithTimeout(context.Background(), startLimit)
+	d, err := harness.Start(ctx, harness.Options{
+		Layout: layout(), Filbertledge: filepath.Join(o.bin, "filbertledge"), Standin: filepath.Join(o.bin, "standin"),
+		EngineArgs: []string{"--fast", "--no-log", "--cache-blocks=-1"},
+	})
+	cancel()
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	direct := newTarget("direct", d.Engines[0].Address, o)
+	through := newTarget("entry VM", d.VMs[0].HTTP, o)
+	if err := through.waitServing(startLimit); err != nil {
+		return fmt.Errorf("%w; the entry VM's log ends with %.2000s", err, d.VMs[0].Log())
+	}
+	return measure(o, d, direct, through)
+}
+
+// measure runs all measurements one after the other and prints the table and the goals.
+func measure(o options, d *harness.Deployment, direct, through *target) error {
+	var rows []result
+	var verdicts []verdict
+	for _, stream := range []bool{false, true} {
+		full := through.closedLoop(o, stream)
+		rate := full.rate / 2
+		alone := direct.openLoop(o, stream, rate)
+		before, err := cpuTime(d.VMs[0].PID())
+		if err != nil {
+			return err
+		}
+		behind := through.openLoop(o, stream, rate)
+		after, err := cpuTime(d.VMs[0].PID())
+		if err != nil {
+			return err
+		}
+		behind.cpu = after - before
+		rows = append(rows, direct.closedLoop(o, stream), full, alone, behind)
+		verdicts = append(verdicts, compare(alone, behind, stream)...)
+	}
+	failed := 0
+	printTable(rows)
+	for _, r := range rows {
+		failed += r.failed
+	}
+	printVerdicts(verdicts)
+	if failed > 0 {
+		return fmt.Errorf("%d requests failed, for example: %w", failed, through.firstError())
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/overhead/report.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/prometheus/procfs"
+)
+
+// cpuTime returns the user and system time of a process so far.
+func cpuTime(pid int) (time.Duration, error) {
+	p, err := procfs.NewProc(pid)
+	if err != nil {
+		return 0, fmt.Errorf("read the processor time of process %d: %w", pid, err)
+	}
+	stat, err := p.Stat()
+	if err != nil {
+		return 0, fmt.Errorf("read the processor time of process %d: %w", pid, err)
+	}
+	return time.Duration(stat.CPUTime() * float64(time.Second)), nil
+}
+
+// verdict is a goal and what was measured.
+type verdict struct {
+	what     string
+	measured time.Duration
+	goal     time.Duration
+}
+
+func (r *result) quantile(q float64) time.Duration {
+	return time.Duration(r.latency.ValueAtQuantile(q)) * time.Microsecond
+}
+
+func (r *result) firstQuantile(q float64) time.Duration {
+	return time.Duration(r.firstByte.ValueAtQuantile(q)) * time.Microsecond
+}
+
+// compare states what the entry VM adds. For streams, the added latency is that of the first token, because the
+// engine sends all tokens at once.
+func compare(alone, behind result, stream bool) []verdict {
+	if !stream {
+		return []verdict{
+			{"whole answers, p50 added at half load", behind.quantile(50) - alone.quantile(50), goalP50},
+			{"whole answers, p99 added at half load", behind.quantile(99) - alone.quantile(99), goalP99},
+		}
+	}
+	list := []verdict{
+		{"streams, p50 added to the first token at half load", behind.firstQuantile(50) - alone.firstQuantile(50), goalP50},
+		{"streams, p99 added to the first token at half load", behind.firstQuantile(99) - alone.firstQuantile(99), goalP99},
+	}
+	if behind.tokens > 0 {
+		list = append(list, verdict{"streams, processor time for each token", behind.cpu / time.Duration(behind.tokens), goalTokenCPU})
+	}
+	return list
+}
+
+func printTable(rows []result) {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "target\tload\tanswers/s\ttokens/s\tp50 ms\tp99 ms\tfirst token p50 ms\tp99 ms\tfailed\t")
+	for _, r := range rows {
+		perAnswer := 0.0
+		if r.answers > 0 {
+			perAnswer = float64(r.tokens) / float64(r.answers)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%.0f\t%.0f\t%s\t%s\t%s\t%s\t%d\t\n", r.target, r.kind, r.rate, r.rate*perAnswer,
+			ms(r.quantile(50)), ms(r.quantile(99)), ms(r.firstQuantile(50)), ms(r.firstQuantile(99)), r.failed)
+	}
+	_ = w.Flush()
+}
+
+func ms(d time.Duration) string { return fmt.Sprintf("%.3f", float64(d)/float64(time.Millisecond)) }
+
+func printVerdicts(list []verdict) {
+	for _, v := range list {
+		word := "pass"
+		if v.measured >= v.goal {
+			word = "MISS"
+		}
+		fmt.Printf("%s: %s: %v (goal < %v)\n", word, v.what, v.measured.Round(100*time.Nanosecond), v.goal)
+	}
+	fmt.Println(strings.TrimSpace(`The load generator, the engine and the entry VMs share this machine; throughput is that of one entry VM.`))
+}
