--- /dev/null
+++ b/cmd/load/main.go
@@ -0,0 +1,129 @@
+// Command load drives a deployment with the workload mix of Galambkert or Noelasilm for a bounded time: open
+// loop arrivals by seed, a tenth of the work thirty times longer than the rest, and trainer steps. It prints
+// latency by row, refused minutes, trainer idle time and staleness.
+//
+// Without -entry it starts the deployment itself.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"filbertledge/internal/harness"
+)
+
+type options struct {
+	bin       string
+	layout    string
+	entries   string
+	duration  time.Duration
+	chatRate  float64 // requests a second of each chat row
+	callRate  float64 // calls a second of each service row
+	groups    int     // of each trainer step
+	groupSize int
+	optimizer time.Duration // time between two steps of a trainer
+	weights   time.Duration // interval of new weights; zero for none
+	seed      uint64
+}
+
+func main() {
+	path, err := os.Executable()
+	if err != nil {
+		fatal(err)
+	}
+	var o options
+	flag.StringVar(&o.bin, "bin", filepath.Dir(path), "folder with the binaries filbertledge and standin")
+	flag.StringVar(&o.layout, "layout", "galambkert", "workload mix and layout: galambkert or noelasilm")
+	flag.StringVar(&o.entries, "entry", "", "IP:port of the entry VMs of a running deployment, separated by commas")
+	flag.DurationVar(&o.duration, "duration", 30*time.Second, "time for which work arrives")
+	flag.Float64Var(&o.chatRate, "chat-rate", 40, "chat requests a second of each row")
+	flag.Float64Var(&o.callRate, "call-rate", 20, "service calls a second of each row")
+	flag.IntVar(&o.groups, "groups", 8, "groups of each trainer step")
+	flag.IntVar(&o.groupSize, "group-size", 8, "samples of each group")
+	flag.DurationVar(&o.optimizer, "optimizer", time.Second, "time between two steps of a trainer")
+	flag.DurationVar(&o.weights, "weights", 10*time.Second, "interval of new weights; zero for none")
+	flag.Uint64Var(&o.seed, "seed", 1, "seed of the arrivals")
+	flag.Parse()
+	if err := run(o); err != nil {
+		fatal(err)
+	}
+}
+
+func fatal(err error) {
+	fmt.Fprintln(os.Stderr, "load:", err)
+	os.Exit(1)
+}
+
+func layoutOf(name string) (harness.Layout, error) {
+	switch name {
+	case "galambkert":
+		return harness.Galambkert(), nil
+	case "noelasilm":
+		return harness.Noelasilm(), nil
+	}
+	return harness.Layout{}, fmt.Errorf("the layout %q does not exist; use galambkert or noelasilm", name)
+}
+
+func run(o options) error {
+	layout, err := layoutOf(o.layout)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), o.duration+2*time.Minute)
+	defer cancel()
+	l := &load{opts: o, layout: layout, entries: strings.Split(o.entries, ",")}
+	if o.entries == "" {
+		d, err := harness.Start(ctx, harness.Options{
+			Layout: layout, Filbertledge: filepath.Join(o.bin, "filbertledge"), Standin: filepath.Join(o.bin, "standin"),
+		})
+		if err != nil {
+			return err
+		}
+		defer d.Close()
+		l.deployment = d
+		l.entries = nil
+		for _, vm := range d.VMs {
+			l.entries = append(l.entries, vm.HTTP)
+		}
+	}
+	l.drive(ctx)
+	l.print()
+	return nil
+}
+
+// load is one run.
+type load struct {
+	opts       options
+	layout     harness.Layout
+	deployment *harness.Deployment // nil if the deployment was not started here
+	entries    []string
+	customers  []*customers
+	trainers   []*trainerLoad
+}
+
+func (l *load) drive(ctx context.Context) {
+	arrivals, stop := context.WithTimeout(ctx, l.opts.duration)
+	defer stop()
+	var wg sync.WaitGroup
+	for i, row := range l.layout.Rows {
+		if row.Kind == "rollout" {
+			t := newTrainerLoad(l, row, uint64(i))
+			l.trainers = append(l.trainers, t)
+			wg.Go(func() { t.run(arrivals, ctx) })
+			continue
+		}
+		c := newCustomers(l, row, uint64(i))
+		l.customers = append(l.customers, c)
+		wg.Go(func() { c.run(arrivals, ctx) })
+	}
+	if l.deployment != nil && l.opts.weights > 0 && len(l.trainers) > 0 {
+		wg.Go(func() { l.publish(arrivals) })
+	}
+	wg.Wait()
+}
