--- a/cmd/demo/checks.go
+++ b/cmd/demo/checks.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"time"
@@ -34,6 +36,7 @@
 	byDigest map[string][]standin.RequestRecord
 	byKey    map[string][]standin.RequestRecord
 	byText   map[string][]standin.RequestRecord
+	out      io.Writer
 	totals   totals
 	broken   int
 }
@@ -44,8 +47,12 @@
 	if err != nil {
 		return false, err
 	}
+	return newChecker(d, seen, os.Stdout).check(), nil
+}
+
+func newChecker(d *demo, seen standin.LogContent, out io.Writer) *checker {
 	c := &checker{
-		demo: d, seen: seen, byDigest: map[string][]standin.RequestRecord{},
+		demo: d, seen: seen, out: out, byDigest: map[string][]standin.RequestRecord{},
 		byKey: map[string][]standin.RequestRecord{}, byText: map[string][]standin.RequestRecord{},
 	}
 	for _, r := range seen.Requests {
@@ -55,32 +62,31 @@
 			c.byKey[r.IdempotencyKey] = append(c.byKey[r.IdempotencyKey], r)
 		}
 	}
-	c.count()
-	c.labels()
-	c.staleness()
-	c.exactlyOnce()
-	c.wholeAnswers()
-	c.notRun()
-	c.atMostOnce()
-	c.leaving()
-	c.shutdown()
-	c.editsInForce()
+	return c
+}
+
+func (c *checker) check() bool {
+	for _, step := range []func(){
+		c.count, c.labels, c.staleness, c.exactlyOnce, c.wholeAnswers, c.notRun, c.atMostOnce, c.leaving, c.shutdown, c.editsInForce,
+	} {
+		step()
+	}
 	t := c.totals
-	fmt.Printf("demo: requests=%d answered=%d refused=%d duplicated=%d lost=%d samples=%d mislabelled=%d stale=%d edits=%d reverted=%d\n",
+	fmt.Fprintf(c.out, "demo: requests=%d answered=%d refused=%d duplicated=%d lost=%d samples=%d mislabelled=%d stale=%d edits=%d reverted=%d\n",
 		t.requests, t.answered, t.refused, t.duplicated, t.lost, t.samples, t.mislabeled, t.stale, t.edits, t.reverted)
-	return c.broken == 0, nil
+	return c.broken == 0
 }
 
 // line prints the verdict on one promise.
 func (c *checker) line(promise, what string, violations []string) {
 	if len(violations) == 0 {
-		fmt.Printf("%s kept: %s\n", promise, what)
+		fmt.Fprintf(c.out, "%s kept: %s\n", promise, what)
 		return
 	}
 	c.broken++
-	fmt.Printf("%s BROKEN: %s; %d violations\n", promise, what, len(violations))
+	fmt.Fprintf(c.out, "%s BROKEN: %s; %d violations\n", promise, what, len(violations))
 	for _, v := range violations[:min(len(violations), maxShown)] {
-		fmt.Printf("    %s\n", v)
+		fmt.Fprintf(c.out, "    %s\n", v)
 	}
 }
 
@@ -108,7 +114,7 @@
 		}
 	}
 	for code, n := range codes {
-		fmt.Printf("refused: %s: %d\n", code, n)
+		fmt.Fprintf(c.out, "refused: %s: %d\n", code, n)
 	}
 }
 
@@ -366,10 +372,8 @@
 			}
 		}
 	}
-	if c.demo.drainedVM.Running() {
-		bad = append(bad, "the drained entry VM has not ended")
-	} else if code := c.demo.drainedVM.ExitCode(); code != 0 {
-		bad = append(bad, fmt.Sprintf("the drained entry VM ended with exit code %d", code))
+	if c.demo.drainErr != nil {
+		bad = append(bad, c.demo.drainErr.Error())
 	}
 	c.line("P8", fmt.Sprintf("the shutdown of %s cut off none of %d requests", c.demo.drainedVM.Name, n), bad)
 }
--- /dev/null
+++ b/cmd/demo/checks_test.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"filbertledge/internal/api"
+	"filbertledge/internal/harness"
+	"filbertledge/internal/standin"
+	"filbertledge/internal/standin/service"
+	"filbertledge/internal/standin/trainer"
+	"filbertledge/internal/table"
+)
+
+var origin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(seconds float64) time.Time { return origin.Add(time.Duration(seconds * float64(time.Second))) }
+
+// scene is a run in which all promises were kept.
+type scene struct {
+	demo *demo
+	seen standin.LogContent
+}
+
+func newScene() *scene {
+	text := strings.Repeat("w1 ", 3)
+	labels := []api.PieceLabel{{Version: 1, Cached: true}, {Version: 1, Tokens: 2}, {Version: 2, Tokens: 1}}
+	drained, other := &harness.VM{}, &harness.VM{}
+	ok := func(vm *harness.VM, sent float64, body []byte) attempt {
+		return attempt{vm: vm, sent: at(sent), ended: at(sent + 0.5), status: http.StatusOK, outcome: api.OutcomeRan, body: body}
+	}
+	answer := mustJSON(service.Reply{IdempotencyKey: "k", Digest: "db", Run: 1})
+	d := &demo{drainedVM: drained, drainedAt: at(10), leaving: &harness.Backend{BackendSpec: harness.BackendSpec{ID: "e2"}}, leftAt: at(10)}
+	d.book.requests = []*request{
+		{kind: "chat", id: "c", digest: "dc", want: text, attempts: []attempt{ok(drained, 11, []byte(`{"choices":[{"message":{"content":"`+text+`"}}]}`))}},
+		{kind: "booking", id: "k", digest: "db", attempts: []attempt{ok(other, 1, answer), ok(drained, 2, answer)}},
+		{kind: "chat", id: "n", digest: "dn", attempts: []attempt{{vm: other, sent: at(1), ended: at(2), status: 429, outcome: api.OutcomeNotRun}}},
+	}
+	report := trainer.Report{}
+	s := &scene{demo: d}
+	for i := range trainerSteps * stepGroups * groupSize {
+		sample := trainer.Sample{ID: trainer.SampleID{Member: i}, Text: fmt.Sprintf("%s%d ", text, i), Labels: labels}
+		report.Samples = append(report.Samples, sample)
+		s.seen.Requests = append(s.seen.Requests, standin.RequestRecord{
+			Server: "e1", State: standin.RunCompleted, Pieces: labels, TextDigest: standin.TextDigest(sample.Text), Start: at(1),
+		})
+	}
+	d.trainers = []*trainerRun{{row: "r", reports: []trainer.Report{report}}}
+	s.seen.Requests = append(
+		s.seen.Requests,
+		standin.RequestRecord{Server: "s1", IdempotencyKey: "k", Digest: "db", Start: at(1.1)},
+		standin.RequestRecord{Server: "e2", Digest: "dc", Start: at(12.9)},
+		standin.RequestRecord{Server: "e1", Digest: "dn", Start: at(2.5)},
+	)
+	d.edits.accepted = []edit{{row: "r", version: 2}}
+	return s
+}
+
+// Guards against checks that pass whatever happened: each change to a clean run must break exactly its promise.
+func TestChecksFindViolations(t *testing.T) {
+	cases := []struct {
+		promise string
+		change  func(s *scene)
+		total   string
+	}{
+		{"", func(*scene) {}, "requests=3 answered=2 refused=1 duplicated=0 lost=0 samples=64 mislabelled=0 stale=0 edits=1 reverted=0"},
+		{"P1", func(s *scene) { s.seen.Requests[5].Pieces = []api.PieceLabel{{Version: 2, Tokens: 3}} }, "mislabelled=1"},
+		{"P1", func(s *scene) { s.seen.Requests[5].State = standin.RunCancelled }, "mislabelled=1"},
+		{"P2", func(s *scene) { s.demo.trainers[0].reports[0].Stale = make([]trainer.SampleID, 1) }, "stale=1"},
+		{"P3", func(s *scene) { s.demo.trainers[0].reports[0].Duplicated = make([]trainer.SampleID, 1) }, "duplicated=1"},
+		{"P3", func(s *scene) {
+			r := &s.demo.trainers[0].reports[0]
+			r.Samples = r.Samples[1:]
+		}, "lost=1"},
+		{"P4", func(s *scene) { s.demo.book.requests[0].want += "w2 " }, "lost=1"},
+		{"P4", func(s *scene) {
+			s.demo.book.requests[0].attempts[0] = attempt{vm: &harness.VM{}, err: errNoEndMark}
+		}, "lost=1"},
+		{"P5", func(s *scene) { s.seen.Requests[66].Start = at(1.5) }, "requests=3"},
+		{"P6", func(s *scene) { s.seen.Requests[66] = s.seen.Requests[64] }, "duplicated=1"},
+		{"P6", func(s *scene) {
+			s.demo.book.requests[1].attempts[1].body = mustJSON(service.Reply{IdempotencyKey: "k", Digest: "db", Run: 2})
+		}, "requests=3"},
+		{"P6", func(s *scene) { s.seen.Requests[64].IdempotencyKey = "other" }, "requests=3"},
+		{"P7", func(s *scene) { s.seen.Requests[65].Start = at(13.1) }, "requests=3"},
+		{"P8", func(s *scene) {
+			r := s.demo.book.requests[1]
+			r.attempts = append(r.attempts, attempt{vm: s.demo.drainedVM, ended: at(12), err: errors.New("connection reset")})
+		}, "requests=3"},
+		{"P8", func(s *scene) { s.demo.drainErr = errors.New("exit code 1") }, "requests=3"},
+		{"P9", func(s *scene) { s.demo.edits.reverted = []string{"x"} }, "reverted=1"},
+		{"P9", func(s *scene) { s.demo.edits.late = []string{"x"} }, "reverted=0"},
+	}
+	for i, c := range cases {
+		s := newScene()
+		c.change(s)
+		var out strings.Builder
+		kept := newChecker(s.demo, s.seen, &out).check()
+		if kept != (c.promise == "") {
+			t.Errorf("case %d: kept %v, want %q broken:\n%s", i, kept, c.promise, out.String())
+		}
+		if n := strings.Count(out.String(), " BROKEN: "); c.promise != "" && (n != 1 || !strings.Contains(out.String(), c.promise+" BROKEN: ")) {
+			t.Errorf("case %d: %d promises broken, want only %s:\n%s", i, n, c.promise, out.String())
+		}
+		if last := out.String()[strings.LastIndex(out.String(), "demo: "):]; !strings.Contains(last, c.total) {
+			t.Errorf("case %d: last line %q, want %q", i, last, c.total)
+		}
+	}
+}
+
+// Guards against an edit that goes back at one entry VM, and against one that never arrives.
+func TestEditsObserved(t *testing.T) {
+	a, b := &harness.VM{}, &harness.VM{}
+	a.Name, b.Name = "a", "b"
+	e := edits{deployment: &harness.Deployment{VMs: []*harness.VM{a, b}}, newest: map[*harness.VM]map[api.RowName]uint64{a: {}, b: {}}}
+	e.accepted = []edit{{row: "r", version: 2, at: time.Now(), seen: map[*harness.VM]bool{}}}
+	view := func(version uint64) tableView {
+		var v tableView
+		v.Rows = append(v.Rows, rowAt(version))
+		return v
+	}
+	e.observe(a, view(2))
+	e.observe(b, view(1))
+	if missing, waiting := e.missing(); len(missing) != 1 || !waiting || !strings.HasPrefix(missing[0], "b ") {
+		t.Errorf("missing %q, waiting %v", missing, waiting)
+	}
+	e.observe(a, view(1))
+	if len(e.reverted) != 1 {
+		t.Errorf("reverted %q, want one entry", e.reverted)
+	}
+	e.accepted[0].at = time.Now().Add(-2 * editBound)
+	if missing, waiting := e.missing(); len(missing) != 1 || waiting {
+		t.Errorf("missing %q, waiting %v after the bound", missing, waiting)
+	}
+}
+
+func rowAt(version uint64) table.Row { return table.Row{Name: "r", Version: version} }
--- a/cmd/demo/demo.go
+++ b/cmd/demo/demo.go
@@ -27,6 +27,7 @@
 	killedVM  *harness.VM
 	drainedVM *harness.VM
 	drainedAt time.Time
+	drainErr  error // the drained entry VM did not end, or not with exit code 0
 	leaving   *harness.Backend
 	leftAt    time.Time
 }
@@ -100,6 +101,7 @@
 	stopLoad()
 	callers.Wait()
 	if err == nil {
+		d.awaitDrained(ctx)
 		err = d.edits.settle(ctx)
 	}
 	stopWatch()
@@ -160,14 +162,25 @@
 	return nil
 }
 
-// drainVM asks an entry VM to shut down and notes when it has ended.
-func (d *demo) drainVM(ctx context.Context) error {
+// drainVM asks an entry VM to shut down.
+func (d *demo) drainVM(context.Context) error {
 	d.drainedVM, d.drainedAt = d.vm("bekes-a-2"), time.Now()
 	d.edits.exclude(d.drainedVM)
-	if err := d.drainedVM.Drain(); err != nil {
-		return err
+	return d.drainedVM.Drain()
+}
+
+// drainLimit bounds the wait for the end of the drained entry VM after the load has ended.
+const drainLimit = 15 * time.Second
+
+func (d *demo) awaitDrained(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, drainLimit)
+	defer cancel()
+	if d.drainErr = d.drainedVM.Wait(ctx); d.drainErr != nil {
+		return
+	}
+	if code := d.drainedVM.ExitCode(); code != 0 {
+		d.drainErr = fmt.Errorf("%s ended with exit code %d", d.drainedVM.Name, code)
 	}
-	return nil
 }
 
 func (d *demo) leave(ctx context.Context) error {
