--- a/cmd/overhead/main.go
+++ b/cmd/overhead/main.go
@@ -90,20 +90,18 @@
 func measure(o options, d *harness.Deployment, direct, through *target) error {
 	var rows []result
 	var verdicts []verdict
+	pid := d.VMs[0].PID()
 	for _, stream := range []bool{false, true} {
-		full := through.closedLoop(o, stream)
-		rate := full.rate / 2
-		alone := direct.openLoop(o, stream, rate)
-		before, err := cpuTime(d.VMs[0].PID())
+		full, err := withCPU(pid, func() result { return through.closedLoop(o, stream) })
 		if err != nil {
 			return err
 		}
-		behind := through.openLoop(o, stream, rate)
-		after, err := cpuTime(d.VMs[0].PID())
+		rate := full.rate / 2
+		alone := direct.openLoop(o, stream, rate)
+		behind, err := withCPU(pid, func() result { return through.openLoop(o, stream, rate) })
 		if err != nil {
 			return err
 		}
-		behind.cpu = after - before
 		rows = append(rows, direct.closedLoop(o, stream), full, alone, behind)
 		verdicts = append(verdicts, compare(alone, behind, stream)...)
 	}
--- a/cmd/overhead/report.go
+++ b/cmd/overhead/report.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -23,6 +22,26 @@
 	return time.Duration(stat.CPUTime() * float64(time.Second)), nil
 }
 
+// withCPU runs a measurement and notes the processor time that a process used meanwhile.
+func withCPU(pid int, measure func() result) (result, error) {
+	before, err := cpuTime(pid)
+	if err != nil {
+		return result{}, err
+	}
+	r := measure()
+	after, err := cpuTime(pid)
+	r.cpu = after - before
+	return r, err
+}
+
+// perCore returns the answers a second of one core of the entry VM.
+func (r *result) perCore() string {
+	if r.cpu == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.0f", float64(r.answers)/r.cpu.Seconds())
+}
+
 // verdict is a goal and what was measured.
 type verdict struct {
 	what     string
@@ -59,13 +78,13 @@
 
 func printTable(rows []result) {
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "target\tload\tanswers/s\ttokens/s\tp50 ms\tp99 ms\tfirst token p50 ms\tp99 ms\tfailed\t")
+	fmt.Fprintln(w, "target\tload\tanswers/s\tper VM core\ttokens/s\tp50 ms\tp99 ms\tfirst token p50 ms\tp99 ms\tfailed\t")
 	for _, r := range rows {
 		perAnswer := 0.0
 		if r.answers > 0 {
 			perAnswer = float64(r.tokens) / float64(r.answers)
 		}
-		fmt.Fprintf(w, "%s\t%s\t%.0f\t%.0f\t%s\t%s\t%s\t%s\t%d\t\n", r.target, r.kind, r.rate, r.rate*perAnswer,
+		fmt.Fprintf(w, "%s\t%s\t%.0f\t%s\t%.0f\t%s\t%s\t%s\t%s\t%d\t\n", r.target, r.kind, r.rate, r.perCore(), r.rate*perAnswer,
 			ms(r.quantile(50)), ms(r.quantile(99)), ms(r.firstQuantile(50)), ms(r.firstQuantile(99)), r.failed)
 	}
 	_ = w.Flush()
@@ -81,5 +100,5 @@
 		}
 		fmt.Printf("%s: %s: %v (goal < %v)\n", word, v.what, v.measured.Round(100*time.Nanosecond), v.goal)
 	}
-	fmt.Println(strings.TrimSpace(`The load generator, the engine and the entry VMs share this machine; throughput is that of one entry VM.`))
+	fmt.Println("The load generator, the engine and the entry VMs share this machine; throughput is that of one entry VM.")
 }
