Wire one VM: replica, control client, request path, trainer, operator API

Cause: the parts existed side by side; no process served anything. Ruled out: ending background work with the signal's context; the table lease and finished samples are needed until the last request has ended.

--- a/cmd/filbertledge/main.go
+++ b/cmd/filbertledge/main.go
@@ -6,11 +6,12 @@
 	"os"
 
 	"filbertledge/internal/cli"
+	"filbertledge/internal/server"
 )
 
 // version is set by the linker for releases.
 var version string
 
 func main() {
-	os.Exit(cli.Main(cli.Options{Version: version}))
+	os.Exit(cli.Main(cli.Options{Version: version, Serve: server.Serve}))
 }
--- a/internal/weights/controller.go
+++ b/internal/weights/controller.go
@@ -1,6 +1,7 @@
 package weights
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -59,6 +60,9 @@
 	Servers func() []Server
 	// Targets returns the target of each model.
 	Targets func() map[string]Target
+	// MaxLoads returns how many engines may load at once; zero selects the planner's default. It is asked at the
+	// start of each term. It may be nil.
+	MaxLoads func(ctx context.Context) int
 	// LeaseDuration is the longest time for which an earlier leader can still believe that it holds the lease.
 	LeaseDuration time.Duration
 	Events        *events.Recorder
@@ -96,13 +100,25 @@
 	// Engines that ignore fencing tokens could still receive orders that an earlier leader sent before its
 	// lease ended.
 	quiet := c.opts.LeaseDuration + c.opts.Planner.OrderTimeout
-	planner := NewPlanner(c.opts.Planner)
+	planner := NewPlanner(c.plannerOptions(ctx))
 	for sleep(ctx, planInterval) && c.opts.Leadership.HoldsLease() {
 		servers := c.readBack(ctx, c.eligible(time.Since(start) >= quiet))
 		c.send(ctx, token, planner, planner.Plan(time.Since(start), servers, c.opts.Targets()))
 	}
 }
 
+func (c *Controller) plannerOptions(ctx context.Context) Options {
+	opts := c.opts.Planner
+	if c.opts.MaxLoads == nil {
+		return opts
+	}
+	ctx, cancel := context.WithTimeout(ctx, opts.OrderTimeout)
+	defer cancel()
+	opts.MaxLoads = cmp.Or(c.opts.MaxLoads(ctx), opts.MaxLoads)
+	return opts
+}
+
+// eligible returns the servers that may get orders. Without all, those that ignore fencing tokens are left out.
 func (c *Controller) eligible(all bool) []Server {
 	var out []Server
 	for _, s := range c.opts.Servers() {
