--- a/cmd/demo/checks_test.go
+++ b/cmd/demo/checks_test.go
@@ -13,7 +13,6 @@
 	"filbertledge/internal/standin"
 	"filbertledge/internal/standin/service"
 	"filbertledge/internal/standin/trainer"
-	"filbertledge/internal/table"
 )
 
 var origin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -138,4 +137,4 @@
 	}
 }
 
-func rowAt(version uint64) table.Row { return table.Row{Name: "r", Version: version} }
+func rowAt(version uint64) tableRow { return tableRow{Name: "r", Version: version} }
--- a/cmd/demo/edits.go
+++ b/cmd/demo/edits.go
@@ -4,12 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"sync"
 	"time"
 
 	"filbertledge/internal/api"
 	"filbertledge/internal/harness"
-	"filbertledge/internal/table"
 )
 
 const (
@@ -40,32 +40,60 @@
 	slowest  time.Duration
 }
 
-// tableView is the part of the answer of filbertledge table get that the demo reads.
+// tableRow is the part of a row in the JSON output of filbertledge table get that the demo reads.
+type tableRow struct {
+	Name    api.RowName `json:"name"`
+	Version uint64      `json:"version,string"`
+}
+
 type tableView struct {
-	Version uint64      `json:"version"`
-	Rows    []table.Row `json:"rows"`
+	Rows []tableRow `json:"rows"`
 }
 
-// set changes one column of a row through the first entry VM.
+// setResult is the part of the JSON output of filbertledge table set that the demo reads.
+type setResult struct {
+	EditID   string `json:"edit_id"`
+	Accepted bool   `json:"accepted"`
+	Version  uint64 `json:"version"`
+}
+
+// set changes one column of a row through the first entry VM, and sends the edit again through another one, as
+// an operator whose answer was lost would. The resend must return the first result.
 func (e *edits) set(ctx context.Context, row, column, value string) error {
-	vm := e.deployment.VMs[0]
-	if _, err := e.deployment.Operate(ctx, vm, "table", "set", row, column+"="+value); err != nil {
+	first, err := e.send(ctx, e.deployment.VMs[0], row, column+"="+value)
+	if err != nil {
 		return err
 	}
+	if !first.Accepted {
+		return fmt.Errorf("the edit of row %s was not accepted", row)
+	}
 	at := time.Now()
-	view, err := e.get(ctx, vm)
+	e.mu.Lock()
+	e.accepted = append(e.accepted, edit{row: api.RowName(row), version: first.Version, at: at, seen: map[*harness.VM]bool{}})
+	e.mu.Unlock()
+	expect := strconv.FormatUint(first.Version-1, 10)
+	again, err := e.send(ctx, e.deployment.VMs[1], row, column+"="+value, "--edit-id", first.EditID, "--expect-version", expect)
 	if err != nil {
 		return err
 	}
-	for _, r := range view.Rows {
-		if string(r.Name) == row {
-			e.mu.Lock()
-			e.accepted = append(e.accepted, edit{row: r.Name, version: r.Version, at: at, seen: map[*harness.VM]bool{}})
-			e.mu.Unlock()
-			return nil
-		}
+	if again.Version != first.Version {
+		e.mu.Lock()
+		e.reverted = append(e.reverted, fmt.Sprintf("the resend of edit %s returned version %d, not %d", first.EditID, again.Version, first.Version))
+		e.mu.Unlock()
+	}
+	return nil
+}
+
+func (e *edits) send(ctx context.Context, vm *harness.VM, args ...string) (setResult, error) {
+	var result setResult
+	out, err := e.deployment.Operate(ctx, vm, append([]string{"table", "set", "--output", "json"}, args...)...)
+	if err != nil {
+		return result, err
+	}
+	if err := json.Unmarshal([]byte(out), &result); err != nil {
+		return result, fmt.Errorf("decode the result of table set: %w", err)
 	}
-	return fmt.Errorf("row %s is not in the table of %s", row, vm.Name)
+	return result, nil
 }
 
 func (e *edits) get(ctx context.Context, vm *harness.VM) (tableView, error) {
