--- a/internal/cli/script_test.go
+++ b/internal/cli/script_test.go
@@ -15,5 +15,12 @@
 
 // Runs the scripts in testdata/script against the command line as a process.
 func TestScripts(t *testing.T) {
-	testscript.Run(t, testscript.Params{Dir: "testdata/script"})
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/script",
+		Setup: func(env *testscript.Env) error {
+			// The race detector sleeps 1 s at the end of each process by default.
+			env.Setenv("GORACE", "atexit_sleep_ms=10")
+			return nil
+		},
+	})
 }
