--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -4,6 +4,9 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"reflect"
+	"regexp"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -166,3 +169,27 @@
 		t.Fatalf("warnings %v, %v", c.Warnings(), err)
 	}
 }
+
+// Guards against a key that docs/SETTINGS.md does not describe, or one that it describes and that does not exist.
+func TestEveryKeyIsDocumented(t *testing.T) {
+	text, err := os.ReadFile(filepath.Join("..", "..", "docs", "SETTINGS.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	sections := map[string]string{}
+	for _, part := range strings.Split(string(text), "\n## ")[1:] {
+		title, body, _ := strings.Cut(part, "\n")
+		sections[strings.Trim(title, "[]")] = body
+	}
+	row := regexp.MustCompile("(?m)^\\| `([a-z0-9_]+)` \\|")
+	for _, section := range []string{"vm", "listen", "tls", "control.replicas", "pools", "weights", "limits", "log"} {
+		var documented []string
+		for _, match := range row.FindAllStringSubmatch(sections[section], -1) {
+			documented = append(documented, match[1])
+		}
+		known := knownKeys(reflect.TypeFor[document](), strings.Split(section, "."))
+		if !slices.Equal(documented, known) {
+			t.Errorf("[%s] documents %v, the keys are %v", section, documented, known)
+		}
+	}
+}
