Measure what control costs a VM and how it grows

Cause: docs/CAPACITY.md has to work from measured slopes. Change: internal/capacity and cmd/capacity start real deployments, announce servers that exist only as announcements, and fit processor time, memory and UDP bytes of each role against VMs, servers, failure domains, rows and edits; they also time edits until every VM holds them and the recovery from a lost or frozen leader.

--- /dev/null
+++ b/cmd/capacity/main.go
@@ -0,0 +1,177 @@
+// Command capacity measures what control costs a VM and how the cost grows with the number of VMs, backend
+// servers, rows and edits, and fills the tables of docs/CAPACITY.md.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"filbertledge/internal/capacity"
+	"filbertledge/internal/harness"
+)
+
+const (
+	reachEdits = 200
+	editVMs    = 9
+	// runLimit bounds the whole run.
+	runLimit = 25 * time.Minute
+)
+
+type sweepPlan struct {
+	name, size string
+	sizes      []float64
+	point      func(size float64) capacity.Point
+}
+
+// plans hold the sizes that one machine carries. The last point of "own failure domain" and of "other failure
+// domains" has the two-year size of one failure domain: 27 VMs, and 2,000 servers over 15 failure domains.
+func plans() []sweepPlan {
+	return []sweepPlan{
+		{"VMs in one failure domain, 133 servers there", "VMs", []float64{2, 4, 8, 16, 27}, func(n float64) capacity.Point {
+			return capacity.Point{Domains: 3, VMs: int(n), Servers: 133, Rows: 1}
+		}},
+		{"Servers in the own failure domain, 8 VMs", "servers", []float64{0, 33, 67, 133}, func(n float64) capacity.Point {
+			return capacity.Point{Domains: 3, VMs: 8, Servers: int(n), Rows: 1}
+		}},
+		{"Failure domains of one VM and 133 servers each, 4 VMs in the own", "failure domains", []float64{3, 7, 15}, func(n float64) capacity.Point {
+			return capacity.Point{Domains: int(n), VMs: 4, Servers: 133, OtherServers: 133, Rows: 1}
+		}},
+		{"Rows, 4 VMs in one failure domain", "rows", []float64{1, 100, 500}, func(n float64) capacity.Point {
+			return capacity.Point{Domains: 3, VMs: 4, Rows: int(n)}
+		}},
+		{"Edits a second, 4 VMs in one failure domain", "edits/s", []float64{0, 2, 8}, func(n float64) capacity.Point {
+			return capacity.Point{Domains: 3, VMs: 4, Rows: 1, EditsPerS: n}
+		}},
+	}
+}
+
+func main() {
+	path, err := os.Executable()
+	if err != nil {
+		fail(err)
+	}
+	bin := flag.String("bin", filepath.Dir(path), "folder with the binaries filbertledge and standin")
+	duration := flag.Duration("duration", 8*time.Second, "time of each measurement")
+	warmup := flag.Duration("warmup", 4*time.Second, "time before each measurement")
+	figures := flag.String("figures", "docs/capacity.json", "file for the figures; empty writes none")
+	page := flag.String("page", "docs/CAPACITY.md", "page whose tables are filled; empty fills none")
+	only := flag.Int("only", 0, "number of the only sweep to run; 0 runs all and the edits")
+	flag.Parse()
+	o := capacity.Binaries(*bin)
+	o.Duration, o.Warmup = *duration, *warmup
+	if err := o.CheckBinaries(); err != nil {
+		fail(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), runLimit)
+	defer cancel()
+	result, err := run(ctx, o, *only)
+	if err != nil {
+		fail(err)
+	}
+	fmt.Println(result.Markdown())
+	if *figures != "" && *only == 0 {
+		if err := result.Write(*figures); err != nil {
+			fail(err)
+		}
+	}
+	if *page != "" && *only == 0 {
+		if err := capacity.FillPage(*page, result.Markdown()); err != nil {
+			fail(err)
+		}
+	}
+}
+
+func fail(err error) {
+	fmt.Fprintln(os.Stderr, "capacity:", err)
+	os.Exit(1)
+}
+
+func run(ctx context.Context, o capacity.Options, only int) (*capacity.Figures, error) {
+	f := &capacity.Figures{Date: time.Now().UTC().Format(time.DateOnly), Seconds: o.Duration.Seconds()}
+	for i, plan := range plans() {
+		if only != 0 && only != i+1 {
+			continue
+		}
+		s, err := sweep(ctx, o, plan)
+		if err != nil {
+			return nil, err
+		}
+		f.Sweeps = append(f.Sweeps, s)
+	}
+	if only != 0 {
+		return f, nil
+	}
+	var err error
+	f.Edits, err = edits(ctx, o)
+	return f, err
+}
+
+func sweep(ctx context.Context, o capacity.Options, plan sweepPlan) (capacity.Sweep, error) {
+	s := capacity.Sweep{Name: plan.name, Size: plan.size}
+	for _, size := range plan.sizes {
+		costs, err := measure(ctx, o, plan.point(size))
+		if err != nil {
+			return s, fmt.Errorf("%s, %g: %w", plan.name, size, err)
+		}
+		fmt.Fprintf(os.Stderr, "%s: %g done\n", plan.name, size)
+		s.Points = append(s.Points, capacity.Measured{Size: size, Costs: costs})
+	}
+	s.Fit()
+	return s, nil
+}
+
+func measure(ctx context.Context, o capacity.Options, p capacity.Point) (map[capacity.Role]capacity.Cost, error) {
+	d, err := capacity.Start(ctx, o, p)
+	if err != nil {
+		return nil, err
+	}
+	costs, err := d.Measure(ctx, o)
+	if closeErr := d.Close(); err == nil {
+		err = closeErr
+	}
+	return costs, err
+}
+
+func edits(ctx context.Context, o capacity.Options) (capacity.Edits, error) {
+	d, err := capacity.Start(ctx, o, capacity.Point{Domains: 3, VMs: editVMs - 2, Rows: 1})
+	if err != nil {
+		return capacity.Edits{}, err
+	}
+	defer d.Close()
+	reach, err := d.MeasureReach(ctx, reachEdits)
+	if err != nil {
+		return capacity.Edits{}, err
+	}
+	e := capacity.Edits{VMs: editVMs, Count: reachEdits}
+	var accepted, everywhere []float64
+	for _, r := range reach {
+		accepted = append(accepted, capacity.Milliseconds(r.Accepted))
+		everywhere = append(everywhere, capacity.Milliseconds(r.Everywhere))
+	}
+	e.AcceptedP50, e.AcceptedP99 = capacity.Percentile(accepted, 0.5), capacity.Percentile(accepted, 0.99)
+	e.EverywhereP50, e.EverywhereP99 = capacity.Percentile(everywhere, 0.5), capacity.Percentile(everywhere, 0.99)
+	return e, recoveries(ctx, d, &e)
+}
+
+// recoveries freezes the leader, wakes it again, and kills the next one.
+func recoveries(ctx context.Context, d *capacity.Deployment, e *capacity.Edits) error {
+	var frozen *harness.VM
+	took, err := d.Recovery(ctx, func(vm *harness.VM) error { frozen = vm; return vm.Stop() })
+	if err != nil {
+		return err
+	}
+	e.AfterFreeze = capacity.Milliseconds(took)
+	if err := frozen.Resume(); err != nil {
+		return err
+	}
+	if err := d.WaitReady(ctx, frozen); err != nil {
+		return err
+	}
+	took, err = d.Recovery(ctx, (*harness.VM).Kill)
+	e.AfterKill = capacity.Milliseconds(took)
+	return err
+}
--- /dev/null
+++ b/internal/capacity/edits.go
@@ -0,0 +1,154 @@
+package capacity
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+
+	"filbertledge/internal/api"
+	"filbertledge/internal/harness"
+	"filbertledge/internal/operator"
+	"filbertledge/internal/table"
+)
+
+const (
+	editedRow api.RowName = "chat"
+	// retryPause is short against the time that a new leader takes.
+	retryPause   = 20 * time.Millisecond
+	reachTimeout = 10 * time.Second
+)
+
+// Reach is the time of one edit.
+type Reach struct {
+	Accepted   time.Duration // from sending the edit to its acceptance
+	Everywhere time.Duration // from sending the edit until every VM applied it
+}
+
+// EditOnce changes the priority of a row and returns the table version of the edit.
+func (d *Deployment) EditOnce(ctx context.Context) (uint64, error) {
+	view, err := d.operator.Table(ctx)
+	if err != nil {
+		return 0, err
+	}
+	row, ok := view.Row(editedRow)
+	if !ok {
+		return 0, fmt.Errorf("row %q does not exist", editedRow)
+	}
+	return d.apply(ctx, row)
+}
+
+func (d *Deployment) apply(ctx context.Context, row table.Row) (uint64, error) {
+	id, err := uuid.NewV7()
+	if err != nil {
+		return 0, err
+	}
+	row.Priority = row.Priority%10 + 1
+	for {
+		result, err := d.operator.Edit(ctx, operator.EditRequest{EditID: id, ExpectedVersion: row.Version, Row: row})
+		if err == nil {
+			return result.TableVersion, nil
+		}
+		if result.Row != nil {
+			// The VM that answered held an older table; the edit id was not used.
+			row.Version = result.Row.Version
+		}
+		if err := sleep(ctx, retryPause); err != nil {
+			return 0, err
+		}
+	}
+}
+
+// MeasureReach makes n edits and measures each until every VM holds it.
+func (d *Deployment) MeasureReach(ctx context.Context, n int) ([]Reach, error) {
+	out := make([]Reach, 0, n)
+	for range n {
+		start := time.Now()
+		version, err := d.EditOnce(ctx)
+		if err != nil {
+			return nil, err
+		}
+		accepted := time.Since(start)
+		if err := d.awaitVersion(ctx, version); err != nil {
+			return nil, err
+		}
+		out = append(out, Reach{Accepted: accepted, Everywhere: time.Since(start)})
+	}
+	return out, nil
+}
+
+// awaitVersion asks the VMs themselves rather than the leader, whose knowledge lags.
+func (d *Deployment) awaitVersion(ctx context.Context, version uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
+	defer cancel()
+	for _, vm := range d.VMs {
+		for {
+			s, err := d.operator.StatusOf(ctx, vm.Internal)
+			if err == nil && s.TableVersion >= version {
+				break
+			}
+			if err := sleep(ctx, time.Millisecond); err != nil {
+				return fmt.Errorf("%s has no table of version %d after %v", vm.Name, version, reachTimeout)
+			}
+		}
+	}
+	return nil
+}
+
+// Leader returns the VM whose replica leads.
+func (d *Deployment) Leader(ctx context.Context) (*harness.VM, error) {
+	for {
+		for _, vm := range d.VMs {
+			if !vm.Replica {
+				continue
+			}
+			if s, err := d.operator.StatusOf(ctx, vm.Internal); err == nil && roleOf(s) == RoleLeader {
+				return vm, nil
+			}
+		}
+		if err := sleep(ctx, retryPause); err != nil {
+			return nil, fmt.Errorf("no replica leads: %w", err)
+		}
+	}
+}
+
+// Recovery returns the time from the loss of the leader, by fault, to the next accepted edit.
+func (d *Deployment) Recovery(ctx context.Context, fault func(*harness.VM) error) (time.Duration, error) {
+	leader, err := d.Leader(ctx)
+	if err != nil {
+		return 0, err
+	}
+	view, err := d.operator.Table(ctx)
+	if err != nil {
+		return 0, err
+	}
+	row, _ := view.Row(editedRow)
+	others := make([]string, 0, len(d.VMs))
+	for _, vm := range d.VMs {
+		if vm != leader {
+			others = append(others, vm.Internal)
+		}
+	}
+	if d.operator, err = operator.NewClient(d.transport, others); err != nil {
+		return 0, err
+	}
+	if err := fault(leader); err != nil {
+		return 0, err
+	}
+	start := time.Now()
+	_, err = d.apply(ctx, row)
+	return time.Since(start), err
+}
+
+// Percentile returns the smallest value that at least share p of the values do not exceed.
+func Percentile[T cmp.Ordered](values []T, p float64) T {
+	sorted := slices.Sorted(slices.Values(values))
+	if len(sorted) == 0 {
+		var none T
+		return none
+	}
+	return sorted[min(len(sorted)-1, int(p*float64(len(sorted))))]
+}
--- /dev/null
+++ b/internal/capacity/report.go
@@ -0,0 +1,133 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Sweep is a series of measurements in which one size grows.
+type Sweep struct {
+	Name   string          `json:"name"`
+	Size   string          `json:"size"` // what grows
+	Points []Measured      `json:"points"`
+	Fits   map[string]Fits `json:"fits"` // by role
+}
+
+// Measured is one measured size.
+type Measured struct {
+	Size  float64       `json:"size"`
+	Costs map[Role]Cost `json:"costs"`
+}
+
+// Fits are the lines through the costs of a role.
+type Fits struct {
+	Core     Fit `json:"core_percent"`
+	Resident Fit `json:"resident_mb"`
+	Wire     Fit `json:"wire_bytes_per_s"`
+}
+
+// Edits are the measured times of edits.
+type Edits struct {
+	VMs           int     `json:"vms"`
+	Count         int     `json:"count"`
+	AcceptedP50   float64 `json:"accepted_p50_ms"`
+	AcceptedP99   float64 `json:"accepted_p99_ms"`
+	EverywhereP50 float64 `json:"everywhere_p50_ms"`
+	EverywhereP99 float64 `json:"everywhere_p99_ms"`
+	AfterKill     float64 `json:"first_edit_after_leader_killed_ms"`
+	AfterFreeze   float64 `json:"first_edit_after_leader_frozen_ms"`
+}
+
+// Figures is the result of a run.
+type Figures struct {
+	Date    string  `json:"date"`
+	Seconds float64 `json:"seconds_per_point"`
+	Sweeps  []Sweep `json:"sweeps"`
+	Edits   Edits   `json:"edits"`
+}
+
+// Fit computes the lines of all roles that were measured at two sizes or more.
+func (s *Sweep) Fit() {
+	s.Fits = map[string]Fits{}
+	for _, role := range []Role{RoleLeader, RoleFollower, RoleEntry} {
+		var sizes, core, resident, wire []float64
+		for _, p := range s.Points {
+			if c, ok := p.Costs[role]; ok {
+				sizes = append(sizes, p.Size)
+				core, resident, wire = append(core, c.Core), append(resident, c.Resident), append(wire, c.Wire)
+			}
+		}
+		if len(slices.Compact(slices.Sorted(slices.Values(sizes)))) > 1 {
+			s.Fits[string(role)] = Fits{Core: NewFit(sizes, core), Resident: NewFit(sizes, resident), Wire: NewFit(sizes, wire)}
+		}
+	}
+}
+
+// Markdown returns the sweep as a table with a line for each size and role, and one for each fit.
+func (s *Sweep) Markdown() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "**%s**\n\n| %s | role | core %% | resident MB | wire bytes/s |\n|---|---|---|---|---|\n", s.Name, s.Size)
+	for _, p := range s.Points {
+		for _, role := range []Role{RoleLeader, RoleFollower, RoleEntry} {
+			if c, ok := p.Costs[role]; ok {
+				fmt.Fprintf(&b, "| %g | %s | %.2f | %.1f | %.0f |\n", p.Size, role, c.Core, c.Resident, c.Wire)
+			}
+		}
+	}
+	for _, role := range []Role{RoleLeader, RoleFollower, RoleEntry} {
+		if f, ok := s.Fits[string(role)]; ok {
+			fmt.Fprintf(&b, "| slope (error) | %s | %.4f (%.0f%%) | %.4f (%.0f%%) | %.1f (%.0f%%) |\n", role,
+				f.Core.Slope, 100*f.Core.Error, f.Resident.Slope, 100*f.Resident.Error, f.Wire.Slope, 100*f.Wire.Error)
+		}
+	}
+	return b.String()
+}
+
+// Markdown returns the figures as tables.
+func (f *Figures) Markdown() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "Measured on %s, %g s a point.\n\n", f.Date, f.Seconds)
+	for i := range f.Sweeps {
+		b.WriteString(f.Sweeps[i].Markdown() + "\n")
+	}
+	e := f.Edits
+	fmt.Fprintf(&b, "**Edits with %d VMs** (%d edits)\n\n| measure | p50 ms | p99 ms |\n|---|---|---|\n", e.VMs, e.Count)
+	fmt.Fprintf(&b, "| accepted | %.1f | %.1f |\n| held by every VM | %.1f | %.1f |\n", e.AcceptedP50, e.AcceptedP99, e.EverywhereP50, e.EverywhereP99)
+	fmt.Fprintf(&b, "\nFirst accepted edit %.0f ms after the leader was killed and %.0f ms after it was frozen.\n", e.AfterKill, e.AfterFreeze)
+	return b.String()
+}
+
+// Write writes the figures as JSON to path.
+func (f *Figures) Write(path string) error {
+	data, err := json.MarshalIndent(f, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, append(data, '\n'), 0o644)
+}
+
+const (
+	markBegin = "<!-- figures:begin -->"
+	markEnd   = "<!-- figures:end -->"
+)
+
+// FillPage replaces what stands between the marks in the page at path.
+func FillPage(path, content string) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	before, rest, ok := strings.Cut(string(data), markBegin)
+	_, after, ok2 := strings.Cut(rest, markEnd)
+	if !ok || !ok2 {
+		return fmt.Errorf("%s has no marks %s and %s; add them where the tables go", path, markBegin, markEnd)
+	}
+	return os.WriteFile(path, []byte(before+markBegin+"\n\n"+content+"\n"+markEnd+after), 0o644)
+}
+
+// Milliseconds returns d in milliseconds.
+func Milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- /dev/null
+++ b/internal/capacity/run.go
@@ -0,0 +1,299 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"filbertledge/internal/api"
+	"filbertledge/internal/harness"
+	"filbertledge/internal/operator"
+	"filbertledge/internal/pki"
+	"filbertledge/internal/standin"
+	"filbertledge/internal/transport"
+)
+
+// Role tells what a VM does for control.
+type Role string
+
+// Roles of a VM.
+const (
+	RoleLeader   Role = "leader"
+	RoleFollower Role = "follower"
+	RoleEntry    Role = "entry" // without a control replica
+)
+
+// Cost is what one VM spends on control while no requests run.
+type Cost struct {
+	Core     float64 `json:"core_percent"`     // of one core
+	Resident float64 `json:"resident_mb"`      // MB
+	Wire     float64 `json:"wire_bytes_per_s"` // UDP payload in and out, between VMs
+}
+
+// Point describes one measured deployment.
+type Point struct {
+	Domains      int // failure domains; the first holds all VMs but one in each other domain
+	VMs          int // in the first failure domain
+	Servers      int // in the first failure domain
+	OtherServers int // in each other failure domain
+	Rows         int
+	EditsPerS    float64
+}
+
+// Options of the measurements.
+type Options struct {
+	Filbertledge string        // path of the product's binary
+	Standin      string        // path of the stand-in binary
+	Warmup       time.Duration // before each measurement
+	Duration     time.Duration // of each measurement
+}
+
+const (
+	startLimit = 60 * time.Second
+	poolName   = "llm"
+	modelName  = "model"
+	// serverCapacity is a typical number of concurrent requests of an engine.
+	serverCapacity = 32
+	megabyte       = 1e6
+)
+
+func (p Point) layout() harness.Layout {
+	l := harness.Layout{
+		Name: "capacity", Model: modelName,
+		// The layout has no backend server processes: the measurement announces servers itself.
+		Engines: nil,
+		Rows:    []harness.RowSpec{{Name: "chat", Kind: "chat", Pool: poolName, Model: modelName, Deadline: 30 * time.Second}},
+	}
+	for i := range p.VMs {
+		l.VMs = append(l.VMs, harness.VMSpec{Name: fmt.Sprintf("a-%d", i+1), Domain: "a", Replica: i == 0})
+	}
+	for d := 1; d < p.Domains; d++ {
+		name := string(rune('a' + d))
+		l.VMs = append(l.VMs, harness.VMSpec{Name: name + "-1", Domain: name, Replica: d < 3})
+	}
+	for i := 1; i < p.Rows; i++ {
+		l.Rows = append(l.Rows, harness.RowSpec{
+			Name: fmt.Sprintf("row-%d", i), Kind: "chat", Pool: poolName, Model: modelName, Deadline: 30 * time.Second,
+		})
+	}
+	return l
+}
+
+// Deployment is a running deployment under measurement.
+type Deployment struct {
+	*harness.Deployment
+	point      Point
+	announcers []*standin.Announcer
+	transport  *transport.Client
+	operator   *operator.Client
+}
+
+// Start starts the deployment of a point and announces its servers.
+func Start(ctx context.Context, o Options, p Point) (*Deployment, error) {
+	h, err := harness.Start(ctx, harness.Options{
+		Layout: p.layout(), Filbertledge: o.Filbertledge, Standin: o.Standin, ReadyWithin: startLimit,
+	})
+	if err != nil {
+		return nil, err
+	}
+	d := &Deployment{Deployment: h, point: p}
+	if err := d.connect(); err != nil {
+		return nil, fmt.Errorf("%w; %v", err, d.Close())
+	}
+	d.announce()
+	return d, nil
+}
+
+func (d *Deployment) connect() error {
+	dir := filepath.Join(d.Dir, "keys")
+	source, err := pki.NewSource(pki.LeafFiles(dir, "harness"), pki.SourceOptions{})
+	if err != nil {
+		return err
+	}
+	if d.transport, err = transport.NewClient(transport.ClientOptions{Identity: source}); err != nil {
+		return err
+	}
+	addresses := make([]string, 0, len(d.VMs))
+	for _, vm := range d.VMs {
+		addresses = append(addresses, vm.Internal)
+	}
+	d.operator, err = operator.NewClient(d.transport, addresses)
+	return err
+}
+
+// announce announces servers that exist only as announcements: no request is sent to them.
+func (d *Deployment) announce() {
+	entries := map[string][]string{}
+	for _, vm := range d.VMs {
+		entries[vm.Domain] = append(entries[vm.Domain], vm.HTTP)
+	}
+	for domain, list := range entries {
+		n := d.point.OtherServers
+		if domain == "a" {
+			n = d.point.Servers
+		}
+		for i := range n {
+			d.announcers = append(d.announcers, startServer(domain, i, list))
+		}
+	}
+}
+
+func startServer(domain string, i int, entries []string) *standin.Announcer {
+	a := api.Announcement{
+		ID: api.ServerID(fmt.Sprintf("%s-server-%d", domain, i)), Incarnation: 1, Address: "127.0.0.1:1",
+		Domain: api.FailureDomain(domain), Pool: poolName, Engine: true, Model: modelName, Current: 1,
+		Loaded: []api.WeightVersion{1}, Capacity: serverCapacity, State: api.ServerServing, Fencing: api.FencingChecked,
+	}
+	// Entry addresses are rotated so that the announcements spread over the VMs.
+	at := i % len(entries)
+	rotated := append(append([]string{}, entries[at:]...), entries[:at]...)
+	return standin.StartAnnouncer(standin.AnnouncerOptions{
+		Token: harness.Token(poolName), Entries: rotated, Seed: uint64(i),
+		Describe: func() api.Announcement {
+			now := a
+			now.Load = api.Load{Running: i % serverCapacity, TokensPerSecond: float64(1000 + i)}
+			return now
+		},
+	})
+}
+
+// Close ends everything that Start started.
+func (d *Deployment) Close() error {
+	for _, a := range d.announcers {
+		a.Close()
+	}
+	if d.transport != nil {
+		_ = d.transport.Close()
+	}
+	return d.Deployment.Close()
+}
+
+type sample struct {
+	usage Usage
+	wire  uint64
+	role  Role
+}
+
+func (d *Deployment) sample(ctx context.Context, vm *harness.VM) (sample, error) {
+	usage, err := UsageOf(vm.PID())
+	if err != nil {
+		return sample{}, err
+	}
+	status, err := d.operator.StatusOf(ctx, vm.Internal)
+	if err != nil {
+		return sample{}, err
+	}
+	t := status.Traffic[transport.ClassWireVM]
+	return sample{usage: usage, wire: t.BytesIn + t.BytesOut, role: roleOf(status)}, nil
+}
+
+func roleOf(s operator.Status) Role {
+	switch {
+	case s.Replica == nil:
+		return RoleEntry
+	case s.Replica.Role == string(RoleLeader):
+		return RoleLeader
+	default:
+		return RoleFollower
+	}
+}
+
+// Measure returns the mean cost of the VMs of each role over the duration. Entry VMs are those of the first
+// failure domain.
+func (d *Deployment) Measure(ctx context.Context, o Options) (map[Role]Cost, error) {
+	if err := sleep(ctx, o.Warmup); err != nil {
+		return nil, err
+	}
+	first, err := d.sampleAll(ctx)
+	if err != nil {
+		return nil, err
+	}
+	start := time.Now()
+	if err := d.edit(ctx, o.Duration); err != nil {
+		return nil, err
+	}
+	second, err := d.sampleAll(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return d.mean(first, second, time.Since(start)), nil
+}
+
+func (d *Deployment) sampleAll(ctx context.Context) ([]sample, error) {
+	out := make([]sample, 0, len(d.VMs))
+	for _, vm := range d.VMs {
+		s, err := d.sample(ctx, vm)
+		if err != nil {
+			return nil, fmt.Errorf("measure %s: %w", vm.Name, err)
+		}
+		out = append(out, s)
+	}
+	return out, nil
+}
+
+func (d *Deployment) mean(first, second []sample, took time.Duration) map[Role]Cost {
+	sums := map[Role]Cost{}
+	counts := map[Role]float64{}
+	for i, vm := range d.VMs {
+		role := second[i].role
+		if role == RoleEntry && vm.Domain != "a" {
+			continue
+		}
+		c := sums[role]
+		c.Core += 100 * (second[i].usage.CPU - first[i].usage.CPU).Seconds() / took.Seconds()
+		c.Resident += float64(second[i].usage.Resident) / megabyte
+		c.Wire += float64(second[i].wire-first[i].wire) / took.Seconds()
+		sums[role] = c
+		counts[role]++
+	}
+	for role, c := range sums {
+		n := counts[role]
+		sums[role] = Cost{Core: c.Core / n, Resident: c.Resident / n, Wire: c.Wire / n}
+	}
+	return sums
+}
+
+// edit sends edits at the point's rate for d.
+func (d *Deployment) edit(ctx context.Context, duration time.Duration) error {
+	if d.point.EditsPerS == 0 {
+		return sleep(ctx, duration)
+	}
+	end := time.Now().Add(duration)
+	interval := time.Duration(float64(time.Second) / d.point.EditsPerS)
+	for time.Now().Before(end) {
+		next := time.Now().Add(interval)
+		if _, err := d.EditOnce(ctx); err != nil {
+			return err
+		}
+		if err := sleep(ctx, time.Until(next)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
+
+// Binaries returns the options with the binaries of folder dir.
+func Binaries(dir string) Options {
+	return Options{Filbertledge: filepath.Join(dir, "filbertledge"), Standin: filepath.Join(dir, "standin")}
+}
+
+// CheckBinaries returns an error that names the remedy if a binary is missing.
+func (o Options) CheckBinaries() error {
+	for _, path := range []string{o.Filbertledge, o.Standin} {
+		if _, err := os.Stat(path); err != nil {
+			return fmt.Errorf("%w; run make build", err)
+		}
+	}
+	return nil
+}
