--- a/internal/trainer/produce.go
+++ b/internal/trainer/produce.go
@@ -56,7 +56,7 @@
 	if !utf8.ValidString(g.Text) {
 		return errs.New(errs.BackendFailed, "the member is produced anew", "the answer is not valid UTF-8")
 	}
-	b := body{Text: g.Text, Tokens: g.Tokens, Labels: g.Labels, Queued: g.QueuedFor, Generated: g.RanFor}
+	b := body{Text: g.Text, Tokens: g.Tokens, Labels: mergeLabels(g.Labels), Queued: g.QueuedFor, Generated: g.RanFor}
 	if err := r.score(j, &b); err != nil {
 		return err
 	}
--- a/internal/trainer/samples.go
+++ b/internal/trainer/samples.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
 
 	"filbertledge/internal/api"
 	"filbertledge/internal/control"
@@ -196,11 +197,12 @@
 // admitted resets the stale samples and returns the groups without any.
 func (s *Service) admitted(ctx context.Context, groups [][]control.SampleView) [][]control.SampleView {
 	var out [][]control.SampleView
+	var resets []func()
 	for _, g := range groups {
 		whole := true
 		for _, v := range g {
 			if reason := s.refusal(v.ID.Step, v.Versions); reason != "" {
-				s.reset(ctx, v.ID, v.Attempt, events.SampleStale, reason)
+				resets = append(resets, func() { s.reset(ctx, v.ID, v.Attempt, events.SampleStale, reason) })
 				whole = false
 			}
 		}
@@ -208,9 +210,25 @@
 			out = append(out, g)
 		}
 	}
+	inParallel(resets)
 	return out
 }
 
+const resetsAtOnce = 32
+
+// inParallel runs resets: after new weights, all samples of a fetch can be stale at once.
+func inParallel(list []func()) {
+	var g errgroup.Group
+	g.SetLimit(resetsAtOnce)
+	for _, f := range list {
+		g.Go(func() error {
+			f()
+			return nil
+		})
+	}
+	_ = g.Wait() // the functions return no errors
+}
+
 // stillAdmitted repeats the check of admitted on samples that are ready to go out.
 func (s *Service) stillAdmitted(ctx context.Context, list []sampleJSON, step control.StepID) []sampleJSON {
 	broken := map[string]bool{}
--- a/internal/trainer/staleness.go
+++ b/internal/trainer/staleness.go
@@ -21,6 +21,19 @@
 	return slices.Compact(out)
 }
 
+// mergeLabels joins neighbouring pieces of the same version. Engines report one piece for each token.
+func mergeLabels(labels []api.PieceLabel) []api.PieceLabel {
+	var out []api.PieceLabel
+	for _, l := range labels {
+		if n := len(out); n > 0 && out[n-1].Version == l.Version && out[n-1].Cached == l.Cached {
+			out[n-1].Tokens += l.Tokens
+			continue
+		}
+		out = append(out, l)
+	}
+	return out
+}
+
 // oldestAllowed returns the oldest weight version that a row may use now.
 func oldestAllowed(row table.Row, w control.ModelWeights, now time.Time) api.WeightVersion {
 	oldest := max(row.Weights.Min, 1)
