trainer: test samples that become stale on the way, and bound the wait of tests by time

TestDuplicateFinish was flaky without the race detector: its fetches returned the groups that were whole at once, so 100 of them passed before the next pump of the runner could duplicate the straggler. The test waits up to 20 s now and asks for the same 10 samples.

--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -154,3 +154,10 @@
 	defer m.mu.RUnlock()
 	return m.changed
 }
+
+// ClaimRevision changes when ClaimGroups may return something new.
+func (m *Machine) ClaimRevision() uint64 {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.state.ledger.claimRevision
+}
--- a/internal/trainer/fake_test.go
+++ b/internal/trainer/fake_test.go
@@ -81,6 +81,7 @@
 func (c *memoryClient) Table() *table.Snapshot                    { return c.machine.Table() }
 func (c *memoryClient) Fresh() bool                               { return !c.stale.Load() }
 func (c *memoryClient) Weights(model string) control.ModelWeights { return c.machine.Weights(model) }
+func (c *memoryClient) ClaimRevision() uint64                     { return c.machine.ClaimRevision() }
 func (c *memoryClient) VMs() []api.VM                             { return c.vms }
 
 func (c *memoryClient) Step(_ context.Context, id control.StepID) (control.StepView, error) {
@@ -128,6 +129,7 @@
 	control *memoryControl
 	engine  *fakeEngine
 	vms     []*testVM
+	onCall  func() // called before each request between VMs
 }
 
 type testVM struct {
@@ -180,6 +182,9 @@
 }
 
 func (d *deployment) call(ctx context.Context, addr, method string, request []byte) ([]byte, error) {
+	if d.onCall != nil {
+		d.onCall()
+	}
 	for _, v := range d.vms {
 		if v.o.VM.Address == addr && !v.gone.Load() {
 			return v.Handlers()[method](ctx, request)
@@ -276,7 +281,8 @@
 // fetchAll fetches from changing VMs until n samples of the step are there, without acknowledging them.
 func (d *deployment) fetchAll(step uint64, n int) []sampleJSON {
 	d.t.Helper()
-	for i := range 100 {
+	start := time.Now()
+	for i := 0; time.Since(start) < 20*time.Second; i++ {
 		vm := i % len(d.vms)
 		if d.vms[vm].gone.Load() {
 			continue
@@ -284,8 +290,9 @@
 		if a := d.fetch(vm, step, 200); len(a.Samples) == n {
 			return a.Samples
 		}
+		time.Sleep(5 * time.Millisecond) // groups that are whole already are answered at once
 	}
-	d.t.Fatalf("step %d did not yield %d samples", step, n)
+	d.t.Fatalf("step %d did not yield %d samples in 20 s", step, n)
 	return nil
 }
 
--- a/internal/trainer/runner.go
+++ b/internal/trainer/runner.go
@@ -300,7 +300,6 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, doTimeout)
 	defer cancel()
-	r.claimPending = true
 	vm := r.s.o.VM
 	res, err := r.s.o.Client.Do(ctx, control.Command{ClaimGroups: &control.ClaimGroups{
 		VM: vm.ID, Incarnation: vm.Incarnation, Max: claimedAtOnce, Since: r.since,
--- a/internal/trainer/trainer_test.go
+++ b/internal/trainer/trainer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -83,6 +84,42 @@
 	}
 }
 
+// TestStaleWhileFetching guards against samples that become too old between the check of the ledger and the
+// answer.
+func TestStaleWhileFetching(t *testing.T) {
+	d := deploy(t, 2, testRow(), &fakeEngine{})
+	d.open(0, 1, 2, 2)
+	d.fetchAll(1, 4)
+	var once sync.Once
+	d.onCall = func() { once.Do(func() { d.publish(3) }) }
+	if a := d.fetch(1, 1, 0); len(a.Samples) != 0 {
+		t.Fatalf("samples of version 1 after version 3 was published: %+v", a)
+	}
+}
+
+// TestStaleAtFinish guards against answers that enter the ledger although they are too old already: they would
+// be recorded, reset and produced anew instead of only produced anew.
+func TestStaleAtFinish(t *testing.T) {
+	engine := &fakeEngine{}
+	release := make(chan struct{})
+	engine.hold = func(_ dispatch.Rollout, call int64) <-chan struct{} {
+		if call <= 2 {
+			return release
+		}
+		return nil
+	}
+	d := deploy(t, 1, testRow(), engine)
+	d.open(0, 1, 1, 2)
+	waitFor(t, func() bool { return engine.calls.Load() == 2 })
+	d.publish(3)
+	close(release)
+	for _, s := range d.fetchAll(1, 2) {
+		if s.Attempt != 1 || s.Versions[0] != 3 {
+			t.Fatalf("sample %+v, want version 3 of attempt 1", s)
+		}
+	}
+}
+
 // TestDuplicateFinish guards against two finished runs of a straggler that are both delivered, and against
 // stragglers that hold up their step.
 func TestDuplicateFinish(t *testing.T) {
@@ -128,7 +165,13 @@
 func TestLostAnswers(t *testing.T) {
 	d := deploy(t, 1, testRow(), &fakeEngine{})
 	d.must(0, "POST", "/trainer/v1/steps", openRequest{Row: "tutor", Step: 1, DeadlineMS: 60_000, Groups: 3, GroupSize: 2}, nil)
-	d.vms[0].client.loseAnswers.Store(3) // SubmitGroups, a claim and a FinishSample, or two claims
+	run := d.vms[0].run
+	waitFor(t, func() bool {
+		run.claimMu.Lock()
+		defer run.claimMu.Unlock()
+		return !run.claimPending // the first claim of the VM would find the groups
+	})
+	d.vms[0].client.loseAnswers.Store(3) // SubmitGroups, the next claim and a FinishSample, or two claims
 	if s := d.submit(0, 1, 3, 2); s != fasthttp.StatusBadGateway {
 		t.Fatalf("status %d, want 502", s)
 	}
