--- /dev/null
+++ b/internal/backend/backend_test.go
@@ -0,0 +1,313 @@
+package backend
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttputil"
+
+	"filbertledge/internal/api"
+	"filbertledge/internal/errs"
+)
+
+// rawServer answers each connection with f and returns its address.
+func rawServer(t *testing.T, f func(net.Conn)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go f(c)
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// answerOnce reads one request and writes raw bytes.
+func answerOnce(raw string) func(net.Conn) {
+	return func(c net.Conn) {
+		buf := make([]byte, 4096)
+		_, _ = c.Read(buf)
+		_, _ = io.WriteString(c, raw)
+		c.Close()
+	}
+}
+
+// Guards against "not sent" for a request of which bytes were written, against passing on a truncated answer,
+// and against taking a server's crash for a refused connection.
+func TestFailuresAreTold(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed.Close()
+	for name, c := range map[string]struct {
+		addr          string
+		notSent, lost bool
+		refused       bool
+		kind          errs.Kind
+	}{
+		"refused":       {addr: closed.Addr().String(), notSent: true, refused: true, kind: errs.Unavailable},
+		"no answer":     {addr: rawServer(t, answerOnce("")), lost: true, kind: errs.TruncatedAnswer},
+		"part header":   {addr: rawServer(t, answerOnce("HTTP/1.1 200 OK\r\nContent-Le")), lost: true, kind: errs.TruncatedAnswer},
+		"short body":    {addr: rawServer(t, answerOnce("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc")), lost: true, kind: errs.TruncatedAnswer},
+		"open chunks":   {addr: rawServer(t, answerOnce("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")), lost: true, kind: errs.TruncatedAnswer},
+		"no end mark":   {addr: rawServer(t, answerOnce("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nabc")), kind: errs.TruncatedAnswer},
+		"not HTTP":      {addr: rawServer(t, answerOnce("hello\r\n\r\n")), kind: errs.BackendFailed},
+		"other attempt": {addr: rawServer(t, answerOnce("HTTP/1.1 200 OK\r\nFilbertledge-Attempt-Id: b\r\nContent-Length: 0\r\n\r\n")), kind: errs.BackendFailed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client := New(Options{})
+			defer client.Close()
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			_, err := client.Do(ctx, Request{Address: c.addr, Method: "POST", Path: "/x", Body: []byte("{}"), AttemptID: "a"})
+			f := FailureOf(err)
+			if err == nil || f.NotSent != c.notSent || f.Lost != c.lost || f.Refused != c.refused || errs.KindOf(err) != c.kind {
+				t.Fatalf("%v: not sent %v, lost %v, refused %v, kind %v", err, f.NotSent, f.Lost, f.Refused, errs.KindOf(err))
+			}
+		})
+	}
+}
+
+// Guards against work that goes on after its context ended: the connection is closed.
+func TestCancelClosesConnection(t *testing.T) {
+	closed := make(chan struct{})
+	addr := rawServer(t, func(c net.Conn) {
+		_, _ = io.Copy(io.Discard, c)
+		close(closed)
+	})
+	client := New(Options{})
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := client.Do(ctx, Request{Address: addr, Method: "GET", Path: "/"})
+	if !errs.Is(err, errs.DeadlineExceeded) || FailureOf(err).NotSent {
+		t.Fatalf("error %v", err)
+	}
+	select {
+	case <-closed:
+	case <-time.After(2 * time.Second):
+		t.Fatal("connection stays open")
+	}
+}
+
+// Guards against a second run through a repeated request, and an unknown outcome through a pooled connection
+// that the server closed meanwhile.
+func TestConnectionReuse(t *testing.T) {
+	var conns, requests atomic.Int64
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &http.Server{
+		IdleTimeout: 100 * time.Millisecond,
+		Handler:     http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { requests.Add(1); fmt.Fprint(w, "ok") }),
+		ConnState: func(_ net.Conn, st http.ConnState) {
+			if st == http.StateNew {
+				conns.Add(1)
+			}
+		},
+	}
+	go func() { _ = s.Serve(ln) }()
+	defer s.Close()
+	client := New(Options{})
+	defer client.Close()
+	do := func(fresh bool) {
+		t.Helper()
+		a, err := client.Do(context.Background(), Request{Address: ln.Addr().String(), Method: "POST", Path: "/", Fresh: fresh})
+		if err != nil || string(a.Body) != "ok" {
+			t.Fatalf("answer %q, %v", a.Body, err)
+		}
+	}
+	do(false)
+	do(false)
+	if conns.Load() != 1 {
+		t.Fatalf("%d connections for two requests in a row", conns.Load())
+	}
+	do(true)
+	if conns.Load() != 2 {
+		t.Fatal("non-idempotent request reused a connection")
+	}
+	time.Sleep(300 * time.Millisecond) // the server closes the idle connections
+	do(false)
+	if requests.Load() != 4 {
+		t.Fatalf("%d requests reached the server, want 4", requests.Load())
+	}
+}
+
+// Guards against gaps, repetitions and pieces of other attempts in a stream.
+func TestStreamChecks(t *testing.T) {
+	piece := func(attempt string, offset int) string {
+		return fmt.Sprintf("data: {\"choices\":[{\"delta\":{\"content\":\"x\"}}],\"filbertledge\":{\"attempt_id\":%q,\"offset\":%d,\"pieces\":[{\"version\":3,\"tokens\":1}]}}\n\n", attempt, offset)
+	}
+	for name, c := range map[string]struct {
+		body string
+		good int // pieces before the end
+		err  error
+	}{
+		"whole":         {piece("a", 2) + ": comment\n\n" + piece("a", 3) + "data: [DONE]\n\n", 2, io.EOF},
+		"gap":           {piece("a", 2) + piece("a", 4), 1, nil},
+		"repetition":    {piece("a", 2) + piece("a", 2), 1, nil},
+		"other attempt": {piece("a", 2) + piece("b", 3), 1, nil},
+		"no end mark":   {piece("a", 2), 1, nil},
+		"not JSON":      {"data: {\n\n", 0, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			raw := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(c.body), c.body)
+			client := New(Options{})
+			defer client.Close()
+			s, err := client.Stream(context.Background(), Request{Address: rawServer(t, answerOnce(raw)), Method: "POST", Path: "/", AttemptID: "a"}, 2)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer s.Close()
+			good := 0
+			for {
+				if _, err = s.Next(); err != nil {
+					break
+				}
+				good++
+			}
+			if good != c.good || errors.Is(err, io.EOF) != errors.Is(c.err, io.EOF) {
+				t.Fatalf("%d pieces, then %v", good, err)
+			}
+		})
+	}
+}
+
+// Guards against a refused fencing token that looks like another failure.
+func TestOrderWithOldToken(t *testing.T) {
+	const body = `{"error":"fencing_token_too_old","highest":9}`
+	addr := rawServer(t, answerOnce(fmt.Sprintf("HTTP/1.1 409 Conflict\r\nContent-Length: %d\r\n\r\n%s", len(body), body)))
+	client := New(Options{})
+	defer client.Close()
+	err := client.Order(context.Background(), addr, Order{OrderID: "o", Kind: OrderLoad, Model: "m", Version: 2, FencingToken: 3})
+	if !errs.Is(err, errs.FencingTokenTooOld) {
+		t.Fatalf("error %v", err)
+	}
+}
+
+type fakeRegistry struct{ got []api.Announcement }
+
+func (f *fakeRegistry) Announce(a api.Announcement) bool          { f.got = append(f.got, a); return true }
+func (f *fakeRegistry) Addresses(api.FailureDomain, int) []string { return []string{"127.0.0.1:9"} }
+
+// Guards against announcements without the pool's token or with fields that would mislead the dispatcher.
+func TestAnnounceEndpoint(t *testing.T) {
+	const good = `{"id":"s","incarnation":1,"sequence":1,"address":"127.0.0.1:80","pool":"llm","capacity":4,"state":"serving"}`
+	for name, c := range map[string]struct {
+		token, body string
+		status      int
+	}{
+		"good":           {"secret", good, 200},
+		"wrong token":    {"other", good, 401},
+		"no token":       {"", good, 401},
+		"unknown pool":   {"secret", strings.Replace(good, "llm", "x", 1), 401},
+		"not JSON":       {"secret", "{", 400},
+		"host name":      {"secret", strings.Replace(good, "127.0.0.1", "localhost", 1), 400},
+		"no capacity":    {"secret", strings.Replace(good, `"capacity":4`, `"capacity":0`, 1), 400},
+		"unknown state":  {"secret", strings.Replace(good, "serving", "x", 1), 400},
+		"no incarnation": {"secret", strings.Replace(good, `"incarnation":1`, `"incarnation":0`, 1), 400},
+	} {
+		t.Run(name, func(t *testing.T) {
+			reg := &fakeRegistry{}
+			handler := AnnounceHandler(AnnounceOptions{Registry: reg, Tokens: map[api.Pool]string{"llm": "secret", "empty": ""}})
+			ln := fasthttputil.NewInmemoryListener()
+			defer ln.Close()
+			go func() { _ = fasthttp.Serve(ln, func(ctx *fasthttp.RequestCtx) { handler(ctx) }) }()
+			client := http.Client{Transport: &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) { return ln.Dial() }}}
+			req, _ := http.NewRequest("POST", "http://vm"+AnnouncePath, strings.NewReader(c.body))
+			req.Header.Set("Authorization", "Bearer "+c.token)
+			resp, err := client.Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			body, _ := io.ReadAll(resp.Body)
+			resp.Body.Close()
+			if resp.StatusCode != c.status || (c.status == 200) != (len(reg.got) == 1) {
+				t.Fatalf("status %d, %d announcements, body %s", resp.StatusCode, len(reg.got), body)
+			}
+			if c.status == 200 && !bytes.Contains(body, []byte(`{"vms":["127.0.0.1:9"]}`)) {
+				t.Fatalf("body %s", body)
+			}
+		})
+	}
+}
+
+// FuzzEvents checks the parser against a simple reading of the same rules for short lines.
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("data: a\n\ndata:b\r\ndata: c\r\n\r\n: x\n\nevent: y\ndata: [DONE]\n\n"))
+	f.Add([]byte("data: a"))
+	f.Add([]byte("\n\n\ndata:\n\n"))
+	f.Fuzz(func(t *testing.T, input []byte) {
+		var got []string
+		r := newEventReader(bytes.NewReader(input))
+		for {
+			data, err := r.next()
+			if err != nil {
+				if !errors.Is(err, io.ErrUnexpectedEOF) && !errs.Is(err, errs.BackendFailed) {
+					t.Fatalf("error %v", err)
+				}
+				break
+			}
+			got = append(got, string(data))
+		}
+		if want := simpleEvents(string(input)); len(input) < 4096 && fmt.Sprintf("%q", got) != fmt.Sprintf("%q", want) {
+			t.Fatalf("events %q, want %q", got, want)
+		}
+	})
+}
+
+func simpleEvents(input string) []string {
+	var out, event []string
+	lines := strings.Split(input, "\n")
+	for _, line := range lines[:len(lines)-1] {
+		line = strings.TrimSuffix(line, "\r")
+		if value, ok := strings.CutPrefix(line, "data:"); ok {
+			event = append(event, strings.TrimPrefix(value, " "))
+		}
+		if line == "" && event != nil {
+			out = append(out, strings.Join(event, "\n"))
+			event = nil
+		}
+	}
+	return out
+}
+
+func FuzzChunk(f *testing.F) {
+	f.Add([]byte(`{"choices":[{"delta":{"content":"x"},"finish_reason":null}],"filbertledge":{"attempt_id":"a","offset":1,"pieces":[{"version":1,"tokens":2,"cached":false}]}}`))
+	f.Fuzz(func(t *testing.T, input []byte) {
+		c, _, err := parseChunk(input)
+		if err == nil && (c.Tokens < 0 || c.Offset < 0) {
+			t.Fatalf("negative counts %+v", c)
+		}
+	})
+}
+
+func BenchmarkParseChunk(b *testing.B) {
+	data := []byte(`{"id":"c","object":"chat.completion.chunk","created":1,"model":"m","choices":[{"index":0,"delta":{"content":"hello"},"finish_reason":null}],"filbertledge":{"attempt_id":"0190b7c4-7f3e-7a00-8000-000000000000","offset":1,"pieces":[{"version":1,"tokens":1,"cached":false}]}}`)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, _, err := parseChunk(data); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/caller/parse.go
+++ b/internal/caller/parse.go
@@ -122,8 +122,12 @@
 	return errs.New(errs.Unauthenticated, "send the row's token as Authorization: Bearer", "token for row %q was refused", row.Name)
 }
 
+// bearer returns the token of the header Authorization, or nothing for another scheme.
 func bearer(ctx *fasthttp.RequestCtx) string {
-	token, _ := strings.CutPrefix(string(ctx.Request.Header.Peek("Authorization")), "Bearer ")
+	scheme, token, _ := strings.Cut(string(ctx.Request.Header.Peek("Authorization")), " ")
+	if !strings.EqualFold(scheme, "Bearer") {
+		return ""
+	}
 	return token
 }
 
