--- a/cmd/filbertledge/main.go
+++ b/cmd/filbertledge/main.go
@@ -2,5 +2,16 @@
 // command-line client in one binary.
 package main
 
+import (
+	"os"
+
+	"filbertledge/internal/cli"
+	"filbertledge/internal/server"
+)
+
+// version is set by the linker for releases.
+var version string
+
 func main() {
+	os.Exit(cli.Main(cli.Options{Version: version, Serve: server.Serve}))
 }
