Move stalled streams to another server and see slow servers sooner

A stream on a stalled server waited until its deadline, because only a lost connection moved it, and a server was judged only by attempts that had ended. A panic in one request no longer ends the process.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -18,6 +18,7 @@
 
 	"filbertledge/internal/api"
 	"filbertledge/internal/errs"
+	"filbertledge/internal/pki"
 )
 
 // rawServer answers each connection with f and returns its address.
@@ -205,11 +206,6 @@
 	}
 }
 
-type fakeRegistry struct{ got []api.Announcement }
-
-func (f *fakeRegistry) Announce(a api.Announcement) bool          { f.got = append(f.got, a); return true }
-func (f *fakeRegistry) Addresses(api.FailureDomain, int) []string { return []string{"127.0.0.1:9"} }
-
 // Guards against announcements without the pool's token or with fields that would mislead the dispatcher.
 func TestAnnounceEndpoint(t *testing.T) {
 	const good = `{"id":"s","incarnation":1,"sequence":1,"address":"127.0.0.1:80","pool":"llm","capacity":4,"state":"serving"}`
@@ -229,7 +225,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			reg := &fakeRegistry{}
-			handler := AnnounceHandler(AnnounceOptions{Registry: reg, Tokens: map[api.Pool]string{"llm": "secret", "empty": ""}})
+			handler := AnnounceHandler(AnnounceOptions{Registry: reg, TokenDigests: map[api.Pool]string{"llm": pki.HashToken("secret")}})
 			ln := fasthttputil.NewInmemoryListener()
 			defer ln.Close()
 			go func() { _ = fasthttp.Serve(ln, func(ctx *fasthttp.RequestCtx) { handler(ctx) }) }()
@@ -242,10 +238,10 @@
 			}
 			body, _ := io.ReadAll(resp.Body)
 			resp.Body.Close()
-			if resp.StatusCode != c.status || (c.status == 200) != (len(reg.got) == 1) {
-				t.Fatalf("status %d, %d announcements, body %s", resp.StatusCode, len(reg.got), body)
+			if resp.StatusCode != c.status || (c.status == 200) != (reg.announced == 1) {
+				t.Fatalf("status %d, %d announcements, body %s", resp.StatusCode, reg.announced, body)
 			}
-			if c.status == 200 && !bytes.Contains(body, []byte(`{"vms":["127.0.0.1:9"]}`)) {
+			if c.status == 200 && !bytes.Contains(body, []byte(`{"vms":["127.0.0.1:1"]}`)) {
 				t.Fatalf("body %s", body)
 			}
 		})
--- a/internal/caller/parse.go
+++ b/internal/caller/parse.go
@@ -1,9 +1,6 @@
 package caller
 
 import (
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"net/url"
 	"strconv"
 	"strings"
@@ -17,6 +14,7 @@
 	"filbertledge/internal/backend"
 	"filbertledge/internal/errs"
 	"filbertledge/internal/events"
+	"filbertledge/internal/pki"
 	"filbertledge/internal/table"
 )
 
@@ -133,9 +131,7 @@
 
 // tokenOpens reports whether the token belongs to the row. A row without a digest is closed.
 func tokenOpens(token string, row *table.Row) bool {
-	sum := sha256.Sum256([]byte(token))
-	digest := hex.EncodeToString(sum[:])
-	return subtle.ConstantTimeCompare([]byte(digest), []byte(row.TokenSHA256)) == 1 && token != ""
+	return pki.TokenMatches(token, row.TokenSHA256) && token != ""
 }
 
 // credentialRefused records a refused credential without the secret.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -3,13 +3,17 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/tidwall/gjson"
+
 	"filbertledge/internal/api"
 	"filbertledge/internal/backend"
 	"filbertledge/internal/control"
@@ -201,6 +205,51 @@
 	}
 }
 
+// Guards against a stream that waits for a stalled server, and against gaps or repetitions when it moves.
+func TestStalledStreamMoves(t *testing.T) {
+	f := newFixture(t)
+	var stalls atomic.Int64
+	engine := func(_ int64, w http.ResponseWriter, req *http.Request) {
+		from := gjson.Get(readAll(req), "filbertledge.continue_from.tokens").Int()
+		for i := from; i < 20; i++ {
+			if i == 12 && stalls.Add(1) == 1 {
+				<-req.Context().Done()
+				return
+			}
+			fmt.Fprintf(w, `data: {"choices":[{"delta":{"content":"t%d "}}],"filbertledge":{"attempt_id":%q,"offset":%d,"pieces":[{"version":7,"tokens":1}]}}`+"\n\n",
+				i, req.Header.Get(api.HeaderAttemptID), i)
+			w.(http.Flusher).Flush()
+		}
+		fmt.Fprintf(w, `data: {"choices":[{"finish_reason":"stop"}],"filbertledge":{"attempt_id":%q,"offset":20}}`+"\n\ndata: [DONE]\n\n", req.Header.Get(api.HeaderAttemptID))
+	}
+	f.announce("s0", serve(t, engine), nil)
+	f.announce("s1", serve(t, engine), nil)
+	var text strings.Builder
+	start := time.Now()
+	a, err := f.DoStream(within(t, 10*time.Second), chat(`{}`), func(c backend.Chunk) error { text.WriteString(c.Text); return nil })
+	if err != nil {
+		t.Fatal(err)
+	}
+	var want strings.Builder
+	for i := range 20 {
+		fmt.Fprintf(&want, "t%d ", i)
+	}
+	if text.String() != want.String() || a.Tokens != 20 || a.Attempts != 2 {
+		t.Fatalf("text %q after %d attempts", text.String(), a.Attempts)
+	}
+	if took := time.Since(start); took > 3*time.Second {
+		t.Fatalf("stream moved after %v", took)
+	}
+	if n := f.InFlight(); n != 0 {
+		t.Fatalf("%d requests left in flight", n)
+	}
+}
+
+func readAll(req *http.Request) string {
+	data, _ := io.ReadAll(req.Body)
+	return string(data)
+}
+
 // Guards against samples from weights that are too old or that the row may not use (P2).
 func TestWeightsDecideServer(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -274,6 +323,9 @@
 	f.announce("s0", serve(t, func(_ int64, w http.ResponseWriter, req *http.Request) {
 		<-req.Context().Done()
 	}), func(a *api.Announcement) { a.Capacity = 1 })
+	for range 64 {
+		f.learn("chat", 2, time.Second)
+	}
 	ctx := within(t, 3*time.Second)
 	for range 8 {
 		go func() { _, _ = f.DoUnary(ctx, chat(`{}`)) }()
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -29,7 +29,8 @@
 	Backend  *backend.Client
 	Control  control.Client
 	// Share returns how many requests of the row this VM may have in flight; it is asked only for rows with
-	// MaxInFlight. The default is MaxInFlight divided by the number of known VMs, at least 1.
+	// MaxInFlight. The default is MaxInFlight divided by the number of known VMs, at least 1, and 0 while no
+	// VMs are known.
 	Share   func(row table.Row) int
 	Metrics *metrics.Metrics
 	Events  *events.Recorder
@@ -43,14 +44,18 @@
 
 	mu      sync.Mutex
 	pools   map[api.Pool]*pool
-	lengths map[api.RowName]*policy.Lengths
+	lengths map[api.RowName]*policy.Lengths // run times
+	firsts  map[api.RowName]*policy.Lengths // times to first token of streams
 }
 
 var _ Generator = (*Dispatcher)(nil)
 
 // New returns a dispatcher. Run must be running for it to work.
 func New(opts Options) *Dispatcher {
-	d := &Dispatcher{opts: opts, start: time.Now(), pools: map[api.Pool]*pool{}, lengths: map[api.RowName]*policy.Lengths{}}
+	d := &Dispatcher{
+		opts: opts, start: time.Now(), pools: map[api.Pool]*pool{},
+		lengths: map[api.RowName]*policy.Lengths{}, firsts: map[api.RowName]*policy.Lengths{},
+	}
 	if d.opts.Share == nil {
 		d.opts.Share = d.evenShare
 	}
@@ -59,7 +64,11 @@
 
 // evenShare divides a row's limit between the known VMs.
 func (d *Dispatcher) evenShare(row table.Row) int {
-	return max(1, row.MaxInFlight/max(1, len(d.opts.Control.VMs())))
+	vms := len(d.opts.Control.VMs())
+	if vms == 0 {
+		return 0
+	}
+	return max(1, row.MaxInFlight/vms)
 }
 
 // Run compares the servers and places waiting work until ctx ends.
@@ -117,7 +126,7 @@
 	return policy.DefaultPrediction
 }
 
-// known reports whether the row has enough history to hedge its requests.
+// known reports whether the row has enough history to act on its quantiles.
 func (d *Dispatcher) known(row api.RowName) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -125,15 +134,34 @@
 	return l != nil && l.Known()
 }
 
+// firstTokenQuantile returns the quantile q of the row's times to first token, and whether enough are known.
+func (d *Dispatcher) firstTokenQuantile(row api.RowName, bytes int, q float64) (time.Duration, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l := d.firsts[row]
+	if l == nil || !l.Known() {
+		return 0, false
+	}
+	return l.Quantile(bytes, q), true
+}
+
 func (d *Dispatcher) learn(row api.RowName, bytes int, ran time.Duration) {
+	d.add(d.lengths, row, bytes, ran)
+}
+
+func (d *Dispatcher) learnFirstToken(row api.RowName, bytes int, after time.Duration) {
+	d.add(d.firsts, row, bytes, after)
+}
+
+func (d *Dispatcher) add(to map[api.RowName]*policy.Lengths, row api.RowName, bytes int, v time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	l := d.lengths[row]
+	l := to[row]
 	if l == nil {
 		l = &policy.Lengths{}
-		d.lengths[row] = l
+		to[row] = l
 	}
-	l.Add(bytes, ran)
+	l.Add(bytes, v)
 }
 
 func (d *Dispatcher) event(name events.Name, r *run, server api.ServerID, detail string) {
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -68,6 +68,8 @@
 	state  *serverState
 	run    *run
 	at     time.Duration
+	// waiting is true until the first token of a stream, guarded by the pool's lock.
+	waiting bool
 }
 
 // acquire waits for a server. The error says that the attempt did not run.
@@ -130,13 +132,14 @@
 	return policy.Job{Row: name, Class: r.class, Priority: r.work.Row.Priority, Predicted: r.predicted, Arrived: now}
 }
 
-// refuseEarly refuses work whose predicted wait passes its deadline.
+// refuseEarly refuses a customer's work whose predicted wait passes its deadline. A row without history is not
+// refused on a guess, and trainers wait as long as they like.
 func (p *pool) refuseEarly(ctx context.Context, w *waiter) error {
 	if p.queue.Len() >= maxQueue {
 		return errs.New(errs.Overloaded, "resend the request later", "queue of pool %q is full", p.name)
 	}
 	deadline, ok := ctx.Deadline()
-	if !ok || p.queue.Len() == 0 {
+	if !ok || p.queue.Len() == 0 || w.run.class != policy.Customer || !p.d.known(w.run.work.Row.Name) {
 		return nil
 	}
 	slots := p.slots(p.d.now())
@@ -296,6 +299,13 @@
 	l.state.stats.Measured(m)
 }
 
+// awaitFirstToken notes that a stream waits for its first token, or no longer does.
+func (l *lease) awaitFirstToken(waiting bool) {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	l.waiting = waiting
+}
+
 // suspects returns the digests of all requests in flight on the server.
 func (l *lease) suspects() []uint64 {
 	l.pool.mu.Lock()
@@ -415,7 +425,9 @@
 	servers := p.d.opts.Registry.Servers(p.name)
 	stats := make([]*policy.Stats, len(servers))
 	for i, s := range servers {
-		stats[i] = &p.state(s).stats
+		st := p.state(s)
+		st.stats.Pending = st.oldestWait(now)
+		stats[i] = &st.stats
 	}
 	for _, v := range policy.Judge(stats, now) {
 		p.judged(servers[v.Index], v.Ejected)
@@ -425,6 +437,17 @@
 	}
 }
 
+// oldestWait is the longest time in seconds that a stream in flight has waited for its first token.
+func (st *serverState) oldestWait(now time.Duration) float64 {
+	var oldest time.Duration
+	for l := range st.flights {
+		if l.waiting {
+			oldest = max(oldest, now-l.at)
+		}
+	}
+	return oldest.Seconds()
+}
+
 func (p *pool) judged(s *membership.Server, ejected bool) {
 	if p.d.opts.Events == nil {
 		return
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -57,27 +57,40 @@
 
 func (r *run) stream(ctx context.Context, emit Emit) (Answer, error) {
 	s := &relay{run: r, emit: emit}
+	var l *lease
 	for {
-		l, err := r.acquire(ctx)
-		if err != nil {
-			return s.answer(nil), r.fail(err)
+		if l == nil {
+			var err error
+			if l, err = r.acquire(ctx); err != nil {
+				return s.answer(nil), r.fail(err)
+			}
 		}
-		err = s.attempt(ctx, l)
+		next, err := s.attempt(ctx, l)
 		if err == nil {
+			next.discard()
 			l.release()
 			return s.answer(l), nil
 		}
-		again := r.failed(ctx, l, err) && s.resumable(err)
+		again := r.failed(ctx, l, err) && (next != nil || resumable(err))
 		l.release()
 		if !again {
+			next.discard()
 			return s.answer(l), r.fail(err)
 		}
+		l = next
+	}
+}
+
+// discard returns a slot that is not used after all.
+func (l *lease) discard() {
+	if l != nil {
+		l.release()
 	}
 }
 
 // resumable reports whether another server may go on. An emit error and a refusal of the request itself end
 // the stream.
-func (s *relay) resumable(err error) bool {
+func resumable(err error) bool {
 	f := backend.FailureOf(err)
 	if f.Status != 0 && !transient(f.Status) {
 		return false
@@ -85,26 +98,40 @@
 	return !errs.Is(err, errs.Canceled)
 }
 
-// attempt runs the stream on one server, from the first token that was not yet passed on.
-func (s *relay) attempt(ctx context.Context, l *lease) error {
+// attempt runs the stream on one server, from the first token that was not yet passed on. If the server stalled
+// and the stream moves, next is the slot on another server.
+func (s *relay) attempt(ctx context.Context, l *lease) (next *lease, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s.held = s.held[:0]
 	body, err := s.run.prepare(prepared{stream: true, text: s.text.String(), tokens: s.tokens})
 	if err != nil {
-		return &backend.Failure{NotSent: true, Status: http.StatusBadRequest, Err: err}
+		return nil, &backend.Failure{NotSent: true, Status: http.StatusBadRequest, Err: err}
 	}
+	m := newMover(s.run, l, cancel)
+	err = s.exchange(ctx, l, body, m)
+	return m.stop(), err
+}
+
+func (s *relay) exchange(ctx context.Context, l *lease, body []byte, m *mover) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = panicError(p)
+		}
+	}()
+	l.awaitFirstToken(true)
+	defer l.awaitFirstToken(false)
 	start := time.Now()
 	stream, err := s.run.d.opts.Backend.Stream(ctx, s.run.request(l, s.run.attemptID(), body), s.tokens)
 	if err != nil {
 		return err
 	}
 	defer stream.Close()
-	return s.copy(stream, l, start)
+	return s.copy(stream, l, start, m)
 }
 
 // copy passes the pieces on until the end mark.
-func (s *relay) copy(stream *backend.Stream, l *lease, start time.Time) error {
+func (s *relay) copy(stream *backend.Stream, l *lease, start time.Time, m *mover) error {
 	before := s.tokens
 	var first time.Time
 	for {
@@ -117,17 +144,22 @@
 		}
 		if first.IsZero() && c.Tokens > 0 {
 			first = time.Now()
-			s.firstToken()
+			s.firstToken(l, first.Sub(start))
 		}
+		m.progress(c.Tokens)
 		if err := s.pass(c); err != nil {
 			return err
 		}
 	}
 }
 
-func (s *relay) firstToken() {
-	if m := s.run.d.opts.Metrics; m != nil && s.tokens == 0 {
-		m.FirstToken(s.run.work.Row.Name, s.run.queued+s.run.ranFor())
+// firstToken notes the first token of an attempt.
+func (s *relay) firstToken(l *lease, after time.Duration) {
+	r := s.run
+	l.awaitFirstToken(false)
+	r.d.learnFirstToken(r.work.Row.Name, len(r.work.Body), after)
+	if m := r.d.opts.Metrics; m != nil && s.tokens == 0 {
+		m.FirstToken(r.work.Row.Name, r.queued+r.ranFor())
 	}
 }
 
--- a/internal/dispatch/unary.go
+++ b/internal/dispatch/unary.go
@@ -57,7 +57,7 @@
 	for {
 		select {
 		case <-hedge.C:
-			if second := r.tryHedge(); second != nil {
+			if second := r.second(l).tryPlace(); second != nil {
 				running++
 				go func() { results <- r.exchange(ctx, second, body) }()
 			}
@@ -93,11 +93,15 @@
 	return policy.Measurement{WholeSpeed: speed(tokens, res.took)}
 }
 
-// finish cancels the attempt that lost against res.
+// finish cancels the attempt that lost against res. The time that it took so far counts for its server.
 func (r *run) finish(res unaryResult, running int, cancel func(), results chan unaryResult) unaryResult {
 	cancel()
 	for range running {
-		(<-results).lease.release()
+		lost := <-results
+		if !r.engine() && res.err == nil {
+			lost.lease.measured(policy.Measurement{FirstToken: lost.took})
+		}
+		lost.lease.release()
 	}
 	return res
 }
@@ -119,31 +123,36 @@
 	return r.predicted.Seconds() <= p.meanRun*1.01
 }
 
-// tryHedge takes a slot on another server if one is free and admits a retry.
-func (r *run) tryHedge() *lease {
-	if r.attempts+2 > policy.MaxAttempts {
+// second returns a copy of the run for one more attempt while the one on l still runs. The copy is placed on its
+// own, so that it may be used from another goroutine.
+func (r *run) second(l *lease) *run {
+	c := *r
+	c.attempts++ // counts against the retry budget of the server
+	c.never = append(r.never[:len(r.never):len(r.never)], l.server.ID())
+	return &c
+}
+
+// tryPlace takes a slot on a server if one is free now.
+func (r *run) tryPlace() *lease {
+	if r.attempts+1 > policy.MaxAttempts {
 		return nil
 	}
 	p := r.d.pool(r.work.Row.Pool)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	second := *r
-	second.attempts++ // counts against the retry budget of the server
-	for s, st := range p.servers {
-		for l := range st.flights {
-			if l.run == r {
-				second.never = append(second.never[:len(second.never):len(second.never)], s.ID())
-			}
-		}
-	}
-	now := p.d.now()
+	now := r.d.now()
 	job := p.jobOf(r, now)
-	return p.place(&second, &job, now)
+	return p.place(r, &job, now)
 }
 
 // exchange runs one attempt and checks its status.
-func (r *run) exchange(ctx context.Context, l *lease, body []byte) unaryResult {
+func (r *run) exchange(ctx context.Context, l *lease, body []byte) (res unaryResult) {
 	start := time.Now()
+	defer func() {
+		if p := recover(); p != nil {
+			res = unaryResult{lease: l, err: panicError(p)}
+		}
+	}()
 	answer, err := r.d.opts.Backend.Do(ctx, r.request(l, r.attemptID(), body))
 	if err == nil {
 		err = r.checkStatus(answer)
@@ -154,6 +163,11 @@
 	return unaryResult{lease: l, answer: answer, took: time.Since(start), err: err}
 }
 
+// panicError keeps a fault in the handling of one request from ending the process.
+func panicError(p any) error {
+	return &backend.Failure{Err: errs.New(errs.Internal, "report this error", "panic while a request ran: %v", p)}
+}
+
 // checkStatus turns an engine's transient refusals into failures. Answers of plain services, and refusals of
 // the request itself, are passed on.
 func (r *run) checkStatus(a backend.Answer) error {
--- a/internal/policy/eject.go
+++ b/internal/policy/eject.go
@@ -33,6 +33,7 @@
 	Speed      float64
 	WholeSpeed float64
 	Samples    int
+	Pending    float64 // seconds that the oldest request without a first token has waited
 	Relative   float64 // speed relative to the pool's median, set by Judge
 	Ejected    bool
 	NextProbe  time.Duration
@@ -132,7 +133,7 @@
 func relative(s *Stats, m *Stats) float64 {
 	out := 0.0
 	for _, r := range [...]float64{
-		ratio(m.FirstToken, s.FirstToken),
+		ratio(m.FirstToken, max(s.FirstToken, s.Pending)),
 		ratio(s.Speed, m.Speed),
 		ratio(s.WholeSpeed, m.WholeSpeed),
 	} {
