Give up a silent peer after 1 s while calls wait for it

After kill -9 of the control leader on loopback, an edit was accepted 5.3 s later: each attempt of the control client waited on the dead connection until its own timeout or the idle timeout of 5 s, because a killed process closes no QUIC connection. The election was not the cause; the new leader was there after 1.7 s. While calls wait, the client now watches for packets: after 0.5 s of silence it sends an empty datagram, which a live peer acknowledges, and after 1 s it closes the connection. Polls that are answered within 0.5 s need no probe. After ten failed dials the pause grows to 1 s.

The operator API no longer records draining and stopped, which the VM records itself.

--- a/internal/cli/edit.go
+++ b/internal/cli/edit.go
@@ -257,9 +257,7 @@
 		t.flush()
 		return
 	}
-	for _, c := range r.Changes {
-		fmt.Fprintf(w, "  %s: %s -> %s\n", c.Column, orEmpty(printable(c.Before)), orEmpty(printable(c.After)))
-	}
+	printChanges(w, r.Changes)
 	switch {
 	case r.DryRun:
 		fmt.Fprintf(w, "row %s would be at version %d; nothing was changed\n", r.Row, r.Version)
--- a/internal/cli/table.go
+++ b/internal/cli/table.go
@@ -211,18 +211,21 @@
 }
 
 func printHistory(w io.Writer, list []control.RowChange) {
-	t := newTextTable(w, "VERSION", "TIME", "OPERATOR", "CHANGES", "EDIT")
 	for _, change := range list {
-		var parts []string
-		for _, c := range change.Changes {
-			parts = append(parts, fmt.Sprintf("%s: %s -> %s", c.Column, orEmpty(c.Before), orEmpty(c.After)))
-		}
+		fmt.Fprintf(w, "version %d  %s  operator %s  edit %s\n", change.After.Version, change.At.Format(time.RFC3339),
+			printable(change.Operator), change.EditID)
 		if change.After.Deleted {
-			parts = []string{"deleted"}
+			fmt.Fprintln(w, "  deleted")
+			continue
 		}
-		t.row(change.After.Version, change.At.Format(time.RFC3339), change.Operator, strings.Join(parts, ", "), change.EditID)
+		printChanges(w, change.Changes)
+	}
+}
+
+func printChanges(w io.Writer, list []table.Change) {
+	for _, c := range list {
+		fmt.Fprintf(w, "  %s: %s -> %s\n", c.Column, orEmpty(printable(c.Before)), orEmpty(printable(c.After)))
 	}
-	t.flush()
 }
 
 func orEmpty(s string) string {
@@ -251,9 +254,7 @@
 			what += ", deleted"
 		}
 		fmt.Fprintf(w, "%s (%s)\n", d.Row, what)
-		for _, c := range d.Changes {
-			fmt.Fprintf(w, "  %s: %s -> %s\n", c.Column, orEmpty(printable(c.Before)), orEmpty(printable(c.After)))
-		}
+		printChanges(w, d.Changes)
 	}
 }
 
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -178,7 +178,7 @@
 }
 
 func (s *server) drain(_ context.Context, peer transport.Peer, _ None) (None, error) {
-	s.o.Events.Record(events.Event{Name: events.VMDraining, Detail: "asked for by operator " + peer.Name})
+	s.o.Events.Log().WithField("operator", peer.Name).Info("graceful shutdown asked for")
 	s.o.Drain()
 	return None{}, nil
 }
@@ -187,7 +187,7 @@
 const shutdownDelay = 100 * time.Millisecond
 
 func (s *server) shutdown(_ context.Context, peer transport.Peer, _ None) (None, error) {
-	s.o.Events.Record(events.Event{Name: events.VMStopped, Detail: "asked for by operator " + peer.Name})
+	s.o.Events.Log().WithField("operator", peer.Name).Info("shutdown asked for")
 	time.AfterFunc(shutdownDelay, s.o.Shutdown)
 	return None{}, nil
 }
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -81,13 +81,12 @@
 	if len(request) > MaxMessage {
 		return nil, tooLarge("request", len(request))
 	}
-	p := c.peer(addr)
-	conn, err := p.connect(ctx)
+	conn, err := c.peer(addr).connect(ctx)
 	if err != nil {
 		return nil, err
 	}
-	p.begin(conn)
-	defer p.end()
+	conn.begin()
+	defer conn.end()
 	stream, err := conn.OpenStreamSync(ctx)
 	if err != nil {
 		return nil, notRun(addr, method, err)
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -18,6 +18,10 @@
 	minBackoff = 50 * time.Millisecond
 	// maxBackoff is short, because a VM that came back must be reached well before the table lease of 3 s ends.
 	maxBackoff = 500 * time.Millisecond
+	// longBackoff applies after longFailures dials without success: each takes 3 to 4 KB, and a VM that is cut off
+	// may have many peers to dial.
+	longBackoff  = time.Second
+	longFailures = 10
 	// sendQueue bounds the one-way messages that wait for one peer.
 	sendQueue = 512
 	// largeSends bounds the large one-way messages that are being written to one peer, so that a slow peer holds
@@ -36,13 +40,11 @@
 	addr   string
 
 	mu       sync.Mutex
-	conn     *quic.Conn
+	link     *link
 	dial     *dialing
 	failures int
 	retryAt  time.Time
 	lastErr  error
-	waiting  int  // calls that wait for an answer
-	pinging  bool // a keepalive loop runs
 	sending  bool // the sender goroutine was started
 
 	queue chan oneWay
@@ -52,7 +54,7 @@
 // dialing is a dial that several callers wait for.
 type dialing struct {
 	done chan struct{}
-	conn *quic.Conn
+	link *link
 	err  error
 }
 
@@ -63,18 +65,18 @@
 func (p *peerConn) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.conn != nil {
-		p.conn.CloseWithError(codeShutdown, "client closed")
+	if p.link != nil {
+		p.link.CloseWithError(codeShutdown, "client closed")
 	}
 }
 
 // connect returns the open connection or waits for a new one. During a backoff it fails at once, so that the
 // caller can use another VM.
-func (p *peerConn) connect(ctx context.Context) (*quic.Conn, error) {
+func (p *peerConn) connect(ctx context.Context) (*link, error) {
 	p.mu.Lock()
-	if p.conn != nil && p.conn.Context().Err() == nil {
+	if p.link != nil && p.link.Context().Err() == nil {
 		defer p.mu.Unlock()
-		return p.conn, nil
+		return p.link, nil
 	}
 	if p.dial == nil {
 		if time.Now().Before(p.retryAt) {
@@ -88,35 +90,38 @@
 	p.mu.Unlock()
 	select {
 	case <-d.done:
-		return d.conn, d.err
+		return d.link, d.err
 	case <-ctx.Done():
 		return nil, notRun(p.addr, "connecting", ctx.Err())
 	}
 }
 
 func (p *peerConn) run(d *dialing) {
-	conn, err := p.dialOnce()
+	link, err := p.dialOnce()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	d.conn, d.err = conn, err
+	d.link, d.err = link, err
 	p.dial = nil
 	if err != nil {
 		p.backOff(err)
 	} else {
-		p.conn, p.failures, p.lastErr = conn, 0, nil
+		p.link, p.failures, p.lastErr = link, 0, nil
 	}
 	close(d.done)
 }
 
 // backOff sets the time of the next dial. The jitter keeps VMs from dialling a restarted peer all at once.
 func (p *peerConn) backOff(err error) {
-	wait := min(minBackoff<<min(p.failures, 10), maxBackoff)
+	wait := min(minBackoff<<min(p.failures, longFailures), maxBackoff)
+	if p.failures >= longFailures {
+		wait = longBackoff
+	}
 	p.failures++
 	p.lastErr = err
 	p.retryAt = time.Now().Add(wait/2 + rand.N(wait/2))
 }
 
-func (p *peerConn) dialOnce() (*quic.Conn, error) {
+func (p *peerConn) dialOnce() (*link, error) {
 	udp, err := net.ResolveUDPAddr("udp", p.addr)
 	if err != nil {
 		return nil, errs.Wrap(err, errs.InvalidArgument, "give an IP address and a port", "cannot dial %q", p.addr)
@@ -135,7 +140,7 @@
 	wire := counters.openWire(wireClass(p.role()), wireTraffic(conn))
 	context.AfterFunc(conn.Context(), func() { counters.closeWire(wire) })
 	go discardDatagrams(conn)
-	return conn, nil
+	return &link{Conn: conn}, nil
 }
 
 // role returns the role under which this side sends: the class of a connection is that of its client.
@@ -150,56 +155,6 @@
 	}
 }
 
-// begin and end count the calls that wait for an answer. While there are any, the connection is kept alive.
-func (p *peerConn) begin(conn *quic.Conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.waiting++
-	if !p.pinging {
-		p.pinging = true
-		go p.keepAlive(conn)
-	}
-}
-
-func (p *peerConn) end() {
-	p.mu.Lock()
-	p.waiting--
-	p.mu.Unlock()
-}
-
-// keepAlive sends an empty datagram every keepaliveInterval until no call waits or the connection is closed.
-func (p *peerConn) keepAlive(conn *quic.Conn) {
-	ticker := time.NewTicker(keepaliveInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-conn.Context().Done():
-			p.restartKeepAlive(conn)
-			return
-		case <-ticker.C:
-		}
-		p.mu.Lock()
-		if p.waiting == 0 {
-			p.pinging = false
-			p.mu.Unlock()
-			return
-		}
-		p.mu.Unlock()
-		_ = conn.SendDatagram(nil) // a failure closes the connection, which the loop notices
-	}
-}
-
-// restartKeepAlive moves the loop to the connection that replaced old, if calls wait on it.
-func (p *peerConn) restartKeepAlive(old *quic.Conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.pinging = false
-	if p.waiting > 0 && p.conn != nil && p.conn != old && p.conn.Context().Err() == nil {
-		p.pinging = true
-		go p.keepAlive(p.conn)
-	}
-}
-
 func (p *peerConn) enqueue(m oneWay) {
 	p.mu.Lock()
 	if !p.sending {
@@ -246,7 +201,7 @@
 	if !errors.As(err, &large) {
 		return false
 	}
-	return p.sendLarge(conn, m.method, data)
+	return p.sendLarge(conn.Conn, m.method, data)
 }
 
 // sendLarge writes a message to a stream of its own, so that it does not hold up the small ones.
--- a/internal/transport/quic.go
+++ b/internal/transport/quic.go
@@ -16,7 +16,7 @@
 
 const (
 	dialTimeout = 500 * time.Millisecond
-	// idleTimeout closes a connection that receives nothing, so that a silent cut ends its calls.
+	// idleTimeout closes a connection that receives nothing, so that a silent cut is noticed on both sides.
 	idleTimeout = 5 * time.Second
 	// keepaliveInterval is used while calls wait for an answer, and then only: an idle connection may close.
 	// It leaves one loss within idleTimeout.
@@ -33,6 +33,7 @@
 const (
 	codeShutdown quic.ApplicationErrorCode = 1
 	codeExpired  quic.ApplicationErrorCode = 2
+	codeSilent   quic.ApplicationErrorCode = 3
 	codeAbort    quic.StreamErrorCode      = 1
 	codeTooLarge quic.StreamErrorCode      = 2
 )
