Check certificates on open connections and replace nearly idle ones

An open connection kept the rights of its handshake: after the old root was dropped or the certificate expired, its calls were still served. The server now checks the chain again when its TLS material has changed, and the expiry at each request; it refuses the request and leaves the connection open, so that answers of running handlers arrive. Clients dial again after a rotation and keep the old connection if that fails. A connection that was idle for 4 s of the 5 s is replaced before a call: the peer may have closed it already, and the outcome of the call would be unknown.

--- a/internal/pki/source.go
+++ b/internal/pki/source.go
@@ -8,6 +8,7 @@
 	"crypto/x509"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"filbertledge/internal/errs"
@@ -37,6 +38,8 @@
 	stamp    [3]fileStamp
 	rejected [3]fileStamp // state of the files that could not be used; it is reported once
 	material *material
+
+	generation atomic.Uint64
 }
 
 type fileStamp struct {
@@ -69,6 +72,18 @@
 // Identity returns the identity of the current certificate.
 func (s *Source) Identity() Identity { return s.current().identity }
 
+// Generation grows each time that changed files are taken into use. It does not look at the files itself.
+func (s *Source) Generation() uint64 { return s.generation.Load() }
+
+// VerifyClient checks the certificates of an accepted connection against the material in use now.
+func (s *Source) VerifyClient(chain []*x509.Certificate) error {
+	s.mu.Lock()
+	m := s.material
+	s.mu.Unlock()
+	_, err := m.verify(chain, x509.ExtKeyUsageClientAuth)
+	return err
+}
+
 // Run looks for changed files until ctx ends.
 func (s *Source) Run(ctx context.Context) {
 	ticker := time.NewTicker(PollInterval)
@@ -118,6 +133,7 @@
 		return s.material
 	}
 	s.stamp, s.material = stamp, m
+	s.generation.Add(1)
 	if s.options.OnLoad != nil {
 		s.options.OnLoad(m.identity)
 	}
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -172,7 +172,7 @@
 // refusal returns a typed error if err says that a certificate was refused, and else nil.
 func refusal(addr string, err error) error {
 	var app *quic.ApplicationError
-	if refusedByTLS(err) || errors.As(err, &app) && app.ErrorCode == codeExpired {
+	if refusedByTLS(err) || errors.As(err, &app) && app.ErrorCode == codeRefused {
 		return errs.Wrap(err, errs.Unauthenticated, "check both sides with filbertledge keys check", "TLS with %s failed", addr)
 	}
 	return nil
--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -22,17 +22,57 @@
 // sends nothing and closes after idleTimeout.
 type link struct {
 	*quic.Conn
+	generation uint64 // of the TLS material of the handshake
 
 	mu       sync.Mutex
-	waiting  int  // calls that wait for an answer
-	sent     bool // a call started since the last tick
+	waiting  int       // calls that wait for an answer
+	used     time.Time // last begin, end or one-way message
+	sent     bool      // a call started since the last tick
 	watching bool
+	retired  bool // closes when no call waits
+}
+
+// idleMargin is the remaining idle time below which a connection is not used any more: the peer may have closed
+// it already, and whether a request that it refuses for that had run would be unknown.
+const idleMargin = time.Second
+
+// usable reports whether a new call may use the connection.
+func (l *link) usable(now time.Time) bool {
+	return l.Context().Err() == nil && l.fresh(now)
+}
+
+func (l *link) fresh(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.waiting > 0 || now.Sub(l.used) < idleTimeout-idleMargin
+}
+
+func (l *link) touch() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.used = time.Now()
+}
+
+// retire closes the connection once no call waits on it.
+func (l *link) retire() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.retired = true
+	l.closeRetired()
+}
+
+// closeRetired closes a retired connection without calls. l.mu must be held.
+func (l *link) closeRetired() {
+	if l.retired && l.waiting == 0 {
+		l.CloseWithError(codeShutdown, "replaced")
+	}
 }
 
 func (l *link) begin() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.waiting++
+	l.used = time.Now()
 	l.sent = true
 	if !l.watching {
 		l.watching = true
@@ -44,6 +84,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.waiting--
+	l.used = time.Now()
+	l.closeRetired()
 }
 
 // tick reports whether calls started since the last tick; it ends the watch if none wait.
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -71,31 +71,47 @@
 }
 
 // connect returns the open connection or waits for a new one. During a backoff it fails at once, so that the
-// caller can use another VM.
+// caller can use another VM. After a rotation it dials with the new material, but goes on with the connection
+// that it has if that fails.
 func (p *peerConn) connect(ctx context.Context) (*link, error) {
-	p.mu.Lock()
-	if p.link != nil && p.link.Context().Err() == nil {
-		defer p.mu.Unlock()
-		return p.link, nil
-	}
-	if p.dial == nil {
-		if time.Now().Before(p.retryAt) {
-			defer p.mu.Unlock()
-			return nil, p.lastErr
-		}
-		p.dial = &dialing{done: make(chan struct{})}
-		go p.run(p.dial)
+	old, d, err := p.linkOrDial()
+	if d == nil {
+		return old, err
 	}
-	d := p.dial
-	p.mu.Unlock()
 	select {
 	case <-d.done:
+		if d.err != nil && old != nil {
+			return old, nil
+		}
 		return d.link, d.err
 	case <-ctx.Done():
 		return nil, notRun(p.addr, "connecting", ctx.Err())
 	}
 }
 
+// linkOrDial returns a connection to use, or a dial to wait for together with the connection that is open.
+func (p *peerConn) linkOrDial() (*link, *dialing, error) {
+	generation := p.client.options.Identity.Generation()
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	open := p.link
+	if open != nil && !open.usable(now) {
+		open = nil
+	}
+	if open != nil && open.generation == generation {
+		return open, nil, nil
+	}
+	if p.dial == nil && !now.Before(p.retryAt) {
+		p.dial = &dialing{done: make(chan struct{})}
+		go p.run(p.dial)
+	}
+	if p.dial == nil && open == nil {
+		return nil, nil, p.lastErr
+	}
+	return open, p.dial, nil
+}
+
 func (p *peerConn) run(d *dialing) {
 	link, err := p.dialOnce()
 	p.mu.Lock()
@@ -105,6 +121,9 @@
 	if err != nil {
 		p.backOff(err)
 	} else {
+		if p.link != nil {
+			p.link.retire()
+		}
 		p.link, p.failures, p.lastErr = link, 0, nil
 	}
 	close(d.done)
@@ -128,7 +147,9 @@
 	}
 	ctx, cancel := context.WithTimeout(p.client.ctx, dialTimeout)
 	defer cancel()
-	config := p.client.options.Identity.ClientTLS(udp.IP.String(), protocolName)
+	identity := p.client.options.Identity
+	config := identity.ClientTLS(udp.IP.String(), protocolName)
+	generation := identity.Generation()
 	conn, err := p.client.transport.Dial(ctx, udp, config, quicConfig())
 	if err != nil {
 		if refused := refusal(p.addr, err); refused != nil {
@@ -140,7 +161,7 @@
 	wire := counters.openWire(wireClass(p.role()), wireTraffic(conn))
 	context.AfterFunc(conn.Context(), func() { counters.closeWire(wire) })
 	go discardDatagrams(conn)
-	return &link{Conn: conn}, nil
+	return &link{Conn: conn, generation: generation, used: time.Now()}, nil
 }
 
 // role returns the role under which this side sends: the class of a connection is that of its client.
@@ -192,6 +213,7 @@
 	if err != nil {
 		return false
 	}
+	conn.touch()
 	err = conn.SendDatagram(data)
 	if err == nil {
 		p.client.options.Counters.out(m.method, len(data))
@@ -223,13 +245,13 @@
 }
 
 func writeUni(conn *quic.Conn, data []byte) bool {
-	ctx, cancel := context.WithTimeout(conn.Context(), writeTimeout)
+	ctx, cancel := context.WithTimeout(conn.Context(), messageTimeout)
 	defer cancel()
 	stream, err := conn.OpenUniStreamSync(ctx)
 	if err != nil {
 		return false
 	}
-	stream.SetWriteDeadline(time.Now().Add(writeTimeout))
+	stream.SetWriteDeadline(time.Now().Add(messageTimeout))
 	if _, err := stream.Write(data); err != nil {
 		stream.CancelWrite(codeAbort)
 		return false
--- a/internal/transport/quic.go
+++ b/internal/transport/quic.go
@@ -32,7 +32,7 @@
 // Application error codes of closed connections and streams.
 const (
 	codeShutdown quic.ApplicationErrorCode = 1
-	codeExpired  quic.ApplicationErrorCode = 2
+	codeRefused  quic.ApplicationErrorCode = 2
 	codeSilent   quic.ApplicationErrorCode = 3
 	codeAbort    quic.StreamErrorCode      = 1
 	codeTooLarge quic.StreamErrorCode      = 2
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -145,18 +146,20 @@
 // connection is an accepted connection with its authenticated peer.
 type connection struct {
 	*quic.Conn
-	peer        Peer
-	certificate *x509.Certificate
-	accepting   context.Context // ends when the server stops accepting requests
+	peer      Peer
+	chain     []*x509.Certificate
+	identity  *pki.Source
+	verified  atomic.Uint64   // generation of the material that chain was last checked against
+	accepting context.Context // ends when the server stops accepting requests
 }
 
 func (s *Server) serveConn(ctx, handlers context.Context, conn *quic.Conn) {
 	identity, err := pki.IdentityOf(conn.ConnectionState().TLS)
 	if err != nil {
-		conn.CloseWithError(codeExpired, "certificate refused")
+		conn.CloseWithError(codeRefused, "certificate refused")
 		return
 	}
-	c := &connection{Conn: conn, accepting: ctx, certificate: conn.ConnectionState().TLS.PeerCertificates[0]}
+	c := &connection{Conn: conn, accepting: ctx, identity: s.options.Identity, chain: conn.ConnectionState().TLS.PeerCertificates}
 	c.peer = Peer{Name: identity.Name, Role: identity.Role, Address: conn.RemoteAddr().String()}
 	wire := s.options.Counters.openWire(wireClass(identity.Role), wireTraffic(conn))
 	defer s.options.Counters.closeWire(wire)
@@ -174,9 +177,6 @@
 		if err != nil {
 			return
 		}
-		if c.expired() {
-			return
-		}
 		s.running.Add(1)
 		go func() {
 			defer s.running.Done()
@@ -185,16 +185,27 @@
 	}
 }
 
-// expired closes a connection whose peer's certificate has expired since the handshake.
-func (c *connection) expired() bool {
-	if time.Now().Before(c.certificate.NotAfter) {
-		return false
+// refusal returns an error if the peer would not be accepted any more: its certificate has expired since the
+// handshake, or the CA that issued it was removed. The connection stays open, so that the answers of running
+// handlers arrive.
+func (c *connection) refusal() error {
+	if time.Now().After(c.chain[0].NotAfter) {
+		return errs.New(errs.Unauthenticated, "renew it with filbertledge keys rotate", "certificate of %q has expired", c.peer.Name)
+	}
+	// A new connection is checked once more, because the material may have changed during its handshake.
+	generation := c.identity.Generation() + 1
+	if c.verified.Load() == generation {
+		return nil
 	}
-	c.CloseWithError(codeExpired, "certificate expired")
-	return true
+	if err := c.identity.VerifyClient(c.chain); err != nil {
+		return err
+	}
+	c.verified.Store(generation)
+	return nil
 }
 
 func (s *Server) serveStream(ctx context.Context, c *connection, stream *quic.Stream) {
+	stream.SetReadDeadline(time.Now().Add(messageTimeout))
 	data, err := readEnvelope(stream)
 	if errors.Is(err, errEnvelopeTooLarge) {
 		stream.CancelRead(codeTooLarge)
@@ -233,6 +244,9 @@
 	if c.accepting.Err() != nil {
 		return nil, errs.New(errs.Unavailable, "send the request to another VM", "the VM is stopping; the request was not run")
 	}
+	if err := c.refusal(); err != nil {
+		return nil, err
+	}
 	s.mu.RLock()
 	r, ok := s.routes[request.Method]
 	s.mu.RUnlock()
@@ -266,7 +280,7 @@
 		s.options.Counters.out(method, len(data))
 	}
 	// A caller that reads slowly may not hold the stream for ever.
-	stream.SetWriteDeadline(time.Now().Add(writeTimeout))
+	stream.SetWriteDeadline(time.Now().Add(messageTimeout))
 	if _, err := stream.Write(data); err != nil {
 		stream.CancelWrite(codeAbort)
 		return
@@ -274,8 +288,8 @@
 	stream.Close()
 }
 
-// writeTimeout bounds the time in which a peer takes one message.
-const writeTimeout = 30 * time.Second
+// messageTimeout bounds the time in which a peer sends or takes one message.
+const messageTimeout = 30 * time.Second
 
 func (s *Server) acceptUni(ctx context.Context, c *connection) {
 	for {
@@ -284,6 +298,7 @@
 			return
 		}
 		go func() {
+			stream.SetReadDeadline(time.Now().Add(messageTimeout))
 			data, err := readEnvelope(stream)
 			if err != nil {
 				stream.CancelRead(codeAbort)
@@ -310,7 +325,7 @@
 // after another, so a handler must not block.
 func (s *Server) receive(ctx context.Context, c *connection, data []byte) {
 	var message requestEnvelope
-	if Unmarshal(data, &message) != nil || c.expired() {
+	if Unmarshal(data, &message) != nil {
 		return
 	}
 	s.options.Counters.in(message.Method, len(data))
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"os"
+	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -230,7 +231,82 @@
 		t.Fatalf("after the old root was dropped: %v", err)
 	}
 	if _, err := first.Call(ctx, addr, "test.echo", nil); err != nil {
-		t.Fatalf("on the connection from before the rotation: %v", err)
+		t.Fatalf("on the client from before the rotation: %v", err)
+	}
+}
+
+// Guards against a certificate that is used on an open connection after its CA was removed or it has expired.
+func TestRefusedOnOpenConnection(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	identity := d.source("a-1", pki.RoleVM, pki.SourceOptions{})
+	addr, _ := d.server(ServerOptions{Identity: identity}, withEcho)
+	files, err := d.ca.Issue(pki.Request{Name: "op", Role: pki.RoleOperator})
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The client works on a copy, so that it keeps its old certificate.
+	old := pki.Files{CA: filepath.Join(t.TempDir(), "ca.pem"), Cert: filepath.Join(t.TempDir(), "op.pem"), Key: files.Key}
+	for from, to := range map[string]string{files.CA: old.CA, files.Cert: old.Cert} {
+		data, err := os.ReadFile(from)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(to, data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	source, err := pki.NewSource(old, pki.SourceOptions{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := d.client(source, ClientOptions{})
+	ctx := timeout(t, 20*time.Second)
+	if _, err := c.Call(ctx, addr, "test.echo", nil); err != nil {
+		t.Fatal(err)
+	}
+	if err := d.ca.RotateCA("test"); err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{"a-1", "op"} {
+		if _, err := d.ca.Rotate(name, 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := d.ca.DropOldCAs(); err != nil {
+		t.Fatal(err)
+	}
+	identity.Identity() // loads the changed files
+	_, err = c.Call(ctx, addr, "test.echo", nil)
+	wantKind(t, err, errs.Unauthenticated)
+
+	brief, err := d.ca.Issue(pki.Request{Name: "brief", Role: pki.RoleOperator, Lifetime: 3 * time.Second})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if source, err = pki.NewSource(brief, pki.SourceOptions{}); err != nil {
+		t.Fatal(err)
+	}
+	c = d.client(source, ClientOptions{})
+	if _, err := c.Call(ctx, addr, "test.echo", nil); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(time.Until(source.Identity().NotAfter) + 50*time.Millisecond)
+	_, err = c.Call(ctx, addr, "test.echo", nil)
+	wantKind(t, err, errs.Unauthenticated)
+}
+
+// Guards against calls with an unknown outcome because the peer closed the idle connection at the same moment.
+func TestNearlyIdleConnectionIsReplaced(t *testing.T) {
+	t.Parallel()
+	l := &link{Conn: nil, used: time.Now()}
+	l.waiting = 1
+	if !l.fresh(time.Now().Add(time.Hour)) {
+		t.Error("a connection on which a call waits is not used")
+	}
+	l.waiting = 0
+	if l.fresh(l.used.Add(idleTimeout-idleMargin)) || !l.fresh(l.used.Add(idleTimeout-idleMargin-1)) {
+		t.Error("the limit of idleness is wrong")
 	}
 }
 
