Compare settings files of one deployment in config check

VMs with equal names or addresses, or with different lists of control replicas, pass the check of single files and fail only when they meet. Warnings of serve are JSON lines, like the rest of its log.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -7,7 +7,9 @@
 	"net/netip"
 	"path/filepath"
 	"strings"
+	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
 	"filbertledge/internal/api"
@@ -33,9 +35,7 @@
 			if a.Serve == nil {
 				return errs.New(errs.Internal, "use a complete build", "this build has no server")
 			}
-			for _, w := range c.Warnings() {
-				fmt.Fprintf(a.Stderr, "warning: %v\n", w)
-			}
+			a.logWarnings(c.Warnings())
 			return internalUnlessTyped(a.Serve(cmd.Context(), c))
 		},
 	}
@@ -44,6 +44,16 @@
 	return cmd
 }
 
+// logWarnings writes JSON lines, as the server does.
+func (a *app) logWarnings(list config.Problems) {
+	log := logrus.New()
+	log.SetOutput(a.Stderr)
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	for _, w := range list {
+		log.WithFields(logrus.Fields{"file": w.File, "key": w.Key, "remedy": w.Remedy}).Warn(w.Message)
+	}
+}
+
 // internalUnlessTyped keeps the exit code for wrong use from errors of the server.
 func internalUnlessTyped(err error) error {
 	var known *errs.Error
@@ -70,22 +80,21 @@
 	cmd := &cobra.Command{
 		Use:   "check FILE...",
 		Short: "Check settings files",
-		Long: `Check settings files as serve does, and report all problems at once. With --keys, also check that the TLS
-files in [tls] fit the VM.`,
+		Long: `Check settings files as serve does, and report all problems at once. Several files are also compared: VMs of
+one deployment have different names and addresses and the same control replicas. With --keys, also check that the
+TLS files in [tls] fit the VM.`,
 		Example: "  filbertledge config check szeged-a-1.toml\n  filbertledge config check --keys *.toml",
 		Args:    cobra.MinimumNArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
-			results := []checkedFile{}
+			results, err := checkSettings(args, withKeys)
+			if err != nil {
+				return err
+			}
 			bad := 0
-			for _, path := range args {
-				r, err := checkFile(path, withKeys)
-				if err != nil {
-					return err
-				}
+			for _, r := range results {
 				if r.failed() {
 					bad++
 				}
-				results = append(results, r)
 			}
 			if err := a.print(results, func(w io.Writer) { printChecked(w, results) }); err != nil {
 				return err
@@ -100,12 +109,31 @@
 	return cmd
 }
 
-func checkFile(path string, withKeys bool) (checkedFile, error) {
-	r := checkedFile{File: path, Problems: config.Problems{}, Warnings: config.Problems{}, Keys: []pki.Finding{}}
-	c, err := config.Read(path)
-	if err != nil {
-		return r, err
+func checkSettings(paths []string, withKeys bool) ([]checkedFile, error) {
+	var configs []*config.Config
+	for _, path := range paths {
+		c, err := config.Read(path)
+		if err != nil {
+			return nil, err
+		}
+		configs = append(configs, c)
 	}
+	together := config.CheckTogether(configs)
+	results := []checkedFile{}
+	for _, c := range configs {
+		r := checkFile(c, withKeys)
+		for _, p := range together {
+			if p.File == c.File {
+				r.Problems = append(r.Problems, p)
+			}
+		}
+		results = append(results, r)
+	}
+	return results, nil
+}
+
+func checkFile(c *config.Config, withKeys bool) checkedFile {
+	r := checkedFile{File: c.File, Problems: config.Problems{}, Warnings: config.Problems{}, Keys: []pki.Finding{}}
 	errors.As(c.Check(), &r.Problems)
 	r.Warnings = append(r.Warnings, c.Warnings()...)
 	if withKeys {
@@ -115,7 +143,7 @@
 		}
 		r.Keys = append(r.Keys, pki.Check(c.TLS.Files(), expect)...)
 	}
-	return r, nil
+	return r
 }
 
 func (r checkedFile) failed() bool {
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -100,10 +100,6 @@
 }
 
 func (r *report) listen(l Listen) {
-	type listener struct {
-		key  string
-		addr netip.AddrPort
-	}
 	var seen []listener
 	for _, item := range []struct {
 		key, value string
@@ -125,7 +121,7 @@
 				r.add(item.key, "use another port", "%q overlaps %s", item.value, other.key)
 			}
 		}
-		seen = append(seen, listener{item.key, addr})
+		seen = append(seen, listener{key: item.key, addr: addr})
 	}
 }
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -193,3 +193,36 @@
 		}
 	}
 }
+
+// Guards against VMs of one deployment that take each other's place.
+func TestCheckTogether(t *testing.T) {
+	dir := t.TempDir()
+	paths, err := Write(dir, deployment())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var list []*Config
+	for _, path := range paths {
+		c, err := Load(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		list = append(list, c)
+	}
+	if problems := CheckTogether(list); len(problems) > 0 {
+		t.Fatal(problems)
+	}
+	list[3].VM.Name = list[0].VM.Name
+	list[3].Listen.Internal = list[1].Listen.HTTP
+	list[2].Control.Replicas = list[2].Control.Replicas[:1]
+	text := CheckTogether(list).Error()
+	for _, want := range []string{
+		paths[3] + `: vm.name: "szeged-a-1" is also the VM of ` + paths[0],
+		paths[3] + ": listen.internal: 127.0.0.1:8002 is also listen.http of " + paths[1],
+		paths[2] + ": control.replicas: differs from " + paths[0],
+	} {
+		if !strings.Contains(text, want) {
+			t.Errorf("%q is not in\n%s", want, text)
+		}
+	}
+}
