Load staged weights ahead and report the end of each order

Cause: a publication had to wait for loads from the rate-limited store, so new weights could not be on all servers within seconds, and a failed swap left no trace in the time line. Ruled out: waiting with the publication until all servers have loaded; the trainer decides when weights are new. The planner reports verified and failed orders. Conclusion: switching no longer depends on the store's rate.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -18,6 +18,7 @@
 
 	"filbertledge/internal/api"
 	"filbertledge/internal/errs"
+	"filbertledge/internal/pki"
 )
 
 // rawServer answers each connection with f and returns its address.
@@ -220,6 +221,8 @@
 		"good":           {"secret", good, 200},
 		"wrong token":    {"other", good, 401},
 		"no token":       {"", good, 401},
+		"empty digest":   {"", strings.Replace(good, "llm", "empty", 1), 401},
+		"digest itself":  {pki.HashToken("secret"), good, 401},
 		"unknown pool":   {"secret", strings.Replace(good, "llm", "x", 1), 401},
 		"not JSON":       {"secret", "{", 400},
 		"host name":      {"secret", strings.Replace(good, "127.0.0.1", "localhost", 1), 400},
@@ -229,7 +232,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			reg := &fakeRegistry{}
-			handler := AnnounceHandler(AnnounceOptions{Registry: reg, Tokens: map[api.Pool]string{"llm": "secret", "empty": ""}})
+			handler := AnnounceHandler(AnnounceOptions{
+				Registry: reg, TokenDigests: map[api.Pool]string{"llm": pki.HashToken("secret"), "empty": ""},
+			})
 			ln := fasthttputil.NewInmemoryListener()
 			defer ln.Close()
 			go func() { _ = fasthttp.Serve(ln, func(ctx *fasthttp.RequestCtx) { handler(ctx) }) }()
--- a/internal/server/replica.go
+++ b/internal/server/replica.go
@@ -12,10 +12,8 @@
 	"filbertledge/internal/pki"
 	"filbertledge/internal/raft"
 	"filbertledge/internal/replica"
-	"filbertledge/internal/table"
 	"filbertledge/internal/transport"
 	"filbertledge/internal/weights"
-	"filbertledge/internal/weightstore"
 )
 
 const (
@@ -31,11 +29,12 @@
 	replica *replica.Replica
 	server  *control.Server
 	orders  *weights.Controller
+	staged  *stagedVersions
 }
 
 func openReplica(vm *VM) (*replicaNode, error) {
 	machine := control.NewMachine()
-	n := &replicaNode{}
+	n := &replicaNode{staged: newStagedVersions(vm)}
 	var err error
 	n.replica, err = replica.Open(replica.Options{
 		Folder: vm.cfg.VM.DataDir, Self: self(vm.cfg), Peers: peers(vm.cfg), StateMachine: machine,
@@ -56,7 +55,7 @@
 		Events: vm.events, Metrics: vm.metrics,
 	})
 	n.orders = weights.NewController(weights.ControllerOptions{
-		Engines: engines{vm}, Leadership: leadership{vm, n.replica}, Servers: vm.orderedServers, Targets: vm.targets,
+		Engines: engines{vm}, Leadership: leadership{vm, n.replica}, Servers: vm.orderedServers, Targets: func() map[string]weights.Target { return vm.targets(n.staged) },
 		MaxLoads: vm.maxLoads, LeaseDuration: raft.DefaultLeaderLease, Events: vm.events, Metrics: vm.metrics,
 	})
 	return n, nil
@@ -82,6 +81,7 @@
 	wg.Go(func() { report(failed, n.replica.Run(ctx)) })
 	wg.Go(func() { n.server.Run(ctx) })
 	wg.Go(func() { n.orders.Run(ctx) })
+	wg.Go(func() { n.staged.run(ctx, n.replica.HoldsLease) })
 }
 
 func (n *replicaNode) close(r *events.Recorder) {
@@ -173,47 +173,3 @@
 	}
 	return out
 }
-
-// targets returns the weights that the engines of each model in the table have to run.
-func (vm *VM) targets() map[string]weights.Target {
-	rows := vm.control.Table()
-	out := make(map[string]weights.Target)
-	rows.Rows(func(r table.Row) {
-		if _, ok := out[r.Model]; r.Model == "" || ok {
-			return
-		}
-		if newest := vm.control.Weights(r.Model).Newest; newest > 0 {
-			out[r.Model] = weights.TargetOf(r.Model, newest, rows)
-		}
-	})
-	return out
-}
-
-// maxLoads returns how many engines may load weights at once, or zero if there is no store to ask.
-func (vm *VM) maxLoads(ctx context.Context) int {
-	if vm.cfg.Weights.Store == "" {
-		return 0
-	}
-	store := weightstore.New(vm.cfg.Weights.Store)
-	limits, err := store.Limits(ctx)
-	if err != nil {
-		vm.events.Log().WithError(err).Warn("loads are bounded by the default")
-		return 0
-	}
-	limits.BytesPerSecond = min(limits.BytesPerSecond, int64(vm.cfg.Weights.Rate))
-	return weightstore.ConcurrentLoads(limits, vm.largestWeights(ctx, store), loadTarget)
-}
-
-func (vm *VM) largestWeights(ctx context.Context, store *weightstore.Client) int64 {
-	var largest int64
-	for model := range vm.targets() {
-		versions, err := store.Versions(ctx, model)
-		if err != nil {
-			continue
-		}
-		for _, v := range versions {
-			largest = max(largest, v.SizeBytes)
-		}
-	}
-	return largest
-}
--- a/internal/weights/controller.go
+++ b/internal/weights/controller.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -103,7 +104,9 @@
 	planner := NewPlanner(c.plannerOptions(ctx))
 	for sleep(ctx, planInterval) && c.opts.Leadership.HoldsLease() {
 		servers := c.readBack(ctx, c.eligible(time.Since(start) >= quiet))
-		c.send(ctx, token, planner, planner.Plan(time.Since(start), servers, c.opts.Targets()))
+		orders := planner.Plan(time.Since(start), servers, c.opts.Targets())
+		c.recordEffects(planner.Effects())
+		c.send(ctx, token, planner, orders)
 	}
 }
 
@@ -171,6 +174,19 @@
 	_ = group.Wait() // the functions return no errors
 }
 
+func (c *Controller) recordEffects(list []Effect) {
+	for _, e := range list {
+		event := events.Event{Name: events.OrderVerified, Server: e.Server, Detail: fmt.Sprintf("%s version %d", e.Kind, e.Version)}
+		result := "verified"
+		if !e.Done {
+			event.Name, result = events.SwapFailed, "failed"
+			event.Detail += fmt.Sprintf(" failed %d times", e.Failures)
+		}
+		c.opts.Events.Record(event)
+		c.opts.Metrics.Order(string(e.Kind), result)
+	}
+}
+
 // sendOne checks the lease immediately before the order goes out: a process that was frozen must not act on a
 // plan from before.
 func (c *Controller) sendOne(ctx context.Context, token uint64, o Order) bool {
--- a/internal/weights/planner.go
+++ b/internal/weights/planner.go
@@ -50,6 +50,9 @@
 	Newest api.WeightVersion
 	// Pinned are older versions that some row of the model needs because its weight rule excludes Newest.
 	Pinned []api.WeightVersion
+	// Staged is a version that the weight store holds and that is not yet published. Servers load it ahead, so
+	// that its publication needs switches only. Zero means none.
+	Staged api.WeightVersion
 }
 
 // Options of a planner. Zero values select the defaults.
@@ -75,6 +78,16 @@
 	expires time.Duration
 }
 
+// Effect is the end of an order: its effect was seen, or it failed.
+type Effect struct {
+	Server  api.ServerID
+	Kind    OrderKind
+	Version api.WeightVersion
+	Done    bool
+	// Failures counts the failed orders of the server for the version; MaxFailures ends them.
+	Failures int
+}
+
 type failureKey struct {
 	server  api.ServerID
 	version api.WeightVersion
@@ -85,6 +98,7 @@
 	opts     Options
 	pending  map[api.ServerID]pending
 	failures map[failureKey]int
+	effects  []Effect
 }
 
 // NewPlanner returns a planner without outstanding orders.
@@ -123,6 +137,7 @@
 	var orders []Order
 	for _, group := range byPool(servers) {
 		orders = append(orders, p.planPool(now, group, wanted)...)
+		orders = append(orders, p.stage(now, group, wanted, targets)...)
 	}
 	return orders
 }
@@ -140,6 +155,7 @@
 			o.kind == OrderUnload && !s.hasLoaded(o.version):
 			delete(p.pending, s.ID)
 			delete(p.failures, failureKey{s.ID, o.version})
+			p.effects = append(p.effects, Effect{Server: s.ID, Kind: o.kind, Version: o.version, Done: true})
 		case now >= o.expires:
 			p.Failed(s.ID)
 		}
@@ -153,10 +169,21 @@
 
 // Failed counts the outstanding order of a server as failed, so that the next plan may repeat it.
 func (p *Planner) Failed(id api.ServerID) {
-	if o, ok := p.pending[id]; ok {
-		p.failures[failureKey{id, o.version}]++
-		delete(p.pending, id)
+	o, ok := p.pending[id]
+	if !ok {
+		return
 	}
+	key := failureKey{id, o.version}
+	p.failures[key]++
+	delete(p.pending, id)
+	p.effects = append(p.effects, Effect{Server: id, Kind: o.kind, Version: o.version, Failures: p.failures[key]})
+}
+
+// Effects returns the orders that ended since the last call.
+func (p *Planner) Effects() []Effect {
+	out := p.effects
+	p.effects = nil
+	return out
 }
 
 // GivenUp reports whether the planner stopped ordering version v on server id after repeated failures.
@@ -248,17 +275,42 @@
 			switching++
 			orders = append(orders, p.order(now, s, OrderSwitch, v))
 		case s.hasLoaded(v):
-		case len(s.Loaded) >= p.opts.MaxVersions:
-			if old, ok := evict(s); ok {
-				orders = append(orders, p.order(now, s, OrderUnload, old))
-			}
-		case p.loads() < p.opts.MaxLoads:
-			orders = append(orders, p.order(now, s, OrderLoad, v))
+		default:
+			orders = append(orders, p.load(now, s, v)...)
+		}
+	}
+	return orders
+}
+
+// stage loads the staged version on servers that already run what they should.
+func (p *Planner) stage(now time.Duration, pool []Server, wanted map[api.ServerID]api.WeightVersion, targets map[string]Target) []Order {
+	var orders []Order
+	for _, s := range pool {
+		t := targets[s.Model]
+		_, busy := p.pending[s.ID]
+		if busy || t.Staged <= t.Newest || s.Current != wanted[s.ID] || wanted[s.ID] != t.Newest ||
+			s.hasLoaded(t.Staged) || p.GivenUp(s.ID, t.Staged) {
+			continue
 		}
+		orders = append(orders, p.load(now, s, t.Staged)...)
 	}
 	return orders
 }
 
+// load returns the order that brings version v nearer to the server's memory: one to make room, or the load.
+func (p *Planner) load(now time.Duration, s Server, v api.WeightVersion) []Order {
+	if len(s.Loaded) >= p.opts.MaxVersions {
+		if old, ok := evict(s); ok {
+			return []Order{p.order(now, s, OrderUnload, old)}
+		}
+		return nil
+	}
+	if p.loads() >= p.opts.MaxLoads {
+		return nil
+	}
+	return []Order{p.order(now, s, OrderLoad, v)}
+}
+
 func (p *Planner) loads() int {
 	n := 0
 	for _, o := range p.pending {
--- a/internal/weights/planner_test.go
+++ b/internal/weights/planner_test.go
@@ -107,6 +107,15 @@
 	if sent != 3 {
 		t.Errorf("sent %d orders to the failing server, want 3", sent)
 	}
+	failed := 0
+	for _, e := range p.Effects() {
+		if !e.Done && e.Server == "s001" {
+			failed++
+		}
+	}
+	if failed != 3 {
+		t.Errorf("%d failed orders reported for the failing server, want 3", failed)
+	}
 	if !p.GivenUp("s001", 2) || p.GivenUp("s000", 2) {
 		t.Error("only the failing server must be given up")
 	}
@@ -156,3 +165,30 @@
 		t.Errorf("servers by version %v, want 1 on version 1 and 7 on version 2", versions)
 	}
 }
+
+// Guards against a publication that has to wait for loads from the rate-limited store: a staged version is
+// loaded before and then needs one switch on each server.
+func TestPlanLoadsStagedVersionAhead(t *testing.T) {
+	f := newFleet(8)
+	p := NewPlanner(Options{MaxLoads: 2})
+	for round := range 10 {
+		f.apply(p.Plan(time.Duration(round)*100*time.Millisecond, f.servers, map[string]Target{"m": {Newest: 1, Staged: 2}}))
+	}
+	for _, s := range f.servers {
+		if s.Current != 1 || !s.hasLoaded(2) {
+			t.Fatalf("server %s runs %d with %v loaded, want 1 with 2 staged", s.ID, s.Current, s.Loaded)
+		}
+	}
+	for round := 10; round < 13; round++ {
+		orders := p.Plan(time.Duration(round)*100*time.Millisecond, f.servers, map[string]Target{"m": {Newest: 2}})
+		if n := len(orders) - countKind(orders, OrderSwitch); n > 0 {
+			t.Fatalf("%d orders besides switches after the publication: %v", n, orders)
+		}
+		f.apply(orders)
+	}
+	for _, s := range f.servers {
+		if s.Current != 2 {
+			t.Errorf("server %s runs version %d, want 2", s.ID, s.Current)
+		}
+	}
+}
