Add the fault matrix and fix three faults that it found

The matrix injects single faults and pairs at every point of the protocols of the agreement core, in virtual time over a simulated network and disk. A replacement that lost its disk again was refused because the voter it names is gone; its own name is now looked up first.

--- /dev/null
+++ b/cmd/faults/main.go
@@ -0,0 +1,60 @@
+// Command faults runs the deterministic fault matrix and prints one line per cell and a summary.
+package main
+
+import (
+	"bufio"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+
+	"filbertledge/internal/faults"
+)
+
+// redPrefix marks a line of KNOWN-RED.txt that names a cell.
+const redPrefix = "cell: "
+
+func main() {
+	filter := flag.String("run", "", "run only the cells whose name contains this text")
+	red := flag.String("known-red", "KNOWN-RED.txt", "file with known failures, one line \"cell: NAME\" each")
+	flag.Parse()
+	os.Exit(run(*filter, *red))
+}
+
+func run(filter, red string) int {
+	known, err := readKnown(red)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	cells, err := faults.Default.Cells(filter)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	out := bufio.NewWriter(os.Stdout)
+	summary := faults.Run(out, cells, known)
+	_, _ = fmt.Fprintln(out, summary)
+	if err := out.Flush(); err != nil || summary.Failed > 0 {
+		return 1
+	}
+	return 0
+}
+
+// readKnown returns the names of the cells that are known to fail. A missing file lists none.
+func readKnown(path string) ([]string, error) {
+	data, err := os.ReadFile(path)
+	if os.IsNotExist(err) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	var names []string
+	for line := range strings.Lines(string(data)) {
+		if name, ok := strings.CutPrefix(strings.TrimSpace(line), redPrefix); ok {
+			names = append(names, name)
+		}
+	}
+	return names, nil
+}
--- /dev/null
+++ b/internal/faults/faults.go
@@ -0,0 +1,156 @@
+// Package faults is the deterministic fault matrix: a registry of cells, each of which injects one fault, or a
+// pair, at one step of a protocol in virtual time and checks the outcome.
+//
+// Other packages add cells with Register, from an init function or from their own constructor that cmd/faults
+// calls.
+package faults
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Cell is one check of the matrix. Run must give the same result every time and must not depend on other cells.
+type Cell interface {
+	// Name is unique and has the form protocol/step/fault.
+	Name() string
+	// Run returns what went wrong, or nil.
+	Run() error
+}
+
+// Func returns a cell that runs f.
+func Func(name string, f func() error) Cell { return funcCell{name, f} }
+
+type funcCell struct {
+	name string
+	run  func() error
+}
+
+func (c funcCell) Name() string { return c.name }
+
+func (c funcCell) Run() error { return c.run() }
+
+// Source returns the cells of one protocol. It may run the protocol without faults to find its steps.
+type Source func() ([]Cell, error)
+
+// Registry holds the sources of cells by protocol name.
+type Registry struct {
+	names   []string
+	sources map[string]Source
+}
+
+// Register adds a source. It panics if the name is taken.
+func (r *Registry) Register(name string, s Source) {
+	if r.sources == nil {
+		r.sources = map[string]Source{}
+	}
+	if _, taken := r.sources[name]; taken {
+		panic(fmt.Sprintf("fault source %q is registered twice", name))
+	}
+	r.names = append(r.names, name)
+	r.sources[name] = s
+}
+
+// Default is the registry that cmd/faults runs.
+var Default Registry
+
+// Register adds a source to the default registry.
+func Register(name string, s Source) { Default.Register(name, s) }
+
+// Cells returns the cells whose name contains filter, in the order of registration.
+func (r *Registry) Cells(filter string) ([]Cell, error) {
+	var cells []Cell
+	seen := map[string]bool{}
+	for _, name := range r.names {
+		list, err := r.sources[name]()
+		if err != nil {
+			return nil, fmt.Errorf("protocol %s: %w", name, err)
+		}
+		for _, c := range list {
+			if seen[c.Name()] {
+				return nil, fmt.Errorf("protocol %s: two cells are named %s", name, c.Name())
+			}
+			seen[c.Name()] = true
+			if strings.Contains(c.Name(), filter) {
+				cells = append(cells, c)
+			}
+		}
+	}
+	return cells, nil
+}
+
+// Summary counts the results of a run.
+type Summary struct {
+	Cells, Passed, Failed int
+	// Red counts the failed cells that are listed as known.
+	Red int
+}
+
+// String is the last line of a run.
+func (s Summary) String() string {
+	return fmt.Sprintf("faults: cells=%d passed=%d failed=%d red=%d", s.Cells, s.Passed, s.Failed, s.Red)
+}
+
+type result struct {
+	err     error
+	elapsed time.Duration
+}
+
+// Run runs the cells in parallel and prints one line per cell, in order. Failures of cells whose names are in
+// known are counted as red instead of failed.
+func Run(w io.Writer, cells []Cell, known []string) Summary {
+	results := runAll(cells)
+	s := Summary{Cells: len(cells)}
+	for i, c := range cells {
+		r := results[i]
+		switch {
+		case r.err == nil:
+			s.Passed++
+			_, _ = fmt.Fprintf(w, "%s passed\n", c.Name())
+		case slices.Contains(known, c.Name()):
+			s.Red++
+			_, _ = fmt.Fprintf(w, "%s red: %v\n", c.Name(), r.err)
+		default:
+			s.Failed++
+			_, _ = fmt.Fprintf(w, "%s FAILED: %v\n", c.Name(), r.err)
+		}
+	}
+	return s
+}
+
+func runAll(cells []Cell) []result {
+	results := make([]result, len(cells))
+	next := make(chan int)
+	var wg sync.WaitGroup
+	for range runtime.GOMAXPROCS(0) {
+		wg.Go(func() {
+			for i := range next {
+				results[i] = runOne(cells[i])
+			}
+		})
+	}
+	for i := range cells {
+		next <- i
+	}
+	close(next)
+	wg.Wait()
+	return results
+}
+
+// runOne turns a panic into a failure, so that one cell cannot hide the results of the others.
+func runOne(c Cell) (r result) {
+	start := time.Now()
+	defer func() {
+		r.elapsed = time.Since(start)
+		if p := recover(); p != nil {
+			r.err = fmt.Errorf("panic: %v", p)
+		}
+	}()
+	r.err = c.Run()
+	return r
+}
--- /dev/null
+++ b/internal/faults/sim/cluster.go
@@ -0,0 +1,234 @@
+package sim
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"filbertledge/internal/raft"
+)
+
+// tickInterval is a quarter of the heartbeat interval, as in package replica.
+const tickInterval = raft.DefaultHeartbeatInterval / 4
+
+// Network sets the behavior of all links. Messages between two servers may overtake each other.
+type Network struct {
+	MinDelay, MaxDelay time.Duration
+	Loss, Duplicate    float64 // probabilities
+}
+
+// DefaultNetwork has the latency between failure domains of the deployments.
+var DefaultNetwork = Network{MinDelay: time.Millisecond, MaxDelay: 2 * time.Millisecond}
+
+// Options configure a Cluster.
+type Options struct {
+	Seed    uint64
+	Voters  []raft.Member
+	Network Network
+	// Rates are the rates of the servers' clocks by name; a missing rate means 1.
+	Rates map[string]float64
+	// SnapshotEvery is the number of applied entries between snapshots; zero means none.
+	SnapshotEvery uint64
+	// MaxBatchBytes is passed to the nodes.
+	MaxBatchBytes int
+	// ClocksUnbounded says that Rates exceed the assumed drift, so that no lease can be relied on.
+	ClocksUnbounded bool
+	Mutations       raft.Mutations
+}
+
+// Cluster is a group of servers in virtual time.
+type Cluster struct {
+	opts       Options
+	rng        *rand.Rand
+	now        time.Duration
+	events     eventHeap
+	eventCount uint64
+	servers    map[string]*Server // by name
+	ordered    []*Server          // by name
+	byID       map[uint64]*Server // by current instance
+	blocked    map[link]bool
+	instances  uint64
+	check      checker
+
+	// Hook is called at every point of every server. It may inject faults.
+	Hook func(p Point)
+}
+
+type link struct{ from, to string }
+
+// New returns a cluster whose voters start from the initial state of a new group.
+func New(o Options) *Cluster {
+	c := &Cluster{
+		opts:    o,
+		rng:     rand.New(rand.NewPCG(o.Seed, 1)),
+		servers: map[string]*Server{},
+		byID:    map[uint64]*Server{},
+		blocked: map[link]bool{},
+		check:   newChecker(),
+	}
+	c.check.clocksUnbounded = o.ClocksUnbounded
+	for _, m := range o.Voters {
+		c.instances = max(c.instances, m.ID)
+	}
+	state := raft.InitialState(o.Voters)
+	for _, m := range o.Voters {
+		c.add(m, state)
+	}
+	return c
+}
+
+// Add starts an empty server that waits to become a member. It gets a new instance number.
+func (c *Cluster) Add(name, domain string) *Server {
+	c.instances++
+	return c.add(raft.Member{ID: c.instances, Name: name, FailureDomain: domain, Address: name}, raft.State{})
+}
+
+func (c *Cluster) add(m raft.Member, state raft.State) *Server {
+	s := &Server{cluster: c, Member: m, rate: 1}
+	if r, ok := c.opts.Rates[m.Name]; ok {
+		s.rate = r
+	}
+	s.skew = time.Duration(c.rng.Int64N(int64(time.Hour)))
+	s.disk = newDisk(state)
+	c.servers[m.Name] = s
+	c.ordered = append(c.ordered, s)
+	slices.SortFunc(c.ordered, func(a, b *Server) int { return strings.Compare(a.Name, b.Name) })
+	c.byID[m.ID] = s
+	s.start()
+	c.After(time.Duration(c.rng.Int64N(int64(tickInterval))), s.tick)
+	return s
+}
+
+// Now returns the virtual time.
+func (c *Cluster) Now() time.Duration { return c.now }
+
+// Server returns the server with the given name.
+func (c *Cluster) Server(name string) *Server { return c.servers[name] }
+
+// Servers returns all servers ordered by name.
+func (c *Cluster) Servers() []*Server { return c.ordered }
+
+// Leader returns the running leader with the highest term, or nil.
+func (c *Cluster) Leader() *Server {
+	var best *Server
+	for _, s := range c.Servers() {
+		if s.Running() && s.node.Status().Role == raft.Leader && (best == nil || s.node.Status().Term > best.node.Status().Term) {
+			best = s
+		}
+	}
+	return best
+}
+
+// Err returns the first violation of a safety property, or nil.
+func (c *Cluster) Err() error { return c.check.err }
+
+// Block cuts or restores the one-way link from one server to another.
+func (c *Cluster) Block(from, to string, cut bool) { c.blocked[link{from, to}] = cut }
+
+// Cut cuts or restores all links of a server: those from it, those to it, or both.
+func (c *Cluster) Cut(name string, outgoing, incoming, cut bool) {
+	for other := range c.servers {
+		if other == name {
+			continue
+		}
+		if outgoing {
+			c.Block(name, other, cut)
+		}
+		if incoming {
+			c.Block(other, name, cut)
+		}
+	}
+}
+
+// transmit sends a message over the network.
+func (c *Cluster) transmit(from *Server, m raft.Message) {
+	c.check.vote(m)
+	to := c.byID[m.To]
+	if from.dropNext {
+		from.dropNext = false
+		return
+	}
+	if to == nil || c.chance(c.opts.Network.Loss) {
+		return
+	}
+	c.deliverAfter(c.delay(), from.Name, m)
+	if c.chance(c.opts.Network.Duplicate) {
+		c.deliverAfter(c.delay(), from.Name, m)
+	}
+}
+
+func (c *Cluster) delay() time.Duration {
+	n := c.opts.Network
+	if n.MaxDelay <= n.MinDelay {
+		return n.MinDelay
+	}
+	return n.MinDelay + time.Duration(c.rng.Int64N(int64(n.MaxDelay-n.MinDelay)))
+}
+
+func (c *Cluster) chance(p float64) bool { return p > 0 && c.rng.Float64() < p }
+
+// deliverAfter delivers m after d, unless the link is cut when it is sent or when it arrives.
+func (c *Cluster) deliverAfter(d time.Duration, from string, m raft.Message) {
+	to := c.byID[m.To]
+	if to == nil || c.blocked[link{from, to.Name}] {
+		return
+	}
+	c.After(d, func() {
+		if to := c.byID[m.To]; to != nil && !c.blocked[link{from, to.Name}] {
+			to.receive(m)
+		}
+	})
+}
+
+// Deliver sends a copy of a message after d.
+func (c *Cluster) Deliver(d time.Duration, from *Server, m raft.Message) {
+	c.deliverAfter(d, from.Name, m)
+}
+
+// Drop loses the message that the server sends next.
+func (c *Cluster) Drop(from *Server) { from.dropNext = true }
+
+// Replace asks the leader, again and again, to let the named server take the place of the voter named old, until
+// it has. The server's own name comes first, as in Replica.HandleJoin.
+func (c *Cluster) Replace(old, name string) {
+	const retry = 50 * time.Millisecond
+	if c.Replaced(old, name) {
+		return
+	}
+	if l := c.Leader(); l != nil && l.Idle() {
+		configuration := l.node.Status().Configuration
+		voter, ok := configuration.VoterNamed(name)
+		if !ok {
+			voter, _ = configuration.VoterNamed(old)
+		}
+		_ = l.node.AddLearner(raft.Learner{Member: c.servers[name].Member, Replaces: voter.ID})
+		l.pump()
+	}
+	c.After(retry, func() { c.Replace(old, name) })
+}
+
+// Replaced reports whether the leader has committed a configuration in which the named server's instance is a
+// voter and the voter named old is not.
+func (c *Cluster) Replaced(old, name string) bool {
+	l := c.Leader()
+	if l == nil {
+		return false
+	}
+	s := l.node.Status()
+	voter, ok := s.Configuration.VoterNamed(name)
+	_, oldIsVoter := s.Configuration.VoterNamed(old)
+	return s.Commit >= s.ConfigurationIndex && !s.Configuration.Joint() &&
+		ok && voter.ID == c.servers[name].ID && (old == name || !oldIsVoter)
+}
+
+// Members returns n voters named a, b, c and so on with instance numbers from 1, each in its own failure domain.
+func Members(n int) []raft.Member {
+	list := make([]raft.Member, 0, n)
+	for i := range n {
+		name := string(rune('a' + i))
+		list = append(list, raft.Member{ID: uint64(i + 1), Name: name, FailureDomain: fmt.Sprintf("domain-%d", i+1), Address: name})
+	}
+	return list
+}
--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -15,13 +15,15 @@
 
 // progress is what the leader knows about one member.
 type progress struct {
-	state      progressState
-	match      uint64 // highest index known to agree with the leader's log
-	next       uint64 // next index to send
-	inflight   []uint64
-	probeSent  bool
-	snapshotAt time.Duration
-	sentCommit uint64
+	state     progressState
+	match     uint64 // highest index known to agree with the leader's log
+	next      uint64 // next index to send
+	inflight  []uint64
+	probeSent bool
+	// snapshotIndex and snapshotAt belong to the snapshot that is being installed.
+	snapshotIndex uint64
+	snapshotAt    time.Duration
+	sentCommit    uint64
 	// matchedAt is the last sequence number sent when match grew. An answer to a later message must not
 	// acknowledge less.
 	matchedAt   uint64
@@ -55,7 +57,7 @@
 
 // syncProgress keeps one progress for each other member of the configuration in force.
 func (n *Node) syncProgress() {
-	members := n.log.configuration().Members()
+	members := n.log.members()
 	kept := make(map[uint64]*progress, len(members))
 	for _, m := range members {
 		if m.ID == n.id {
@@ -89,7 +91,7 @@
 // heartbeat sends to every member, which also finds lost messages: a follower that misses the entry before the
 // heartbeat rejects it.
 func (n *Node) heartbeat() {
-	for _, m := range n.log.configuration().Members() {
+	for _, m := range n.log.members() {
 		if p := n.lead.progress[m.ID]; p != nil && !p.refused {
 			p.probeSent = false
 			n.sendAppend(m.ID, p, true)
@@ -103,7 +105,7 @@
 		return
 	}
 	n.releaseReads()
-	for _, m := range n.log.configuration().Members() {
+	for _, m := range n.log.members() {
 		p := n.lead.progress[m.ID]
 		if p == nil || p.refused {
 			continue
@@ -178,9 +180,21 @@
 	p.snapshotAt = n.now
 	p.inflight = nil
 	s := n.log.snapshot
+	p.snapshotIndex = s.Index
 	n.sendSequenced(id, Message{Type: MsgSnapshot, Snapshot: &s})
 }
 
+// keepForInstalling lowers the index of a compaction to the snapshot that a responsive member is installing.
+// Without this a member whose snapshot takes longer than the interval between compactions would never catch up.
+func (n *Node) keepForInstalling(compactTo uint64) uint64 {
+	for _, p := range n.lead.progress {
+		if p.state == installing && p.ackTime > n.now-n.opts.ElectionTimeout {
+			compactTo = min(compactTo, p.snapshotIndex)
+		}
+	}
+	return compactTo
+}
+
 func (n *Node) sendSequenced(id uint64, m Message) {
 	n.lead.sequence++
 	m.To = id
@@ -264,6 +278,11 @@
 		return
 	}
 	if p.state == installing && p.match < n.log.offset {
+		if p.match >= p.snapshotIndex {
+			// The log was compacted beyond the installed snapshot, so the newer one is sent at once.
+			p.state = probing
+			p.next = p.match + 1
+		}
 		return
 	}
 	if m.Index < p.match {
--- a/internal/raft/log.go
+++ b/internal/raft/log.go
@@ -1,9 +1,16 @@
 package raft
 
+import "slices"
+
 // configurationAt is a configuration and the index of the entry or snapshot that carries it.
 type configurationAt struct {
-	index uint64
-	value Configuration
+	index   uint64
+	value   Configuration
+	members []Member
+}
+
+func newConfigurationAt(index uint64, c Configuration) configurationAt {
+	return configurationAt{index: index, value: c, members: c.Members()}
 }
 
 // memoryLog holds the entries since the last compaction. offset is the index before the first entry. Entries
@@ -22,17 +29,18 @@
 }
 
 func newLog(s State) *memoryLog {
-	l := &memoryLog{snapshot: s.Snapshot, entries: s.Entries}
+	// The capacity is cut because the array belongs to the caller.
+	l := &memoryLog{snapshot: s.Snapshot, entries: slices.Clip(s.Entries)}
 	l.offset, l.offsetTerm = s.Snapshot.Index, s.Snapshot.Term
 	if len(s.Entries) > 0 && s.Entries[0].Index <= s.Snapshot.Index {
 		// The term of the entry before the first kept one is unknown, so the first kept one takes its place.
 		l.offset, l.offsetTerm = s.Entries[0].Index, s.Entries[0].Term
-		l.entries = s.Entries[1:]
+		l.entries = l.entries[1:]
 	}
 	l.stable = l.lastIndex()
 	l.commit = max(min(s.HardState.Commit, l.lastIndex()), s.Snapshot.Index)
 	l.applied = s.Snapshot.Index
-	l.configurations = []configurationAt{{s.Snapshot.Index, s.Snapshot.Configuration}}
+	l.configurations = []configurationAt{newConfigurationAt(s.Snapshot.Index, s.Snapshot.Configuration)}
 	for _, e := range l.entries {
 		if e.Index > s.Snapshot.Index {
 			l.noteConfiguration(e)
@@ -43,7 +51,7 @@
 
 func (l *memoryLog) noteConfiguration(e Entry) {
 	if e.Configuration != nil {
-		l.configurations = append(l.configurations, configurationAt{e.Index, *e.Configuration})
+		l.configurations = append(l.configurations, newConfigurationAt(e.Index, *e.Configuration))
 	}
 }
 
@@ -98,6 +106,11 @@
 	return l.configurations[len(l.configurations)-1].value
 }
 
+// members returns every member of the configuration in force once, ordered by ID.
+func (l *memoryLog) members() []Member {
+	return l.configurations[len(l.configurations)-1].members
+}
+
 func (l *memoryLog) configurationIndex() uint64 {
 	return l.configurations[len(l.configurations)-1].index
 }
@@ -151,7 +164,7 @@
 	l.offset, l.offsetTerm = s.Index, s.Term
 	l.entries = nil
 	l.stable, l.commit, l.applied = s.Index, s.Index, s.Index
-	l.configurations = []configurationAt{{s.Index, s.Configuration}}
+	l.configurations = []configurationAt{newConfigurationAt(s.Index, s.Configuration)}
 	l.pending = &s
 }
 
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -266,14 +266,16 @@
 	}
 }
 
-// CreateSnapshot records data as the state after the entry at index and drops the entries up to compactTo. The
-// snapshot must be made durable by the owner before the next Ready.
-func (n *Node) CreateSnapshot(index, compactTo uint64, data []byte) Snapshot {
+// CreateSnapshot records data as the state after the entry at index and drops the entries up to compactTo, or
+// fewer while a member installs a snapshot and will need the entries after it. It returns the index up to which
+// entries were dropped. The snapshot must be made durable by the owner before the next Ready.
+func (n *Node) CreateSnapshot(index, compactTo uint64, data []byte) (Snapshot, uint64) {
+	compactTo = n.keepForInstalling(compactTo)
 	t, _ := n.log.term(index)
 	s := Snapshot{Index: index, Term: t, Configuration: n.log.configurationAt(index).Clone(), Data: data}
 	n.log.snapshot = s
 	n.log.compact(compactTo)
-	return s
+	return s, n.log.offset
 }
 
 // Status is a view of a node.
@@ -301,6 +303,9 @@
 	}
 }
 
+// Term returns the term of the entry at index, or false if the log does not hold it.
+func (n *Node) Term(index uint64) (uint64, bool) { return n.log.term(index) }
+
 // Match returns how far the leader knows member id's log to agree with its own.
 func (n *Node) Match(id uint64) uint64 {
 	if id == n.id {
--- a/internal/replica/bootstrap.go
+++ b/internal/replica/bootstrap.go
@@ -32,8 +32,8 @@
 	Leader      string        `cbor:"5,keyasint,omitempty"` // address of the leader, if known
 }
 
-// JoinRequest asks the leader to add a replica. The replica takes the place of the voter named Replace, or else
-// of the voter that has its own name; without such a voter it stays a learner.
+// JoinRequest asks the leader to add a replica. The replica takes the place of the voter that has its own name, or
+// else of the voter named Replace; without either it stays a learner.
 type JoinRequest struct {
 	Member  raft.Member `cbor:"1,keyasint"`
 	Replace string      `cbor:"2,keyasint,omitempty"`
@@ -266,11 +266,11 @@
 
 // replacedVoter returns the voter that the new replica takes the place of, or a zero member.
 func replacedVoter(c raft.Configuration, q JoinRequest) (raft.Member, error) {
-	name := q.Replace
-	if name == "" {
-		name = q.Member.Name
+	// The own name comes first: a replacement that lost its disk again finds the place that it had taken.
+	old, ok := c.VoterNamed(q.Member.Name)
+	if !ok {
+		old, ok = c.VoterNamed(q.Replace)
 	}
-	old, ok := c.VoterNamed(name)
 	if !ok && q.Replace != "" {
 		var names []string
 		for _, v := range c.Voters {
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -23,10 +23,9 @@
 		r.fail(errs.Wrap(err, errs.Internal, "report this fault", "the state machine cannot write a snapshot"))
 		return
 	}
-	compactTo := r.loop.applied - r.opts.SnapshotEntries/keptEntriesDivisor
-	s := r.loop.node.CreateSnapshot(r.loop.applied, compactTo, data)
-	// The first kept entry carries the term of the log's beginning after a restart.
-	if err := r.store.SaveSnapshot(s, compactTo-1); err != nil {
+	s, compacted := r.loop.node.CreateSnapshot(r.loop.applied, r.loop.applied-r.opts.SnapshotEntries/keptEntriesDivisor, data)
+	// The last dropped entry stays on the disk, because its term is needed after a restart.
+	if err := r.store.SaveSnapshot(s, max(compacted, 1)-1); err != nil {
 		r.fail(err)
 		return
 	}
