--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -206,6 +206,11 @@
 	}
 }
 
+type fakeRegistry struct{ got []api.Announcement }
+
+func (f *fakeRegistry) Announce(a api.Announcement) bool          { f.got = append(f.got, a); return true }
+func (f *fakeRegistry) Addresses(api.FailureDomain, int) []string { return []string{"127.0.0.1:9"} }
+
 // Guards against announcements without the pool's token or with fields that would mislead the dispatcher.
 func TestAnnounceEndpoint(t *testing.T) {
 	const good = `{"id":"s","incarnation":1,"sequence":1,"address":"127.0.0.1:80","pool":"llm","capacity":4,"state":"serving"}`
@@ -216,6 +221,8 @@
 		"good":           {"secret", good, 200},
 		"wrong token":    {"other", good, 401},
 		"no token":       {"", good, 401},
+		"empty digest":   {"", strings.Replace(good, "llm", "empty", 1), 401},
+		"digest itself":  {pki.HashToken("secret"), good, 401},
 		"unknown pool":   {"secret", strings.Replace(good, "llm", "x", 1), 401},
 		"not JSON":       {"secret", "{", 400},
 		"host name":      {"secret", strings.Replace(good, "127.0.0.1", "localhost", 1), 400},
@@ -225,7 +232,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			reg := &fakeRegistry{}
-			handler := AnnounceHandler(AnnounceOptions{Registry: reg, TokenDigests: map[api.Pool]string{"llm": pki.HashToken("secret")}})
+			handler := AnnounceHandler(AnnounceOptions{
+				Registry: reg, TokenDigests: map[api.Pool]string{"llm": pki.HashToken("secret"), "empty": ""},
+			})
 			ln := fasthttputil.NewInmemoryListener()
 			defer ln.Close()
 			go func() { _ = fasthttp.Serve(ln, func(ctx *fasthttp.RequestCtx) { handler(ctx) }) }()
@@ -238,10 +247,10 @@
 			}
 			body, _ := io.ReadAll(resp.Body)
 			resp.Body.Close()
-			if resp.StatusCode != c.status || (c.status == 200) != (reg.announced == 1) {
-				t.Fatalf("status %d, %d announcements, body %s", resp.StatusCode, reg.announced, body)
+			if resp.StatusCode != c.status || (c.status == 200) != (len(reg.got) == 1) {
+				t.Fatalf("status %d, %d announcements, body %s", resp.StatusCode, len(reg.got), body)
 			}
-			if c.status == 200 && !bytes.Contains(body, []byte(`{"vms":["127.0.0.1:1"]}`)) {
+			if c.status == 200 && !bytes.Contains(body, []byte(`{"vms":["127.0.0.1:9"]}`)) {
 				t.Fatalf("body %s", body)
 			}
 		})
