Demo: drain a VM with streams in flight, check refusals of impatient callers

Long streams are now in flight when the shutdown begins, short requests arrive during it, and one caller sets deadlines that it often cannot keep. An error event inside a stream counts as a refusal with its code.

--- a/cmd/demo/call.go
+++ b/cmd/demo/call.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -51,6 +52,8 @@
 	method   string
 	path     string
 	body     []byte
+	first    *harness.VM   // through which it is sent first; nil for any
+	deadline time.Duration // zero for the row's
 	attempts []attempt
 }
 
@@ -73,9 +76,14 @@
 func (d *demo) send(ctx context.Context, r *request) {
 	ctx, cancel := context.WithTimeout(ctx, requestLimit)
 	defer cancel()
-	var vm *harness.VM
+	if len(r.attempts) == 0 {
+		d.book.add(r)
+	}
+	vm := r.first
 	for {
-		vm = d.balancer.pick(vm)
+		if vm == nil || len(r.attempts) > 0 {
+			vm = d.balancer.pick(vm)
+		}
 		a := d.once(ctx, vm, r)
 		r.attempts = append(r.attempts, a)
 		if a.ok() || final(r, &a) || ctx.Err() != nil {
@@ -93,6 +101,9 @@
 	if a.err != nil {
 		return false
 	}
+	if r.deadline > 0 {
+		return true // the caller has no time for a resend
+	}
 	if a.status < 500 && a.status != http.StatusTooManyRequests {
 		return true
 	}
@@ -119,6 +130,7 @@
 	a.code = resp.Header.Get(api.HeaderError)
 	if r.kind == "stream" && a.status == http.StatusOK {
 		a.text, a.err = readStream(resp.Body)
+		a.takeStreamError()
 	} else {
 		a.body, a.err = io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	}
@@ -126,6 +138,25 @@
 	return a
 }
 
+// streamError is an error that the service sent in a stream that had begun.
+type streamError struct {
+	Message string `json:"message"`
+	Code    string `json:"code"`
+}
+
+// Error returns the message.
+func (e *streamError) Error() string { return "the stream ended with an error: " + e.Message }
+
+// takeStreamError makes an error in the stream a refusal with its code. The status of the response was sent
+// before the error was known.
+func (a *attempt) takeStreamError() {
+	var e *streamError
+	if !errors.As(a.err, &e) {
+		return
+	}
+	a.err, a.code, a.status = nil, e.Code, http.StatusBadGateway
+}
+
 func (d *demo) do(ctx context.Context, vm *harness.VM, r *request) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, r.method, "http://"+vm.HTTP+r.path, bytes.NewReader(r.body))
 	if err != nil {
@@ -137,6 +168,9 @@
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(api.HeaderRow, r.row)
 	req.Header.Set(api.HeaderRequestID, r.id)
+	if r.deadline > 0 {
+		req.Header.Set(api.HeaderDeadline, strconv.FormatInt(r.deadline.Milliseconds(), 10))
+	}
 	if r.kind == "booking" {
 		req.Header.Set(api.HeaderIdempotencyKey, r.id)
 	}
@@ -152,7 +186,7 @@
 			Content string `json:"content"`
 		} `json:"delta"`
 	} `json:"choices"`
-	Error json.RawMessage `json:"error"`
+	Error *streamError `json:"error"`
 }
 
 var errNoEndMark = errors.New("the stream ended without its end mark")
@@ -175,7 +209,7 @@
 			return "", fmt.Errorf("decode a chunk: %w", err)
 		}
 		if c.Error != nil {
-			return "", fmt.Errorf("the stream ended with an error: %s", c.Error)
+			return "", c.Error
 		}
 		for _, choice := range c.Choices {
 			text.WriteString(choice.Delta.Content)
--- a/cmd/demo/callers.go
+++ b/cmd/demo/callers.go
@@ -6,10 +6,12 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
 
+	"filbertledge/internal/harness"
 	"filbertledge/internal/standin"
 	"filbertledge/internal/standin/engine"
 	"filbertledge/internal/standin/trainer"
@@ -23,7 +25,13 @@
 	shortTokens    = 20
 	longTokens     = 300 // of one chat request in ten
 	// resendShare is the share of answered bookings whose key is sent again through another entry VM.
-	resendShare = 3
+	resendShare    = 3
+	impatientPause = 150 * time.Millisecond
+	maxImpatience  = 60 // milliseconds
+	drainedStreams = 6
+	drainedTokens  = 800
+	streamLead     = 300 * time.Millisecond // from the start of the long streams to the shutdown
+	lateSpacing    = 600 * time.Millisecond // between the short requests; the last comes 3 s after the shutdown began
 )
 
 // chatCaller sends chat requests, one after the other, whole and as streams in turn.
@@ -40,6 +48,11 @@
 	if rng.IntN(10) == 0 {
 		tokens = longTokens
 	}
+	return d.chatRequestOf(rng, caller, i, tokens)
+}
+
+// chatRequestOf returns a chat request for an answer of so many tokens; odd numbers are streams.
+func (d *demo) chatRequestOf(rng *rand.Rand, caller, i, tokens int) *request {
 	seed := rng.Uint64N(1 << 32)
 	body := engine.Request{
 		Model: d.deployment.Layout.Model, MaxTokens: tokens, Seed: &seed, Stream: i%2 == 1,
@@ -55,10 +68,41 @@
 	if body.Stream {
 		r.kind = "stream"
 	}
-	d.book.add(r)
 	return r
 }
 
+// impatientCaller sends chat requests and bookings with deadlines that many of them cannot meet, so that there
+// are refusals to check.
+func (d *demo) impatientCaller(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(d.seed, 300))
+	for i := 0; ctx.Err() == nil; i++ {
+		r := d.bookingRequest(bookingCallers, i)
+		if i%2 == 1 {
+			r = d.chatRequest(rng, chatCallers, i/2)
+		}
+		r.deadline = time.Duration(1+rng.IntN(maxImpatience)) * time.Millisecond
+		d.send(context.WithoutCancel(ctx), r)
+		pause(ctx, impatientPause)
+	}
+}
+
+// drainStreams sends long streams and then, while it shuts down, short requests through one entry VM. It
+// returns when the streams have begun.
+func (d *demo) drainStreams(ctx context.Context, vm *harness.VM, wg *sync.WaitGroup) {
+	rng := rand.New(rand.NewPCG(d.seed, 400))
+	for i := range drainedStreams {
+		long := d.chatRequestOf(rng, chatCallers+1, 2*i+1, drainedTokens)
+		late := d.chatRequestOf(rng, chatCallers+1, 2*i, shortTokens)
+		long.first, late.first = vm, vm
+		wg.Go(func() { d.send(context.WithoutCancel(ctx), long) })
+		wg.Go(func() {
+			pause(ctx, streamLead+time.Duration(i)*lateSpacing)
+			d.send(context.WithoutCancel(ctx), late)
+		})
+	}
+	pause(ctx, streamLead)
+}
+
 // bookingCaller sends bookings that must run at most once, and sends some keys again after the answer.
 func (d *demo) bookingCaller(ctx context.Context, n int) {
 	rng := rand.New(rand.NewPCG(d.seed, uint64(200+n)))
@@ -82,7 +126,6 @@
 		kind: "booking", row: "booking", id: newID(), method: http.MethodPost, path: "/services/booking" + path,
 		body: body, digest: standin.ContentDigest(http.MethodPost, path, string(body)),
 	}
-	d.book.add(r)
 	return r
 }
 
--- a/cmd/demo/checks.go
+++ b/cmd/demo/checks.go
@@ -13,6 +13,7 @@
 
 	"filbertledge/internal/api"
 	"filbertledge/internal/standin"
+	"filbertledge/internal/standin/engine"
 	"filbertledge/internal/standin/service"
 	"filbertledge/internal/standin/trainer"
 )
@@ -118,6 +119,15 @@
 	}
 }
 
+// story lists the attempts of a request.
+func (r *request) story() string {
+	var b strings.Builder
+	for _, a := range r.attempts {
+		fmt.Fprintf(&b, "[%s, %.3f s: %d %s %v]", a.vm.Name, a.ended.Sub(a.sent).Seconds(), a.status, a.code, a.err)
+	}
+	return b.String()
+}
+
 // best returns the attempt that was answered, or the last one.
 func (r *request) best() *attempt {
 	for i := range r.attempts {
@@ -218,7 +228,41 @@
 		}
 	}
 	c.totals.stale = len(bad)
-	c.line("P2", "no sample was older than its row's bound when it was delivered", bad)
+	c.line("P2", fmt.Sprintf("no sample was older than its row's bound when it was delivered; versions behind: %v", c.behind()), bad)
+	c.rollOut()
+}
+
+// behind counts the samples by versions behind the newest at their delivery, from zero.
+func (c *checker) behind() []int {
+	counts := []int{0}
+	for _, t := range c.demo.trainers {
+		for _, r := range t.reports {
+			for _, n := range r.Staleness {
+				for len(counts) <= int(n) {
+					counts = append(counts, 0)
+				}
+				counts[n]++
+			}
+		}
+	}
+	return counts
+}
+
+// rollOut prints when the last engine had switched to each published version.
+func (c *checker) rollOut() {
+	for _, p := range c.demo.published {
+		var last time.Time
+		switched := map[api.ServerID]bool{}
+		for _, o := range c.seen.Orders {
+			if o.Kind == "switch" && o.Version == p.version && o.Result == engine.OrderDone {
+				switched[o.Server] = true
+				if o.Ended.After(last) {
+					last = o.Ended
+				}
+			}
+		}
+		fmt.Fprintf(c.out, "weights %d: %d engines switched, the last %.1f s after the publication\n", p.version, len(switched), max(last.Sub(p.at), 0).Seconds())
+	}
 }
 
 // exactlyOnce checks that each sample reached its trainer once (P3).
@@ -251,7 +295,7 @@
 		}
 		a := r.best()
 		if a.err != nil {
-			bad = append(bad, fmt.Sprintf("%s %s was never answered: %v", r.kind, r.id, a.err))
+			bad = append(bad, fmt.Sprintf("%s %s was never answered: %s", r.kind, r.id, r.story()))
 		}
 		if !a.ok() {
 			continue
--- a/cmd/demo/demo.go
+++ b/cmd/demo/demo.go
@@ -23,7 +23,9 @@
 	trainers   []*trainerRun
 	publisher  *trainer.Trainer
 	edits      edits
+	pinned     sync.WaitGroup // requests through the drained entry VM
 
+	published []publication
 	killedVM  *harness.VM
 	drainedVM *harness.VM
 	drainedAt time.Time
@@ -32,6 +34,12 @@
 	leftAt    time.Time
 }
 
+// publication is one new weight version.
+type publication struct {
+	version api.WeightVersion
+	at      time.Time
+}
+
 func token(name string) string { return harness.Token(name) }
 
 func newDemo(d *harness.Deployment, seed uint64) *demo {
@@ -93,6 +101,7 @@
 	for i := range bookingCallers {
 		callers.Go(func() { d.bookingCaller(loadCtx, i) })
 	}
+	callers.Go(func() { d.impatientCaller(loadCtx) })
 	for i, t := range d.trainers {
 		trainers.Go(func() { t.run(ctx, d.seed+uint64(i)) })
 	}
@@ -100,6 +109,7 @@
 	trainers.Wait()
 	stopLoad()
 	callers.Wait()
+	d.pinned.Wait()
 	if err == nil {
 		d.awaitDrained(ctx)
 		err = d.edits.settle(ctx)
@@ -123,6 +133,7 @@
 }
 
 func (d *demo) publish(ctx context.Context, v api.WeightVersion) error {
+	d.published = append(d.published, publication{v, time.Now()})
 	if err := d.deployment.Publish(ctx, v); err != nil {
 		return err
 	}
@@ -162,10 +173,12 @@
 	return nil
 }
 
-// drainVM asks an entry VM to shut down.
-func (d *demo) drainVM(context.Context) error {
-	d.drainedVM, d.drainedAt = d.vm("bekes-a-2"), time.Now()
+// drainVM asks an entry VM that has long streams in flight to shut down.
+func (d *demo) drainVM(ctx context.Context) error {
+	d.drainedVM = d.vm("bekes-a-2")
+	d.drainStreams(ctx, d.drainedVM, &d.pinned)
 	d.edits.exclude(d.drainedVM)
+	d.drainedAt = time.Now()
 	return d.drainedVM.Drain()
 }
 
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -57,6 +57,7 @@
 	Version      api.WeightVersion `json:"version"`
 	FencingToken uint64            `json:"fencing_token"`
 	At           time.Time         `json:"at"`
+	Ended        time.Time         `json:"ended,omitzero"`
 	Result       string            `json:"result"` // accepted, refused, done or a failure text
 }
 
@@ -136,7 +137,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	o := &l.orders[sequence-1]
-	o.Result = result
+	o.Result, o.Ended = result, time.Now()
 	l.write(logLine{Order: o})
 }
 
