--- a/internal/transport/quic.go
+++ b/internal/transport/quic.go
@@ -16,7 +16,7 @@
 
 const (
 	dialTimeout = 500 * time.Millisecond
-	// idleTimeout closes a connection that receives nothing, so that a silent cut ends its calls.
+	// idleTimeout closes a connection that receives nothing, so that a silent cut is noticed on both sides.
 	idleTimeout = 5 * time.Second
 	// keepaliveInterval is used while calls wait for an answer, and then only: an idle connection may close.
 	// It leaves one loss within idleTimeout.
@@ -32,7 +32,8 @@
 // Application error codes of closed connections and streams.
 const (
 	codeShutdown quic.ApplicationErrorCode = 1
-	codeExpired  quic.ApplicationErrorCode = 2
+	codeRefused  quic.ApplicationErrorCode = 2
+	codeSilent   quic.ApplicationErrorCode = 3
 	codeAbort    quic.StreamErrorCode      = 1
 	codeTooLarge quic.StreamErrorCode      = 2
 )
