Relay streams without a change of goroutine and batch what has arrived

make overhead showed 21.5 us of processor time for each token: each piece went through two goroutines and a pipe, and was written on its own even if more had arrived. The answer's body now runs the dispatcher as a coroutine and writes together what the engine sent together.

--- a/internal/backend/sse.go
+++ b/internal/backend/sse.go
@@ -51,6 +51,12 @@
 	}
 }
 
+// more reports whether another event has arrived, as far as that can be told without reading.
+func (e *eventReader) more() bool {
+	buffered, err := e.br.Peek(e.br.Buffered())
+	return err == nil && bytes.Contains(buffered, []byte("\n\n"))
+}
+
 // add appends one data line; lines of one event are joined with newlines.
 func (e *eventReader) add(value []byte, joined bool) error {
 	value = bytes.TrimPrefix(value, []byte(" "))
--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -24,6 +24,7 @@
 	Tokens int    // generated tokens of the piece
 	Pieces []api.PieceLabel
 	Finish string // finish reason of the last piece
+	More   bool   // the next event has already arrived
 }
 
 // Stream is a running stream of an engine.
@@ -82,6 +83,7 @@
 		return Chunk{}, s.ex.failure(err)
 	}
 	s.offset += chunk.Tokens
+	chunk.More = s.events.more()
 	return chunk, nil
 }
 
--- a/internal/caller/leave.go
+++ b/internal/caller/leave.go
@@ -9,11 +9,21 @@
 )
 
 // leaveEvery is the time between looks at a caller's connection.
-const leaveEvery = 50 * time.Millisecond
+const leaveEvery = 100 * time.Millisecond
 
-// watchLeaving calls left once when the caller closes its connection or its sending half. The HTTP server does
-// not read while a request runs, so the watch peeks without consuming. The returned function ends the watch and
-// waits for it.
+// leaveWatch looks at a caller's connection while its request runs. The HTTP server does not read meanwhile, so
+// the watch peeks without consuming. Requests that end before the first look cost one timer.
+type leaveWatch struct {
+	raw  syscall.RawConn
+	left func()
+
+	mu      sync.Mutex
+	timer   *time.Timer
+	stopped bool
+}
+
+// watchLeaving calls left once when the caller closes its connection or its sending half. The returned function
+// ends the watch.
 func watchLeaving(conn net.Conn, left func()) (stop func()) {
 	sc, ok := conn.(syscall.Conn)
 	if !ok {
@@ -23,28 +33,32 @@
 	if err != nil {
 		return func() {}
 	}
-	done := make(chan struct{})
-	var watcher sync.WaitGroup
-	watcher.Go(func() {
-		ticker := time.NewTicker(leaveEvery)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-done:
-				return
-			case <-ticker.C:
-				if hasLeft(raw) {
-					left()
-					return
-				}
-			}
-		}
-	})
-	var once sync.Once
-	return func() {
-		once.Do(func() { close(done) })
-		watcher.Wait()
+	w := &leaveWatch{raw: raw, left: left}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(leaveEvery, w.look)
+	return w.stop
+}
+
+func (w *leaveWatch) look() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		return
+	}
+	if hasLeft(w.raw) {
+		w.left()
+		return
 	}
+	w.timer.Reset(leaveEvery)
+}
+
+// stop returns after a look that is under way: the connection may serve another request next.
+func (w *leaveWatch) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	w.timer.Stop()
 }
 
 func hasLeft(raw syscall.RawConn) bool {
--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -1,9 +1,9 @@
 package caller
 
 import (
-	"bufio"
 	"context"
 	"io"
+	"iter"
 	"sync"
 
 	"filbertledge/internal/api"
@@ -15,8 +15,8 @@
 
 const (
 	contentTypeEvents = "text/event-stream"
-	// maxBuffered bounds the pieces that wait for a slow caller; the engine's stream waits beyond it.
-	maxBuffered = 256 << 10
+	// maxBatch bounds the events that are written at once.
+	maxBatch = 16 << 10
 )
 
 var (
@@ -31,147 +31,107 @@
 	return append(buf, eventEnd...)
 }
 
-// streamBuffer passes events from the dispatcher to the writer of the answer. Several pieces that wait are
-// written at once.
-type streamBuffer struct {
-	mu      sync.Mutex
-	changed sync.Cond
-	buf     []byte
+// eventStream is the body of a streamed answer. Reading it runs the dispatcher as a coroutine, so that a piece
+// goes from the engine's connection to the caller's without a change of goroutine, and a slow caller slows the
+// engine down. It is used by one goroutine at a time.
+type eventStream struct {
+	h       *Handler
+	r       *request
+	cancel  func()
+	unwatch func()
+	next    func() (struct{}, bool)
+	stop    func()
+	buf     []byte // events not yet read
+	off     int
 	first   []api.PieceLabel // of the first piece
 	begun   bool
-	ended   bool
-	left    bool
 	err     error
+	close   sync.Once
 }
 
-func newStreamBuffer() *streamBuffer {
-	b := &streamBuffer{}
-	b.changed.L = &b.mu
-	return b
+// open starts a stream and waits for its first piece or its end. Cancelling on a caller that left reaches the
+// engine, as ctx ends.
+func (h *Handler) open(r *request) *eventStream {
+	ctx, cancel := context.WithDeadline(context.Background(), r.deadline)
+	s := &eventStream{h: h, r: r, cancel: cancel}
+	s.unwatch = watchLeaving(r.http.Conn(), cancel)
+	s.next, s.stop = iter.Pull(func(yield func(struct{}) bool) { s.run(ctx, yield) })
+	s.next()
+	return s
 }
 
-// emit implements dispatch.Emit.
-func (b *streamBuffer) emit(c backend.Chunk) error {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for len(b.buf) > maxBuffered && !b.left {
-		b.changed.Wait()
-	}
-	if b.left {
-		return io.ErrClosedPipe
-	}
-	if !b.begun {
-		b.begun, b.first = true, c.Pieces
+// run passes the dispatcher's pieces to yield, several at once if the engine sent several.
+func (s *eventStream) run(ctx context.Context, yield func(struct{}) bool) {
+	_, s.err = s.h.opts.Dispatcher.DoStream(ctx, s.r.work, func(c backend.Chunk) error {
+		if !s.begun {
+			s.begun, s.first = true, c.Pieces
+		}
+		s.buf = appendEvent(s.buf, c.Data)
+		if c.More && len(s.buf) < maxBatch {
+			return nil
+		}
+		if !yield(struct{}{}) {
+			return io.ErrClosedPipe
+		}
+		return nil
+	})
+	if s.err == nil {
+		s.buf = append(s.buf, eventDone...)
+	} else if s.begun {
+		s.buf = appendEvent(s.buf, platform.ErrorBody(s.err))
 	}
-	b.buf = appendEvent(b.buf, c.Data)
-	b.changed.Broadcast()
-	return nil
 }
 
-// end marks the end of the stream: [DONE], or an error event without it.
-func (b *streamBuffer) end(err error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.ended, b.err = true, err
-	if err == nil {
-		b.buf = append(b.buf, eventDone...)
-	} else if b.begun {
-		b.buf = appendEvent(b.buf, platform.ErrorBody(err))
+// Read implements io.Reader.
+func (s *eventStream) Read(p []byte) (int, error) {
+	if s.off == len(s.buf) {
+		s.buf, s.off = s.buf[:0], 0
+		s.next()
 	}
-	b.changed.Broadcast()
-}
-
-// leave makes emit fail, because the caller left.
-func (b *streamBuffer) leave() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.left = true
-	b.changed.Broadcast()
+	if s.off == len(s.buf) {
+		return 0, io.EOF
+	}
+	n := copy(p, s.buf[s.off:])
+	s.off += n
+	return n, nil
 }
 
-// waitBegin waits for the first piece or the end.
-func (b *streamBuffer) waitBegin() (begun bool, err error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for !b.begun && !b.ended {
-		b.changed.Wait()
-	}
-	return b.begun, b.err
+// Close ends the work if it still runs, and counts the request.
+func (s *eventStream) Close() error {
+	s.close.Do(func() {
+		s.release()
+		outcome := api.OutcomeRan
+		if s.err != nil {
+			outcome = dispatch.OutcomeOf(s.err)
+		}
+		s.h.end(s.r, s.err, outcome)
+	})
+	return nil
 }
 
-// take waits for events and swaps them with an empty buffer.
-func (b *streamBuffer) take(empty []byte) (events []byte, more bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for len(b.buf) == 0 && !b.ended {
-		b.changed.Wait()
-	}
-	events, b.buf = b.buf, empty[:0]
-	b.changed.Broadcast()
-	return events, !b.ended
+func (s *eventStream) release() {
+	s.cancel()
+	s.stop()
+	s.unwatch()
 }
 
 // runStream runs an idempotent stream. The status is sent with the first piece, so that a request without any
 // gets a typed error.
 func (h *Handler) runStream(r *request) {
-	ctx, cancel := context.WithDeadline(context.Background(), r.deadline)
-	buf := newStreamBuffer()
-	stop := watchLeaving(r.http.Conn(), func() { cancel(); buf.leave() })
-	ended := make(chan error, 1)
-	go func() {
-		_, err := h.opts.Dispatcher.DoStream(ctx, r.work, buf.emit)
-		buf.end(err)
-		ended <- err
-	}()
-	if begun, err := buf.waitBegin(); !begun {
-		<-ended
-		stop()
-		cancel()
-		if err == nil {
-			err = errs.New(errs.BackendFailed, "resend the request", "stream ended without a piece")
+	s := h.open(r)
+	if !s.begun {
+		s.release()
+		if s.err == nil {
+			s.err = errs.New(errs.BackendFailed, "resend the request", "stream ended without a piece")
 		}
-		h.refuse(r, err, dispatch.OutcomeOf(err))
+		h.refuse(r, s.err, dispatch.OutcomeOf(s.err))
 		return
 	}
 	r.http.Response.Header.SetContentType(contentTypeEvents)
 	r.http.Response.Header.Set("Cache-Control", "no-cache")
-	if v := versionList(buf.first); v != "" {
+	if v := versionList(s.first); v != "" {
 		r.http.Response.Header.Set(api.HeaderWeights, v)
 	}
 	r.writeOutcome(api.OutcomeRan)
-	r.http.SetBodyStreamWriter(func(w *bufio.Writer) {
-		defer cancel()
-		defer stop()
-		if !copyEvents(w, buf) {
-			cancel()
-			buf.leave()
-		}
-		err := <-ended
-		h.end(r, err, streamOutcome(err))
-	})
-}
-
-func streamOutcome(err error) api.Outcome {
-	if err == nil {
-		return api.OutcomeRan
-	}
-	return dispatch.OutcomeOf(err)
-}
-
-// copyEvents writes events until the stream ends. It reports whether the caller took them all.
-func copyEvents(w *bufio.Writer, buf *streamBuffer) bool {
-	var spare []byte
-	for {
-		events, more := buf.take(spare)
-		if _, err := w.Write(events); err != nil {
-			return false
-		}
-		if err := w.Flush(); err != nil {
-			return false
-		}
-		if !more {
-			return true
-		}
-		spare = events
-	}
+	r.http.SetBodyStream(s, -1)
 }
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -198,6 +198,7 @@
 		return &backend.Failure{Err: errs.New(errs.TruncatedAnswer, "resend the request", "stream ended without a finish reason")}
 	}
 	for _, c := range s.held {
+		c.More = true // the end follows at once
 		if err := s.deliver(c); err != nil {
 			return err
 		}
--- a/internal/dispatch/unary.go
+++ b/internal/dispatch/unary.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"filbertledge/internal/api"
@@ -36,49 +37,64 @@
 	}
 }
 
-// unaryResult is the end of one or two concurrent attempts.
+// unaryResult is the end of an attempt.
 type unaryResult struct {
 	lease  *lease
 	answer backend.Answer
+	labels []api.PieceLabel
 	took   time.Duration
 	err    error
 	retry  bool
 }
 
-// attemptUnary runs an attempt, with a hedge if the work is short and late.
+// attemptUnary runs an attempt, with a hedge if the work is short and late. The first answer counts.
 func (r *run) attemptUnary(ctx context.Context, l *lease, body []byte) unaryResult {
+	after, ok := r.hedgeAfter()
+	if !ok {
+		res := r.exchange(ctx, l, body)
+		r.settle(ctx, &res)
+		return res
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	results := make(chan unaryResult, 2)
-	go func() { results <- r.exchange(ctx, l, body) }()
-	running := 1
-	hedge := r.hedgeTimer()
-	defer hedge.Stop()
-	for {
-		select {
-		case <-hedge.C:
-			if second := r.second(l).tryPlace(); second != nil {
-				running++
-				go func() { results <- r.exchange(ctx, second, body) }()
-			}
-		case res := <-results:
-			running--
-			if r.settle(ctx, &res) || running == 0 {
-				return r.finish(res, running, cancel, results)
-			}
+	h := &hedge{run: r.second(l), ctx: ctx, cancel: cancel, body: body}
+	timer := time.AfterFunc(after, h.start)
+	res := r.exchange(ctx, l, body)
+	timer.Stop()
+	return r.merge(ctx, res, h.end(res.err == nil))
+}
+
+// merge settles the first attempt and its hedge, if there was one.
+func (r *run) merge(ctx context.Context, first unaryResult, second *unaryResult) unaryResult {
+	if second == nil {
+		r.settle(ctx, &first)
+		return first
+	}
+	won, lost := first, *second
+	if first.err != nil && second.err == nil {
+		won, lost = *second, first
+	}
+	if won.err == nil {
+		// The time that the other took so far counts for its server.
+		if !r.engine() {
+			lost.lease.measured(policy.Measurement{FirstToken: lost.took})
 		}
+		lost.lease.release()
+	} else {
+		r.settle(ctx, &lost)
 	}
+	r.settle(ctx, &won)
+	return won
 }
 
-// settle notes the end of an attempt and reports whether it succeeded.
-func (r *run) settle(ctx context.Context, res *unaryResult) bool {
+// settle notes the end of an attempt.
+func (r *run) settle(ctx context.Context, res *unaryResult) {
 	if res.err != nil {
 		res.retry = r.failed(ctx, res.lease, res.err)
 	} else {
 		r.succeeded(res.lease, r.measurement(res))
 	}
 	res.lease.release()
-	return res.err == nil
 }
 
 // measurement of a plain service is the time to its answer. An engine's whole answer shows no first token.
@@ -87,32 +103,68 @@
 		return policy.Measurement{FirstToken: res.took}
 	}
 	tokens := 0
-	for _, l := range backend.LabelsOf(res.answer.Body) {
+	for _, l := range res.labels {
 		tokens += l.Tokens
 	}
 	return policy.Measurement{WholeSpeed: speed(tokens, res.took)}
 }
 
-// finish cancels the attempt that lost against res. The time that it took so far counts for its server.
-func (r *run) finish(res unaryResult, running int, cancel func(), results chan unaryResult) unaryResult {
-	cancel()
-	for range running {
-		lost := <-results
-		if !r.engine() && res.err == nil {
-			lost.lease.measured(policy.Measurement{FirstToken: lost.took})
-		}
-		lost.lease.release()
+// hedge is a second attempt that starts while the first still runs.
+type hedge struct {
+	run    *run
+	ctx    context.Context
+	cancel func() // ends both attempts
+	body   []byte
+
+	mu     sync.Mutex
+	ended  bool
+	result chan unaryResult
+}
+
+// start runs the second attempt if a server is free. Its answer ends the first attempt.
+func (h *hedge) start() {
+	h.mu.Lock()
+	if h.ended {
+		h.mu.Unlock()
+		return
 	}
-	return res
+	l := h.run.tryPlace()
+	if l == nil {
+		h.mu.Unlock()
+		return
+	}
+	h.result = make(chan unaryResult, 1)
+	h.mu.Unlock()
+	res := h.run.exchange(h.ctx, l, h.body)
+	if res.err == nil {
+		h.cancel()
+	}
+	h.result <- res
 }
 
-// hedgeTimer fires when a second attempt may start; never for work that is not short or not idempotent.
-func (r *run) hedgeTimer() *time.Timer {
-	const never = time.Duration(1<<63 - 1)
+// end returns the second attempt's result, if it started. It is cancelled if the first attempt succeeded.
+func (h *hedge) end(succeeded bool) *unaryResult {
+	h.mu.Lock()
+	h.ended = true
+	result := h.result
+	h.mu.Unlock()
+	if result == nil {
+		return nil
+	}
+	if succeeded {
+		h.cancel()
+	}
+	res := <-result
+	return &res
+}
+
+// hedgeAfter returns when a second attempt may start: past the 95th percentile of the row's run times. Work
+// that is not short or not idempotent has none.
+func (r *run) hedgeAfter() (time.Duration, bool) {
 	if r.work.NonIdempotent || r.isolated || !r.d.known(r.work.Row.Name) || !r.short() {
-		return time.NewTimer(never)
+		return 0, false
 	}
-	return time.NewTimer(r.d.predict(r.work.Row.Name, len(r.work.Body), hedgeQuantile))
+	return r.d.predict(r.work.Row.Name, len(r.work.Body), hedgeQuantile), true
 }
 
 // short reports whether the run is not longer than the pool's mean.
@@ -157,10 +209,12 @@
 	if err == nil {
 		err = r.checkStatus(answer)
 	}
+	res = unaryResult{lease: l, answer: answer, took: time.Since(start), err: err}
 	if err == nil && r.engine() && answer.Status == http.StatusOK {
-		err = r.checkVersions(backend.LabelsOf(answer.Body))
+		res.labels = backend.LabelsOf(answer.Body)
+		res.err = r.checkVersions(res.labels)
 	}
-	return unaryResult{lease: l, answer: answer, took: time.Since(start), err: err}
+	return res
 }
 
 // panicError keeps a fault in the handling of one request from ending the process.
@@ -200,12 +254,8 @@
 }
 
 func (r *run) answer(res unaryResult) Answer {
-	a := Answer{
+	return Answer{
 		Status: res.answer.Status, ContentType: res.answer.ContentType, Header: res.answer.Header, Body: res.answer.Body,
-		Server: res.lease.server.ID(), Attempts: r.attempts, QueuedFor: r.queued, RanFor: r.ranFor(),
-	}
-	if r.engine() {
-		a.Labels = backend.LabelsOf(a.Body)
+		Server: res.lease.server.ID(), Labels: res.labels, Attempts: r.attempts, QueuedFor: r.queued, RanFor: r.ranFor(),
 	}
-	return a
 }
--- a/internal/policy/length.go
+++ b/internal/policy/length.go
@@ -56,20 +56,19 @@
 func (l *Lengths) Known() bool { return len(l.all.values) >= history/4 }
 
 func (r *ring) add(d time.Duration) {
-	r.sorted = r.sorted[:0]
 	if len(r.values) < history {
 		r.values = append(r.values, d)
-		return
+	} else {
+		i, _ := slices.BinarySearch(r.sorted, r.values[r.next])
+		r.sorted = slices.Delete(r.sorted, i, i+1)
+		r.values[r.next] = d
+		r.next = (r.next + 1) % history
 	}
-	r.values[r.next] = d
-	r.next = (r.next + 1) % history
+	i, _ := slices.BinarySearch(r.sorted, d)
+	r.sorted = slices.Insert(r.sorted, i, d)
 }
 
 func (r *ring) quantile(q float64) time.Duration {
-	if len(r.sorted) == 0 {
-		r.sorted = append(r.sorted, r.values...)
-		slices.Sort(r.sorted)
-	}
 	i := int(q * float64(len(r.sorted)))
 	return r.sorted[min(max(i, 0), len(r.sorted)-1)]
 }
