Harness: freeze processes completely, wait for backend servers

TestStopAndResume failed once on a busy machine: SIGSTOP is asynchronous, and a thread on another core answered after Stop had returned. WaitServers keeps the first announcements out of measurements; cmd/load uses it. cmd/overhead prints the load average of the machine.

--- a/cmd/load/main.go
+++ b/cmd/load/main.go
@@ -86,6 +86,9 @@
 			return err
 		}
 		defer d.Close()
+		if err := d.WaitServers(ctx); err != nil {
+			return err
+		}
 		l.deployment = d
 		l.entries = nil
 		for _, vm := range d.VMs {
--- a/cmd/overhead/main.go
+++ b/cmd/overhead/main.go
@@ -78,6 +78,7 @@
 		return err
 	}
 	defer d.Close()
+	printMachine()
 	direct := newTarget("direct", d.Engines[0].Address, o)
 	through := newTarget("entry VM", d.VMs[0].HTTP, o)
 	if err := through.waitServing(startLimit); err != nil {
--- a/cmd/overhead/report.go
+++ b/cmd/overhead/report.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"runtime"
 	"text/tabwriter"
 	"time"
 
@@ -42,6 +43,17 @@
 	return fmt.Sprintf("%.0f", float64(r.answers)/r.cpu.Seconds())
 }
 
+// printMachine prints how busy the machine is, because other work on it adds to all latencies.
+func printMachine() {
+	fs, err := procfs.NewDefaultFS()
+	if err != nil {
+		return
+	}
+	if load, err := fs.LoadAvg(); err == nil {
+		fmt.Printf("%d cores, load average %.1f before the measurement\n", runtime.NumCPU(), load.Load1)
+	}
+}
+
 // verdict is a goal and what was measured.
 type verdict struct {
 	what     string
--- a/internal/harness/control.go
+++ b/internal/harness/control.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 
 	"filbertledge/internal/api"
 	"filbertledge/internal/standin"
@@ -51,6 +52,48 @@
 	return nil
 }
 
+// serverView is the part of the JSON output of filbertledge servers that the harness reads.
+type serverView struct {
+	Usable bool `json:"usable"`
+}
+
+// WaitServers waits until each entry VM knows all backend servers of the layout. A deployment serves before
+// that, but its first requests wait for the first announcements.
+func (d *Deployment) WaitServers(ctx context.Context) error {
+	for _, vm := range d.VMs {
+		for {
+			known, err := d.usableServers(ctx, vm)
+			if err == nil && known == len(d.Backends()) {
+				break
+			}
+			if sleepErr := sleep(ctx, serverPoll); sleepErr != nil {
+				return errors.Join(fmt.Errorf("%s knows %d of %d backend servers: %w", vm.Name, known, len(d.Backends()), sleepErr), err)
+			}
+		}
+	}
+	return nil
+}
+
+const serverPoll = 100 * time.Millisecond
+
+func (d *Deployment) usableServers(ctx context.Context, vm *VM) (int, error) {
+	out, err := d.Operate(ctx, vm, "servers", "--output", "json")
+	if err != nil {
+		return 0, err
+	}
+	var list []serverView
+	if err := json.Unmarshal([]byte(out), &list); err != nil {
+		return 0, fmt.Errorf("decode the servers of %s: %w", vm.Name, err)
+	}
+	n := 0
+	for _, s := range list {
+		if s.Usable {
+			n++
+		}
+	}
+	return n, nil
+}
+
 // Seen returns what a backend server saw over all its runs, also after its death.
 func (b *Backend) Seen() (standin.LogContent, error) {
 	var all standin.LogContent
--- a/internal/harness/harness_test.go
+++ b/internal/harness/harness_test.go
@@ -39,6 +39,9 @@
 	case "table import":
 		_, err := os.Stat(args[2])
 		return err
+	case "servers --output":
+		fmt.Println(`[{"usable":true},{"usable":true},{"usable":false}]`)
+		return nil
 	case "serve --config":
 		return fakeServe(args[2])
 	default:
@@ -116,6 +119,9 @@
 		}
 		return true
 	})
+	if err := d.WaitServers(ctx); err != nil {
+		t.Error(err)
+	}
 	resp, err := http.Post("http://"+engine.Address+"/v1/completions", "application/json", strings.NewReader(`{"prompt":"p"}`))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/harness/process.go
+++ b/internal/harness/process.go
@@ -10,6 +10,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/prometheus/procfs"
 )
 
 // Process is one process that the harness started. Its output goes to files in the deployment's folder.
@@ -115,8 +117,45 @@
 	return p.Wait(context.Background())
 }
 
-// Stop freezes the process (SIGSTOP).
-func (p *Process) Stop() error { return p.Signal(syscall.SIGSTOP) }
+// stopLimit bounds the wait until a frozen process stands still.
+const stopLimit = 5 * time.Second
+
+// Stop freezes the process (SIGSTOP) and waits until none of its threads runs any more. The signal alone is
+// asynchronous: threads on other cores go on for a moment and could still answer.
+func (p *Process) Stop() error {
+	if err := p.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
+	defer cancel()
+	for {
+		frozen, err := allStopped(p.PID())
+		if frozen || err != nil {
+			return err
+		}
+		if err := sleep(ctx, time.Millisecond); err != nil {
+			return fmt.Errorf("%s still runs after SIGSTOP: %w", p.name, err)
+		}
+	}
+}
+
+// allStopped reports whether all threads of a process are in the state T of /proc.
+func allStopped(pid int) (bool, error) {
+	threads, err := procfs.AllThreads(pid)
+	if err != nil {
+		return false, fmt.Errorf("read the threads of process %d: %w", pid, err)
+	}
+	for _, t := range threads {
+		stat, err := t.Stat()
+		if err != nil {
+			return false, fmt.Errorf("read the state of process %d: %w", pid, err)
+		}
+		if stat.State != "T" {
+			return false, nil
+		}
+	}
+	return true, nil
+}
 
 // Resume continues a frozen process (SIGCONT).
 func (p *Process) Resume() error { return p.Signal(syscall.SIGCONT) }
