--- a/internal/caller/parse.go
+++ b/internal/caller/parse.go
@@ -1,9 +1,6 @@
 package caller
 
 import (
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"net/url"
 	"strconv"
 	"strings"
@@ -17,6 +14,7 @@
 	"filbertledge/internal/backend"
 	"filbertledge/internal/errs"
 	"filbertledge/internal/events"
+	"filbertledge/internal/pki"
 	"filbertledge/internal/table"
 )
 
@@ -122,16 +120,18 @@
 	return errs.New(errs.Unauthenticated, "send the row's token as Authorization: Bearer", "token for row %q was refused", row.Name)
 }
 
+// bearer returns the token of the header Authorization, or nothing for another scheme.
 func bearer(ctx *fasthttp.RequestCtx) string {
-	token, _ := strings.CutPrefix(string(ctx.Request.Header.Peek("Authorization")), "Bearer ")
+	scheme, token, _ := strings.Cut(string(ctx.Request.Header.Peek("Authorization")), " ")
+	if !strings.EqualFold(scheme, "Bearer") {
+		return ""
+	}
 	return token
 }
 
 // tokenOpens reports whether the token belongs to the row. A row without a digest is closed.
 func tokenOpens(token string, row *table.Row) bool {
-	sum := sha256.Sum256([]byte(token))
-	digest := hex.EncodeToString(sum[:])
-	return subtle.ConstantTimeCompare([]byte(digest), []byte(row.TokenSHA256)) == 1 && token != ""
+	return pki.TokenMatches(token, row.TokenSHA256) && token != ""
 }
 
 // credentialRefused records a refused credential without the secret.
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -81,13 +81,12 @@
 	if len(request) > MaxMessage {
 		return nil, tooLarge("request", len(request))
 	}
-	p := c.peer(addr)
-	conn, err := p.connect(ctx)
+	conn, err := c.peer(addr).connect(ctx)
 	if err != nil {
 		return nil, err
 	}
-	p.begin(conn)
-	defer p.end()
+	conn.begin()
+	defer conn.end()
 	stream, err := conn.OpenStreamSync(ctx)
 	if err != nil {
 		return nil, notRun(addr, method, err)
@@ -173,7 +172,7 @@
 // refusal returns a typed error if err says that a certificate was refused, and else nil.
 func refusal(addr string, err error) error {
 	var app *quic.ApplicationError
-	if refusedByTLS(err) || errors.As(err, &app) && app.ErrorCode == codeExpired {
+	if refusedByTLS(err) || errors.As(err, &app) && app.ErrorCode == codeRefused {
 		return errs.Wrap(err, errs.Unauthenticated, "check both sides with filbertledge keys check", "TLS with %s failed", addr)
 	}
 	return nil
