trainer, control: tell an old table from a wrong token, spread VMs over replicas

A VM without a confirmed table answered 401 to valid tokens, which a trainer takes as final. VMs without a replica in their failure domain all polled the first replica of the settings.

--- a/internal/control/remote.go
+++ b/internal/control/remote.go
@@ -1,12 +1,15 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"filbertledge/internal/api"
 	"filbertledge/internal/errs"
 	"filbertledge/internal/events"
@@ -69,7 +72,9 @@
 func NewRemote(o RemoteOptions) *Remote {
 	r := &Remote{o: o, renewed: make(chan struct{})}
 	ordered := slices.Clone(o.Replicas)
-	slices.SortStableFunc(ordered, func(a, b ReplicaAddress) int { return r.distance(a) - r.distance(b) })
+	slices.SortStableFunc(ordered, func(a, b ReplicaAddress) int {
+		return cmp.Or(cmp.Compare(r.distance(a), r.distance(b)), cmp.Compare(r.weight(a), r.weight(b)))
+	})
 	for _, a := range ordered {
 		r.replicas = append(r.replicas, a.Address)
 	}
@@ -84,6 +89,11 @@
 	return 1
 }
 
+// weight spreads the VMs over the replicas outside their failure domain.
+func (r *Remote) weight(a ReplicaAddress) uint64 {
+	return xxhash.Sum64String(string(r.o.VM.ID) + "\x00" + a.Address)
+}
+
 // Table implements Client.
 func (r *Remote) Table() *table.Snapshot { return r.view.Load().table }
 
--- a/internal/trainer/http.go
+++ b/internal/trainer/http.go
@@ -146,6 +146,9 @@
 	want, err := hex.DecodeString(row.TokenSHA256)
 	match := subtle.ConstantTimeCompare(digest[:], want) == 1
 	if !ok || !found || err != nil || !match {
+		if err := s.checkFresh(); err != nil {
+			return table.Row{}, err // a newer table may have the row or the token
+		}
 		s.o.Events.Record(events.Event{Name: events.CredentialRefused, Detail: "trainer API, " + ctx.RemoteAddr().String()})
 		return table.Row{}, errs.New(errs.Unauthenticated, "send the row's token as Authorization: Bearer", "the row does not exist or the token is wrong")
 	}
--- a/internal/trainer/http_test.go
+++ b/internal/trainer/http_test.go
@@ -69,6 +69,11 @@
 	if n := d.engine.calls.Load(); n != 0 {
 		t.Errorf("%d rollouts from refused requests", n)
 	}
+	d.vms[0].client.stale.Store(true)
+	if got := d.request(0, "POST", groups, "other", group("a", 2, prompt), nil); got != 503 {
+		t.Errorf("a token that a newer table may hold: status %d, want 503", got)
+	}
+	d.vms[0].client.stale.Store(false)
 	var ctx fasthttp.RequestCtx
 	ctx.Request.SetRequestURI("/v1/models")
 	if d.vms[0].Handler(&ctx) {
--- a/internal/trainer/samples.go
+++ b/internal/trainer/samples.go
@@ -155,7 +155,7 @@
 	if s.o.Client.Fresh() {
 		return nil
 	}
-	return errs.New(errs.StaleTable, "fetch from another VM", "the table of this VM may be old; samples are not handed over")
+	return errs.New(errs.StaleTable, "send the request to another VM", "the table of this VM may be old")
 }
 
 func (s *Service) delivered(row table.Row, step control.StepID, sample sampleJSON, newest api.WeightVersion) {
