--- a/internal/trainer/fake_test.go
+++ b/internal/trainer/fake_test.go
@@ -78,11 +78,12 @@
 	return res, err
 }
 
-func (c *memoryClient) Table() *table.Snapshot                    { return c.machine.Table() }
-func (c *memoryClient) Fresh() bool                               { return !c.stale.Load() }
+func (c *memoryClient) Table() *table.Snapshot { return c.machine.Table() }
+func (c *memoryClient) Fresh() bool            { return !c.stale.Load() }
 func (c *memoryClient) Weights(model string) control.ModelWeights { return c.machine.Weights(model) }
-func (c *memoryClient) ClaimRevision() uint64                     { return c.machine.ClaimRevision() }
-func (c *memoryClient) VMs() []api.VM                             { return c.vms }
+
+func (c *memoryClient) ClaimRevision() uint64 { return c.machine.ClaimRevision() }
+func (c *memoryClient) VMs() []api.VM         { return c.vms }
 
 func (c *memoryClient) Step(_ context.Context, id control.StepID) (control.StepView, error) {
 	v, ok := c.machine.Step(id, time.Now())
