trainer, control: spread the groups of a step over the VMs

The dispatcher divides a row's max_in_flight by the number of VMs, so that one VM that owned all groups of a step could use one share only. SubmitGroups takes a list of owners; the other owners hear of their groups through the claim revision within a pump interval. A step is touched by more VM failures, but loses less work at each. Tests that need one owner open their step while the VM knows no other; the test of damaged bodies uses a readable body, which only the digest tells from the right one.

--- a/internal/control/commands.go
+++ b/internal/control/commands.go
@@ -149,6 +149,14 @@
 	Groups      []Group  `cbor:"2,keyasint"`
 	VM          api.VMID `cbor:"3,keyasint"`
 	Incarnation uint64   `cbor:"4,keyasint"`
+	// Owners, if set, get the groups in turn, in place of VM. They hear of them through ClaimGroups.
+	Owners []Owner `cbor:"5,keyasint,omitempty"`
+}
+
+// Owner names one incarnation of a VM.
+type Owner struct {
+	VM          api.VMID `cbor:"1,keyasint"`
+	Incarnation uint64   `cbor:"2,keyasint"`
 }
 
 // ClaimGroups gives at most Max groups without a live owner to VM. Its result also holds the groups that VM
--- a/internal/control/groups.go
+++ b/internal/control/groups.go
@@ -18,21 +18,33 @@
 	if res, ok := s.checkGroups(st, c); !ok {
 		return res
 	}
-	owner := incarnation{c.VM, c.Incarnation}
+	submitter := incarnation{c.VM, c.Incarnation}
 	res := Result{}
-	for _, g := range c.Groups {
+	for i, g := range c.Groups {
 		known, ok := st.byID[g.ID]
 		if !ok {
-			known = s.ledger.add(st, g, owner)
+			known = s.ledger.add(st, g, c.owner(i))
+			if known.Owner != submitter {
+				s.ledger.claimRevision = s.ledger.revision
+			}
 		}
 		res.Count++
-		if known.Owner == owner {
+		if known.Owner == submitter {
 			res.Groups = append(res.Groups, known.view(st))
 		}
 	}
 	return res
 }
 
+// owner returns the VM that gets group i.
+func (c *SubmitGroups) owner(i int) incarnation {
+	if len(c.Owners) == 0 {
+		return incarnation{c.VM, c.Incarnation}
+	}
+	o := c.Owners[i%len(c.Owners)]
+	return incarnation{o.VM, o.Incarnation}
+}
+
 // checkGroups refuses the whole command before anything is added.
 func (s *state) checkGroups(st *step, c SubmitGroups) (Result, bool) {
 	added, bytes := 0, 0
--- a/internal/control/ledger_test.go
+++ b/internal/control/ledger_test.go
@@ -221,6 +221,11 @@
 	if res := d.want(submit("two", a, b), ""); res.Count != 2 || len(res.Groups) != 1 || res.Groups[0].ID != "b" {
 		t.Fatalf("a resend through another VM: %+v", res)
 	}
+	spread := submit("three", a, b)
+	spread.SubmitGroups.Owners = []Owner{{"four", 1}, {"five", 1}}
+	if res := d.want(spread, ""); res.Count != 2 || len(d.claim("four", 0).Groups) != 0 {
+		t.Fatalf("a resend moves groups to other owners: %+v", res)
+	}
 	d.want(submit("one", c), errs.InvalidArgument)
 	d.want(submit("one", c, c), errs.InvalidArgument)
 	other := a
@@ -233,3 +238,23 @@
 	d.want(submit("one", big), errs.PayloadTooLarge)
 	d.want(Command{SubmitGroups: &SubmitGroups{Step: stepID(9)}}, errs.NotFound)
 }
+
+// TestSpreadGroups guards against groups whose owners never hear of them.
+func TestSpreadGroups(t *testing.T) {
+	d := newDriver(t)
+	d.want(Command{OpenStep: &OpenStep{ID: stepID(1), Deadline: time.Hour, Groups: 3, GroupSize: 1}}, "")
+	c := &SubmitGroups{Step: stepID(1), VM: "one", Incarnation: 1, Owners: []Owner{{"one", 1}, {"two", 1}}}
+	for _, id := range []string{"a", "b", "c"} {
+		c.Groups = append(c.Groups, Group{ID: id, Size: 1, Prompt: []byte("p")})
+	}
+	before := d.m.ClaimRevision()
+	if res := d.want(Command{SubmitGroups: c}, ""); res.Count != 3 || len(res.Groups) != 2 {
+		t.Fatalf("submit: %+v", res)
+	}
+	if d.m.ClaimRevision() == before {
+		t.Fatal("the other owner is not told to claim")
+	}
+	if res := d.claim("two", 0); len(res.Groups) != 1 || res.Groups[0].ID != "b" {
+		t.Fatalf("the other owner gets %+v", res.Groups)
+	}
+}
--- a/internal/trainer/http.go
+++ b/internal/trainer/http.go
@@ -2,15 +2,18 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
 	"encoding/json"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
 	"filbertledge/internal/api"
@@ -217,7 +220,7 @@
 	if err := decodeBody(ctx, &q); err != nil {
 		return nil, err
 	}
-	c := control.SubmitGroups{Step: id, VM: s.o.VM.ID, Incarnation: s.o.VM.Incarnation}
+	c := control.SubmitGroups{Step: id, VM: s.o.VM.ID, Incarnation: s.o.VM.Incarnation, Owners: s.owners(id, len(q.Groups))}
 	prompts := map[string][]byte{}
 	for _, g := range q.Groups {
 		prompt, err := checkPrompt(g)
@@ -239,6 +242,19 @@
 	return groupsAnswer{Accepted: res.Count}, nil
 }
 
+// owners chooses the VMs that produce the groups of a request. One VM alone could use only its own share of the
+// row's max_in_flight. The order differs from step to step, so that small steps do not all go to the same VMs.
+func (s *Service) owners(id control.StepID, groups int) []control.Owner {
+	vms := slices.Clone(s.o.Client.VMs())
+	weight := func(vm api.VM) uint64 { return xxhash.Sum64String(groupName(id, string(vm.ID))) }
+	slices.SortFunc(vms, func(a, b api.VM) int { return cmp.Compare(weight(a), weight(b)) })
+	var out []control.Owner
+	for _, vm := range vms[:min(groups, len(vms))] {
+		out = append(out, control.Owner{VM: vm.ID, Incarnation: vm.Incarnation})
+	}
+	return out
+}
+
 // checkPrompt returns the request without insignificant space, so that a resend with other formatting is equal.
 func checkPrompt(g groupRequest) ([]byte, error) {
 	var request struct {
--- a/internal/trainer/runner.go
+++ b/internal/trainer/runner.go
@@ -70,6 +70,7 @@
 	since        uint64 // Revision of the last claim
 	claimed      uint64 // claim revision that the last complete claim covers
 	claimPending bool
+	claimedAt    time.Time // of the last attempt
 }
 
 func newRunner(s *Service) *runner {
@@ -295,9 +296,12 @@
 	r.mu.Lock()
 	draining := r.draining
 	r.mu.Unlock()
-	if draining || !r.s.o.Client.Fresh() || known && revision == r.claimed && !r.claimPending {
+	changed := known && revision != r.claimed
+	due := (r.claimPending || !known) && time.Since(r.claimedAt) >= claimInterval
+	if draining || !r.s.o.Client.Fresh() || !changed && !due {
 		return
 	}
+	r.claimedAt = time.Now()
 	ctx, cancel := context.WithTimeout(ctx, doTimeout)
 	defer cancel()
 	vm := r.s.o.VM
--- a/internal/trainer/samples.go
+++ b/internal/trainer/samples.go
@@ -47,7 +47,7 @@
 // Pauses between looks at the ledger while a trainer waits.
 const (
 	firstLook = 50 * time.Millisecond
-	lastLook  = time.Second
+	lastLook  = 250 * time.Millisecond
 )
 
 // samples answers with whole groups, or with none once the wait is over.
--- a/internal/trainer/service.go
+++ b/internal/trainer/service.go
@@ -72,7 +72,7 @@
 	s.run.start(ctx)
 	var wg sync.WaitGroup
 	wg.Go(func() { every(ctx, pumpInterval, s.run.pump) })
-	wg.Go(func() { every(ctx, claimInterval, func() { s.run.claim(ctx) }) })
+	wg.Go(func() { every(ctx, pumpInterval, func() { s.run.claim(ctx) }) })
 	wg.Go(func() { every(ctx, sweepInterval, func() { s.sweep(ctx) }) })
 	wg.Wait()
 	s.run.stop()
