--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -25,7 +25,7 @@
 	EditFloor      uuid.UUID     `cbor:"6,keyasint"`
 	Edits          []*editRecord `cbor:"7,keyasint"`
 	CallFloor      uuid.UUID     `cbor:"8,keyasint"`
-	Calls          []*callEntry  `cbor:"9,keyasint"`
+	Calls          []callEntry   `cbor:"9,keyasint"`
 	Steps          []*step       `cbor:"10,keyasint"`
 	Revision       uint64        `cbor:"11,keyasint"`
 	ClaimRevision  uint64        `cbor:"12,keyasint"`
@@ -47,28 +47,36 @@
 }
 
 // Snapshot returns the encoded state. Replicas that applied the same entries return the same bytes.
-func (m *Machine) Snapshot() ([]byte, error) {
+func (m *Machine) Snapshot() ([]byte, error) { return m.Capture()() }
+
+// Capture copies the state as of the last applied entry and returns a function that encodes the copy. Only the
+// copy holds up Apply: encoding takes several times as long and may run in another goroutine.
+func (m *Machine) Capture() func() ([]byte, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return Encode(m.state.save())
+	saved := m.state.save()
+	return func() ([]byte, error) { return Encode(saved) }
 }
 
+// save shares with the state only what is never changed in place.
 func (s *state) save() savedState {
 	saved := savedState{
 		Format: snapshotFormat, Index: s.index, Now: s.now, TableVersion: s.table.Version(),
-		EditFloor: s.edits.floor, CallFloor: s.calls.floor, Steps: s.ledger.steps(),
+		EditFloor: s.edits.floor, CallFloor: s.calls.floor, Steps: copySteps(s.ledger.steps()),
 		Revision: s.ledger.revision, ClaimRevision: s.ledger.claimRevision,
 		WeightsVersion: s.weightsVersion, Token: s.token,
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.rows)) {
 		entry := s.rows[name]
-		saved.Rows = append(saved.Rows, savedRow{Name: name, Index: entry.index, History: entry.history})
+		saved.Rows = append(saved.Rows, savedRow{Name: name, Index: entry.index, History: slices.Clone(entry.history)})
 	}
+	saved.Edits = make([]*editRecord, 0, len(s.edits.order))
 	for _, id := range s.edits.order {
 		saved.Edits = append(saved.Edits, s.edits.byID[id])
 	}
+	saved.Calls = make([]callEntry, 0, len(s.calls.order))
 	for _, id := range s.calls.order {
-		saved.Calls = append(saved.Calls, s.calls.byID[id])
+		saved.Calls = append(saved.Calls, *s.calls.byID[id])
 	}
 	for _, model := range slices.Sorted(maps.Keys(s.weights)) {
 		entry := s.weights[model]
@@ -77,6 +85,20 @@
 	return saved
 }
 
+func copySteps(list []*step) []*step {
+	for i, st := range list {
+		next := *st
+		next.GroupList = make([]*group, len(st.GroupList))
+		for j, g := range st.GroupList {
+			copied := *g
+			copied.Members = slices.Clone(g.Members)
+			next.GroupList[j] = &copied
+		}
+		list[i] = &next
+	}
+	return list
+}
+
 // Restore replaces the state by a snapshot. On error the state is unchanged.
 func (m *Machine) Restore(snapshot []byte) error {
 	var saved savedState
@@ -115,7 +137,7 @@
 		s.edits.put(e.ID, e)
 	}
 	for _, e := range v.Calls {
-		s.calls.put(e.Key, e)
+		s.calls.put(e.Key, &e)
 	}
 	s.calls.rebuild()
 	for _, saved := range v.Models {
