control, trainer: refuse weights of unknown age, answer polls at once after every change

A version before the kept times of publication was taken for as old as the oldest kept one, so that a sample past its row's time bound could pass; it is refused now. A change that was applied while a read was being confirmed, or between the check for news and the registration of a watcher, was noticed only at the next tick of 500 ms.

--- a/internal/control/machine_test.go
+++ b/internal/control/machine_test.go
@@ -287,8 +287,10 @@
 	if at, ok := w.SuccessorTime(102); !ok || !at.Equal(testStart.Add(5*time.Minute)) {
 		t.Errorf("successor of 102: %v, %v", at, ok)
 	}
-	if _, ok := w.SuccessorTime(104); ok {
-		t.Error("the newest version has a successor")
+	for _, v := range []api.WeightVersion{104, 98, 0} {
+		if at, ok := w.SuccessorTime(v); ok {
+			t.Errorf("version %d has no known successor, but got %v", v, at)
+		}
 	}
 	if publish(1000); len(d.m.Weights("tutor").Published) != keptPublications {
 		t.Errorf("%d times are kept", len(d.m.Weights("tutor").Published))
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -17,7 +17,7 @@
 		return seal(nil, errs.New(errs.InvalidArgument, "name the VM", "the poll has no VM"), "")
 	}
 	s.heard(q)
-	if err := s.confirmed(ctx, q.NoWait || s.hasNews(q)); err != nil {
+	if err := s.confirmed(ctx, func() bool { return q.NoWait || s.hasNews(q) }); err != nil {
 		return seal(nil, err, s.o.Replica.LeaderAddress())
 	}
 	return seal(s.watchAnswer(q), nil, "")
@@ -43,13 +43,14 @@
 	return w.table > q.TableVersion || w.weights > q.WeightsVersion || w.claim > q.ClaimRevision || hash != q.ListHash
 }
 
-// confirmed waits for the next round of confirmLoop, and asks for one at once if now is set.
-func (s *Server) confirmed(ctx context.Context, now bool) error {
+// confirmed waits for the next round of confirmLoop, and asks for one at once if urgent says so. It asks after
+// the watcher is registered, so that a change in between is not missed.
+func (s *Server) confirmed(ctx context.Context, urgent func() bool) error {
 	done := make(chan error, 1)
 	s.mu.Lock()
 	s.waiters = append(s.waiters, done)
 	s.mu.Unlock()
-	if now {
+	if urgent() {
 		select {
 		case s.kick <- struct{}{}:
 		default:
@@ -68,14 +69,16 @@
 func (s *Server) confirmLoop(ctx context.Context) {
 	tick := time.NewTicker(watchWait)
 	defer tick.Stop()
+	changed := s.o.Machine.Changed()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
 		case <-s.kick:
-		case <-s.o.Machine.Changed():
+		case <-changed:
 		}
+		changed = s.o.Machine.Changed() // before the round, which may miss a change that follows
 		s.confirmRound(ctx)
 	}
 }
--- a/internal/control/weights.go
+++ b/internal/control/weights.go
@@ -56,15 +56,18 @@
 	e.Newest = v
 }
 
-// SuccessorTime returns when the successor of version v was published. It is false if v is the newest version.
-// For versions older than the kept ones it returns the oldest kept time, which makes v look younger than it is
-// by at most the time of the versions in between.
+// SuccessorTime returns when the successor of version v was published. It is false if v is the newest version,
+// or so old that the time is not kept.
 func (w ModelWeights) SuccessorTime(v api.WeightVersion) (time.Time, bool) {
-	if v >= w.Newest || len(w.Published) == 0 {
+	if v >= w.Newest || v < w.OldestKept() {
 		return time.Time{}, false
 	}
-	behind := int(min(uint64(w.Newest-v), uint64(len(w.Published))))
-	return w.Published[len(w.Published)-behind], true
+	return w.Published[len(w.Published)-int(w.Newest-v)], true
+}
+
+// OldestKept returns the oldest version whose successor's time of publication is known.
+func (w ModelWeights) OldestKept() api.WeightVersion {
+	return w.Newest - min(w.Newest, api.WeightVersion(len(w.Published)))
 }
 
 // Weights returns what is known of a model.
--- a/internal/trainer/policy_test.go
+++ b/internal/trainer/policy_test.go
@@ -38,6 +38,8 @@
 		{"age of version 8", table.Row{MaxStalenessVersions: 50, MaxStalenessTime: 20 * time.Minute}, versions(8), true},
 		{"age of version 7", table.Row{MaxStalenessVersions: 50, MaxStalenessTime: 39 * time.Minute}, versions(7), false},
 		{"before the kept versions", table.Row{MaxStalenessVersions: 50, MaxStalenessTime: 39 * time.Minute}, versions(2), false},
+		{"of unknown age", table.Row{MaxStalenessVersions: 50, MaxStalenessTime: 24 * time.Hour}, versions(6), false},
+		{"oldest of known age", table.Row{MaxStalenessVersions: 50, MaxStalenessTime: 24 * time.Hour}, versions(7), true},
 		{"below the row's weights", table.Row{MaxStalenessVersions: 5, Weights: table.WeightRule{Min: 9}}, versions(8), false},
 		{"above the row's weights", table.Row{MaxStalenessVersions: 5, Weights: table.WeightRule{Max: 9}}, versions(9, 10), false},
 		{"within the row's weights", table.Row{MaxStalenessVersions: 5, Weights: table.WeightRule{Min: 8, Max: 9}}, versions(8, 9), true},
--- a/internal/trainer/staleness.go
+++ b/internal/trainer/staleness.go
@@ -43,13 +43,14 @@
 	if row.MaxStalenessTime <= 0 {
 		return oldest
 	}
+	// The age of versions before the kept ones is not known; they could be older than the bound.
+	oldest = max(oldest, w.OldestKept())
 	for oldest < w.Newest {
 		at, ok := w.SuccessorTime(oldest)
-		if !ok || now.Sub(at) <= row.MaxStalenessTime {
+		if ok && now.Sub(at) <= row.MaxStalenessTime {
 			break
 		}
-		// Versions before the kept publications all have the age of the oldest kept one.
-		oldest = max(oldest+1, w.Newest-api.WeightVersion(min(uint64(len(w.Published)), uint64(w.Newest))))
+		oldest++
 	}
 	return oldest
 }
