--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -207,8 +207,8 @@
 	s.calls.boundAnswers()
 }
 
-// loseCalls makes the open calls of a VM unknown and returns their number.
-func (c *callRecords) lose(vm api.VMID, upTo uint64) int {
+// ownerLost makes the open calls of a VM unknown and returns their number.
+func (c *callRecords) ownerLost(vm api.VMID, upTo uint64) int {
 	n := 0
 	for owner, set := range c.open {
 		if owner.VM != vm || owner.Number > upTo {
--- a/internal/control/groups.go
+++ b/internal/control/groups.go
@@ -95,7 +95,7 @@
 		added.Members[i].Attempt = 1
 	}
 	l.promptBytes += len(g.Prompt)
-	l.touch(added)
+	l.bumpRevision(added)
 	st.GroupList = append(st.GroupList, added)
 	st.byID[g.ID] = added
 	return added
@@ -129,7 +129,7 @@
 			return res
 		}
 		entry.group.Owner = owner
-		s.ledger.touch(entry.group)
+		s.ledger.bumpRevision(entry.group)
 		bytes += len(entry.group.Prompt)
 		res.add(entry)
 	}
--- a/internal/control/lease_test.go
+++ b/internal/control/lease_test.go
@@ -162,7 +162,7 @@
 	clock := &fakeClock{now: time.Hour}
 	r := leaseRemote(clock, func(context.Context, string, string, []byte) ([]byte, error) {
 		clock.Advance(2 * time.Second)
-		return seal(answerOf(1, 0), nil, "")
+		return encodeAnswer(answerOf(1, 0), nil, "")
 	})
 	if err := r.poll(context.Background(), "a", false); err != nil || !r.Fresh() {
 		t.Fatalf("%v, fresh %v", err, r.Fresh())
--- a/internal/control/ledger.go
+++ b/internal/control/ledger.go
@@ -12,16 +12,16 @@
 
 // Limits of the sample ledger.
 const (
-	maxSamplesPerStep  = 1 << 16
-	maxPromptBytes     = 64 << 10
-	maxTotalPrompts    = 64 << 20 // bytes of all prompts in the ledger
-	maxGroupIDBytes    = 128
-	maxStepDeadline    = 24 * time.Hour
-	maxSampleVersions  = 64
-	maxClaimedGroups   = 64
-	maxClaimedBytes    = 2 << 20 // prompts in one result
-	keptSteps          = 2       // of a row
-	maxOpenDeadlineMin = time.Millisecond
+	maxSamplesPerStep = 1 << 16
+	maxPromptBytes    = 64 << 10
+	maxTotalPrompts   = 64 << 20 // bytes of all prompts in the ledger
+	maxGroupIDBytes   = 128
+	maxStepDeadline   = 24 * time.Hour
+	maxSampleVersions = 64
+	maxClaimedGroups  = 64
+	maxClaimedBytes   = 2 << 20 // prompts in one result
+	keptSteps         = 2       // of a row
+	minStepDeadline   = time.Millisecond
 )
 
 type memberState uint8
@@ -145,7 +145,7 @@
 	switch {
 	case o.ID.Row == "":
 		return failure(errs.InvalidArgument, "name the row", "the step has no row"), false
-	case o.Deadline < maxOpenDeadlineMin || o.Deadline > maxStepDeadline:
+	case o.Deadline < minStepDeadline || o.Deadline > maxStepDeadline:
 		return failure(errs.InvalidArgument, "use up to 24 h", "the deadline %v is out of range", o.Deadline), false
 	case o.Groups < 1 || o.GroupSize < 1 || o.Groups > maxSamplesPerStep || o.GroupSize > maxSamplesPerStep,
 		o.Groups*o.GroupSize > maxSamplesPerStep:
@@ -199,12 +199,12 @@
 
 func (l *ledger) reset(g *group, m *member) {
 	*m = member{Attempt: m.Attempt + 1}
-	l.touch(g)
+	l.bumpRevision(g)
 	l.claimRevision = l.revision
 }
 
-// touch marks a group whose owner must look at it again.
-func (l *ledger) touch(g *group) {
+// bumpRevision marks a group whose owner must look at it again.
+func (l *ledger) bumpRevision(g *group) {
 	l.revision++
 	g.Revision = l.revision
 }
@@ -262,23 +262,23 @@
 	g.Prompt = nil
 }
 
-// lose releases the groups of a VM and makes the finished samples that it holds pending.
-func (l *ledger) lose(vm api.VMID, upTo uint64) int {
+// ownerLost releases the groups of a VM and makes the finished samples that it holds pending.
+func (l *ledger) ownerLost(vm api.VMID, upTo uint64) int {
 	lost := func(i incarnation) bool { return i.VM == vm && i.Number <= upTo }
 	n := 0
 	for _, st := range l.steps() {
 		for _, g := range st.GroupList {
-			n += l.loseGroup(g, lost)
+			n += l.ownerLostGroup(g, lost)
 		}
 	}
 	return n
 }
 
-func (l *ledger) loseGroup(g *group, lost func(incarnation) bool) int {
+func (l *ledger) ownerLostGroup(g *group, lost func(incarnation) bool) int {
 	n := 0
 	if lost(g.Owner) {
 		g.Owner = incarnation{}
-		l.touch(g)
+		l.bumpRevision(g)
 		l.claimRevision = l.revision
 		n++
 	}
--- a/internal/control/linearizable_test.go
+++ b/internal/control/linearizable_test.go
@@ -116,7 +116,7 @@
 		data, err := member.server.handleWatch(context.Background(), request)
 		var a WatchAnswer
 		if err == nil {
-			_, err = unseal(data, &a)
+			_, err = decodeAnswer(data, &a)
 		}
 		if err != nil {
 			continue
--- a/internal/control/presence.go
+++ b/internal/control/presence.go
@@ -15,7 +15,7 @@
 
 // presence is what one replica knows of the entry VMs. The leader's presence covers all of them.
 type presence struct {
-	heard    map[api.VMID]heardVM
+	seen     map[api.VMID]seenVM
 	list     []api.VM // last list of the leader, by id
 	listHash uint64   // of the identities in list
 	// leaderSince and lastTick are of the local monotonic clock; leading tells whether leaderSince counts.
@@ -25,7 +25,7 @@
 	missing     map[incarnation]time.Duration // owners that were never heard from, since when
 }
 
-type heardVM struct {
+type seenVM struct {
 	vm   api.VM
 	at   time.Duration
 	here bool // by a poll to this replica, not through another one
@@ -39,16 +39,16 @@
 const maxTickGap = 2 * time.Second
 
 func newPresence() presence {
-	return presence{heard: map[api.VMID]heardVM{}, missing: map[incarnation]time.Duration{}}
+	return presence{seen: map[api.VMID]seenVM{}, missing: map[incarnation]time.Duration{}}
 }
 
-// hear notes that vm sent a poll at time at. Older incarnations and older polls change nothing.
-func (p *presence) hear(vm api.VM, at time.Duration) {
-	p.note(heardVM{vm: vm, at: at, here: true})
+// observePoll notes that vm sent a poll at time at. Older incarnations and older polls change nothing.
+func (p *presence) observePoll(vm api.VM, at time.Duration) {
+	p.note(seenVM{vm: vm, at: at, here: true})
 }
 
-func (p *presence) note(h heardVM) {
-	old, ok := p.heard[h.vm.ID]
+func (p *presence) note(h seenVM) {
+	old, ok := p.seen[h.vm.ID]
 	if ok && old.vm.Incarnation > h.vm.Incarnation {
 		return
 	}
@@ -58,14 +58,14 @@
 			h.at, h.here = old.at, old.here
 		}
 	}
-	p.heard[h.vm.ID] = h
+	p.seen[h.vm.ID] = h
 }
 
 // recent returns the VMs heard from within the limit, by id, with their ages. With here, only those that poll
 // this replica.
 func (p *presence) recent(now, limit time.Duration, here bool) []api.VM {
 	var out []api.VM
-	for _, h := range p.heard {
+	for _, h := range p.seen {
 		if now-h.at >= limit || here && !h.here {
 			continue
 		}
@@ -78,9 +78,9 @@
 }
 
 func (p *presence) forget(now time.Duration) {
-	for id, h := range p.heard {
+	for id, h := range p.seen {
 		if now-h.at > forgetAfter {
-			delete(p.heard, id)
+			delete(p.seen, id)
 		}
 	}
 }
@@ -121,7 +121,7 @@
 	p.leaderSince = now
 	clear(p.missing)
 	for _, vm := range p.list {
-		p.note(heardVM{vm: vm, at: now})
+		p.note(seenVM{vm: vm, at: now})
 	}
 }
 
@@ -150,7 +150,7 @@
 }
 
 func (p *presence) isLost(owner incarnation, now time.Duration) bool {
-	h, ok := p.heard[owner.VM]
+	h, ok := p.seen[owner.VM]
 	if ok && h.vm.Incarnation > owner.Number {
 		return true
 	}
@@ -227,7 +227,7 @@
 		return err
 	}
 	var a PresenceAnswer
-	if _, err := unseal(data, &a); err != nil {
+	if _, err := decodeAnswer(data, &a); err != nil {
 		return err
 	}
 	if a.ListHash != q.ListHash {
@@ -241,21 +241,21 @@
 func (s *Server) handlePresence(_ context.Context, request []byte) ([]byte, error) {
 	var q PresenceRequest
 	if err := Decode(request, &q); err != nil {
-		return seal(nil, err, "")
+		return encodeAnswer(nil, err, "")
 	}
 	if !s.o.Replica.IsLeader() {
 		err := errs.New(errs.NotLeader, "send it to the leader", "this replica is not the leader")
-		return seal(nil, err, s.o.Replica.LeaderAddress())
+		return encodeAnswer(nil, err, s.o.Replica.LeaderAddress())
 	}
 	now := s.o.Clock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, vm := range q.VMs {
-		s.presence.note(heardVM{vm: vm, at: now - max(vm.LastSeen, 0)})
+		s.presence.note(seenVM{vm: vm, at: now - max(vm.LastSeen, 0)})
 	}
 	a := PresenceAnswer{ListHash: s.presence.listHash}
 	if a.ListHash != q.ListHash {
 		a.VMs = s.presence.list
 	}
-	return seal(a, nil, "")
+	return encodeAnswer(a, nil, "")
 }
--- a/internal/control/presence_test.go
+++ b/internal/control/presence_test.go
@@ -27,7 +27,7 @@
 
 // poll notes a poll of a VM at a replica.
 func (w *vmWorld) poll(replica int, id api.VMID, incarnation, version uint64) {
-	w.members[replica].server.heard(WatchRequest{VM: api.VM{ID: id, Incarnation: incarnation}, TableVersion: version})
+	w.members[replica].server.observePoll(WatchRequest{VM: api.VM{ID: id, Incarnation: incarnation}, TableVersion: version})
 }
 
 // rounds runs presence rounds of all replicas for d; each VM in polls polls replica 1 before each round.
@@ -177,7 +177,7 @@
 	data, err := c.call(ctx, "a", MethodWatch, request)
 	var a WatchAnswer
 	if err == nil {
-		_, err = unseal(data, &a)
+		_, err = decodeAnswer(data, &a)
 	}
 	if err != nil || len(a.Rows) != 1 || a.Rows[0].Name != "b" || !a.Rows[0].Deleted || a.TableVersion <= held {
 		t.Fatalf("answer %+v, %v", a, err)
--- a/internal/control/remote.go
+++ b/internal/control/remote.go
@@ -199,7 +199,7 @@
 		return err
 	}
 	var a WatchAnswer
-	if _, err := unseal(data, &a); err != nil {
+	if _, err := decodeAnswer(data, &a); err != nil {
 		return err
 	}
 	return r.accept(a, sent)
--- a/internal/control/remotedo.go
+++ b/internal/control/remotedo.go
@@ -82,7 +82,7 @@
 		}
 		return "", errs.Wrap(err, errs.OutcomeUnknown, "send it again", "%s to %s", method, addr)
 	}
-	return unseal(data, v)
+	return decodeAnswer(data, v)
 }
 
 func retriable(err error) bool {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -49,7 +49,7 @@
 	waiters  []chan error // watchers that wait for the next confirmed read
 	presence presence
 	reaches  []reach
-	kick     chan struct{}
+	wake     chan struct{}
 }
 
 // NewServer returns a server. Run must run for table.watch to answer.
@@ -57,7 +57,7 @@
 	if o.Wall == nil {
 		o.Wall = time.Now
 	}
-	return &Server{o: o, presence: newPresence(), kick: make(chan struct{}, 1)}
+	return &Server{o: o, presence: newPresence(), wake: make(chan struct{}, 1)}
 }
 
 // Handlers returns the handlers by method.
@@ -85,10 +85,10 @@
 func (s *Server) handleDo(ctx context.Context, request []byte) ([]byte, error) {
 	var c Command
 	if err := Decode(request, &c); err != nil {
-		return seal(nil, err, "")
+		return encodeAnswer(nil, err, "")
 	}
 	res, err := s.propose(ctx, c)
-	return seal(res, err, s.o.Replica.LeaderAddress())
+	return encodeAnswer(res, err, s.o.Replica.LeaderAddress())
 }
 
 // propose stamps the command with the leader's time and waits for its result.
@@ -171,13 +171,13 @@
 func read[Q any, R any](s *Server, ctx context.Context, request []byte, f func(Q) (R, error)) ([]byte, error) {
 	var q Q
 	if err := Decode(request, &q); err != nil {
-		return seal(nil, err, "")
+		return encodeAnswer(nil, err, "")
 	}
 	if err := s.readIndex(ctx); err != nil {
-		return seal(nil, err, s.o.Replica.LeaderAddress())
+		return encodeAnswer(nil, err, s.o.Replica.LeaderAddress())
 	}
 	r, err := f(q)
-	return seal(r, err, s.o.Replica.LeaderAddress())
+	return encodeAnswer(r, err, s.o.Replica.LeaderAddress())
 }
 
 func (s *Server) handleStep(ctx context.Context, request []byte) ([]byte, error) {
@@ -231,10 +231,10 @@
 func (s *Server) handleReach(ctx context.Context, request []byte) ([]byte, error) {
 	var q ReachRequest
 	if err := Decode(request, &q); err != nil {
-		return seal(nil, err, "")
+		return encodeAnswer(nil, err, "")
 	}
 	a, err := s.Reach(ctx, q.Version)
-	return seal(a, err, s.o.Replica.LeaderAddress())
+	return encodeAnswer(a, err, s.o.Replica.LeaderAddress())
 }
 
 // vmLost proposes that a VM incarnation is lost. A failure is not reported: the next round proposes again as
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -11,25 +11,25 @@
 func (s *Server) handleWatch(ctx context.Context, request []byte) ([]byte, error) {
 	var q WatchRequest
 	if err := Decode(request, &q); err != nil {
-		return seal(nil, err, "")
+		return encodeAnswer(nil, err, "")
 	}
 	if q.VM.ID == "" {
-		return seal(nil, errs.New(errs.InvalidArgument, "name the VM", "the poll has no VM"), "")
+		return encodeAnswer(nil, errs.New(errs.InvalidArgument, "name the VM", "the poll has no VM"), "")
 	}
-	s.heard(q)
+	s.observePoll(q)
 	if err := s.confirmed(ctx, func() bool { return q.NoWait || s.hasNews(q) }); err != nil {
-		return seal(nil, err, s.o.Replica.LeaderAddress())
+		return encodeAnswer(nil, err, s.o.Replica.LeaderAddress())
 	}
-	return seal(s.watchAnswer(q), nil, "")
+	return encodeAnswer(s.watchAnswer(q), nil, "")
 }
 
-func (s *Server) heard(q WatchRequest) {
+func (s *Server) observePoll(q WatchRequest) {
 	vm := q.VM
 	vm.TableVersion = q.TableVersion
 	vm.LastSeen = 0
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.presence.hear(vm, s.o.Clock())
+	s.presence.observePoll(vm, s.o.Clock())
 }
 
 func (s *Server) hasNews(q WatchRequest) bool {
@@ -52,7 +52,7 @@
 	s.mu.Unlock()
 	if urgent() {
 		select {
-		case s.kick <- struct{}{}:
+		case s.wake <- struct{}{}:
 		default:
 		}
 	}
@@ -75,7 +75,7 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-		case <-s.kick:
+		case <-s.wake:
 		case <-changed:
 		}
 		changed = s.o.Machine.Changed() // before the round, which may miss a change that follows
--- a/internal/control/weights.go
+++ b/internal/control/weights.go
@@ -86,5 +86,5 @@
 }
 
 func (s *state) vmLost(v VMLost) Result {
-	return Result{Count: s.calls.lose(v.VM, v.Incarnation) + s.ledger.lose(v.VM, v.Incarnation)}
+	return Result{Count: s.calls.ownerLost(v.VM, v.Incarnation) + s.ledger.ownerLost(v.VM, v.Incarnation)}
 }
--- a/internal/control/wire.go
+++ b/internal/control/wire.go
@@ -101,7 +101,7 @@
 	Leader  string    `cbor:"5,keyasint,omitempty"`
 }
 
-func seal(v any, err error, leader string) ([]byte, error) {
+func encodeAnswer(v any, err error, leader string) ([]byte, error) {
 	e := envelope{Leader: leader}
 	if err == nil {
 		e.Body, err = Encode(v)
@@ -112,8 +112,8 @@
 	return Encode(e)
 }
 
-// unseal decodes an answer into v and returns the address of the leader, if the answer names it.
-func unseal(data []byte, v any) (leader string, err error) {
+// decodeAnswer decodes an answer into v and returns the address of the leader, if the answer names it.
+func decodeAnswer(data []byte, v any) (leader string, err error) {
 	var e envelope
 	if err := Decode(data, &e); err != nil {
 		return "", errs.Wrap(err, errs.OutcomeUnknown, "check the versions of the VMs", "the answer cannot be read")
--- a/internal/trainer/http.go
+++ b/internal/trainer/http.go
@@ -34,7 +34,7 @@
 	maxSamples   = 1024
 )
 
-// answer is the JSON answer of a handler; a non-nil error takes its place.
+// handler returns the JSON answer of a request, or the error that takes its place.
 type handler func(ctx *fasthttp.RequestCtx) (any, error)
 
 func (s *Service) route(ctx *fasthttp.RequestCtx) bool {
--- a/internal/trainer/produce.go
+++ b/internal/trainer/produce.go
@@ -34,7 +34,7 @@
 		err = r.conclude(j, g)
 	}
 	r.finishRun(q, j, err)
-	r.pump()
+	r.schedule()
 }
 
 func (r *runner) releaseSlot(q *rowQueue, j *job) {
@@ -191,7 +191,7 @@
 		return
 	}
 	now := r.s.o.Wall()
-	if r.ctx.Err() != nil || j.over(now) {
+	if r.ctx.Err() != nil || j.ended(now) {
 		r.end(j)
 		return
 	}
--- a/internal/trainer/queue.go
+++ b/internal/trainer/queue.go
@@ -42,12 +42,12 @@
 	}
 	clear(q.delayed[len(left):])
 	q.delayed = left
-	for len(q.heap) > 0 && q.heap[0].over(now) {
+	for len(q.heap) > 0 && q.heap[0].ended(now) {
 		heap.Pop(&q.heap)
 	}
 }
 
-func (j *job) over(now time.Time) bool {
+func (j *job) ended(now time.Time) bool {
 	return j.done || !j.deadline.IsZero() && !now.Before(j.deadline)
 }
 
--- a/internal/trainer/runner.go
+++ b/internal/trainer/runner.go
@@ -108,7 +108,7 @@
 		r.adoptGroup(g)
 	}
 	r.mu.Unlock()
-	r.pump()
+	r.schedule()
 }
 
 func (r *runner) adoptGroup(g control.Group) {
@@ -195,9 +195,9 @@
 	return out
 }
 
-// pump starts as much work as the limits allow. Without a valid table lease it starts nothing, because a newer
+// schedule starts as much work as the limits allow. Without a valid table lease it starts nothing, because a newer
 // table could forbid the weights.
-func (r *runner) pump() {
+func (r *runner) schedule() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.draining || r.ctx == nil || !r.s.o.Client.Fresh() {
@@ -274,14 +274,14 @@
 		if st == nil || !ok || r.inFlight >= maxInFlight || q.inFlight >= rowLimit(row) {
 			continue
 		}
-		if left[j.id.Step] <= max(1, st.total/duplicateDivisor) && st.straggles(j, now) {
+		if left[j.id.Step] <= max(1, st.total/duplicateDivisor) && st.isStraggler(j, now) {
 			j.duplicated = true
 			r.launch(q, row, j)
 		}
 	}
 }
 
-func (st *stepWork) straggles(j *job, now time.Time) bool {
+func (st *stepWork) isStraggler(j *job, now time.Time) bool {
 	if j.duplicated || j.generating != 1 || j.runs != 1 || st.finished == 0 {
 		return false
 	}
--- a/internal/trainer/samples.go
+++ b/internal/trainer/samples.go
@@ -132,12 +132,12 @@
 		size += bytes
 		a.Samples = append(a.Samples, list...)
 	}
-	return s.seal(ctx, a, v)
+	return s.recheck(ctx, a, v)
 }
 
-// seal checks everything again after the bodies were fetched: weights may have been published and the lease
+// recheck checks everything again after the bodies were fetched: weights may have been published and the lease
 // may have ended meanwhile.
-func (s *Service) seal(ctx context.Context, a samplesAnswer, v control.StepView) (samplesAnswer, error) {
+func (s *Service) recheck(ctx context.Context, a samplesAnswer, v control.StepView) (samplesAnswer, error) {
 	a.Samples = s.stillAdmitted(ctx, a.Samples, v.ID)
 	if err := s.checkFresh(); err != nil {
 		return samplesAnswer{}, err
--- a/internal/trainer/service.go
+++ b/internal/trainer/service.go
@@ -62,17 +62,17 @@
 
 // Intervals of the background work.
 const (
-	pumpInterval  = 200 * time.Millisecond // bounds how late a renewed table lease is noticed
-	claimInterval = time.Second
-	sweepInterval = 30 * time.Second
+	scheduleInterval = 200 * time.Millisecond // bounds how late a renewed table lease is noticed
+	claimInterval    = time.Second
+	sweepInterval    = 30 * time.Second
 )
 
 // Run produces samples until ctx ends. It returns when all of its work has ended.
 func (s *Service) Run(ctx context.Context) {
 	s.run.start(ctx)
 	var wg sync.WaitGroup
-	wg.Go(func() { every(ctx, pumpInterval, s.run.pump) })
-	wg.Go(func() { every(ctx, pumpInterval, func() { s.run.claim(ctx) }) })
+	wg.Go(func() { every(ctx, scheduleInterval, s.run.schedule) })
+	wg.Go(func() { every(ctx, scheduleInterval, func() { s.run.claim(ctx) }) })
 	wg.Go(func() { every(ctx, sweepInterval, func() { s.sweep(ctx) }) })
 	wg.Wait()
 	s.run.stop()
--- a/internal/trainer/trainer_test.go
+++ b/internal/trainer/trainer_test.go
@@ -158,7 +158,7 @@
 	if s := d.request(0, "GET", "/trainer/v1/steps/tutor/1/samples", testToken, nil, nil); s != fasthttp.StatusServiceUnavailable {
 		t.Fatalf("status %d, want 503", s)
 	}
-	time.Sleep(2 * pumpInterval)
+	time.Sleep(2 * scheduleInterval)
 	if n := d.engine.calls.Load(); n != 0 {
 		t.Fatalf("%d rollouts without a lease", n)
 	}
