control, trainer: list all groups of an owner at once

ClaimGroups bounded the groups that the VM owns already by Max, which is meant to spread the groups of a lost VM, so that an owner learned of 16 groups a second.

--- a/internal/control/commands.go
+++ b/internal/control/commands.go
@@ -41,7 +41,7 @@
 	Row       *table.Row        `cbor:"5,keyasint,omitempty"` // EditRow: the row as it now is, also on conflict
 	Call      *CallRecord       `cbor:"6,keyasint,omitempty"`
 	Groups    []Group           `cbor:"7,keyasint,omitempty"`  // ClaimGroups: the groups now owned by the VM
-	Count     int               `cbor:"8,keyasint,omitempty"`  // SubmitGroups, Acknowledge: items accepted
+	Count     int               `cbor:"8,keyasint,omitempty"`  // SubmitGroups, Acknowledge: items accepted; ClaimGroups: groups that had no owner
 	Accepted  bool              `cbor:"9,keyasint,omitempty"`  // FinishSample: this attempt is the one kept
 	Token     uint64            `cbor:"10,keyasint,omitempty"` // BeginOrders: the fencing token
 	Weights   api.WeightVersion `cbor:"11,keyasint,omitempty"` // newest version of the model after PublishWeights
--- a/internal/control/groups.go
+++ b/internal/control/groups.go
@@ -113,25 +113,25 @@
 		return failure(errs.InvalidArgument, "name the VM", "the claim has no VM")
 	}
 	owner := incarnation{c.VM, c.Incarnation}
-	limit := min(max(c.Max, 0), maxClaimedGroups)
 	owned, free := s.ledger.claimable(owner, c.Since, s.now)
 	res := Result{Revision: c.Since}
 	bytes := 0
 	for _, entry := range owned {
-		if len(res.Groups) == limit || bytes > maxClaimedBytes {
+		if len(res.Groups) == maxClaimedGroups || bytes > maxClaimedBytes {
 			return res
 		}
 		bytes += len(entry.group.Prompt)
 		res.add(entry)
 	}
 	for _, entry := range free {
-		if len(res.Groups) == limit || bytes > maxClaimedBytes {
+		if res.Count >= min(c.Max, maxClaimedGroups-len(owned)) || bytes > maxClaimedBytes {
 			return res
 		}
 		entry.group.Owner = owner
 		s.ledger.bumpRevision(entry.group)
 		bytes += len(entry.group.Prompt)
 		res.add(entry)
+		res.Count++
 	}
 	return res
 }
--- a/internal/trainer/runner.go
+++ b/internal/trainer/runner.go
@@ -288,7 +288,8 @@
 	return now.Sub(j.started) > st.spent/time.Duration(st.finished)
 }
 
-// claim asks for groups without a live owner and for members of own groups that became pending again.
+// claim asks, if there is a reason to, for groups without a live owner and for members of own groups that became
+// pending again.
 func (r *runner) claim(ctx context.Context) {
 	r.claimMu.Lock()
 	defer r.claimMu.Unlock()
@@ -304,18 +305,30 @@
 	r.claimedAt = time.Now()
 	ctx, cancel := context.WithTimeout(ctx, doTimeout)
 	defer cancel()
+	for more := true; more; {
+		res, err := r.claimOnce(ctx)
+		if err != nil {
+			return
+		}
+		r.claimed, r.claimPending = revision, len(res.Groups) > 0
+		more = r.claimPending && res.Count == 0 // new groups wait, so that other VMs get some as well
+	}
+}
+
+func (r *runner) claimOnce(ctx context.Context) (control.Result, error) {
 	vm := r.s.o.VM
 	res, err := r.s.o.Client.Do(ctx, control.Command{ClaimGroups: &control.ClaimGroups{
 		VM: vm.ID, Incarnation: vm.Incarnation, Max: claimedAtOnce, Since: r.since,
 	}})
 	if err != nil {
-		return
+		return res, err
 	}
-	r.since, r.claimed, r.claimPending = res.Revision, revision, len(res.Groups) > 0
+	r.since = res.Revision
 	for _, g := range res.Groups {
 		r.s.o.Events.Record(events.Event{Name: events.GroupClaimed, Row: g.Step.Row, Request: groupName(g.Step, g.ID)})
 	}
 	r.adopt(res.Groups)
+	return res, nil
 }
 
 // claimRevision returns the revision at which a claim could last return something new, if the client knows it.
