Refuse capacity measurements of VMs that do not know the announced servers

Cause: the first run measured VMs that refused every announcement, because the settings named no pool; its figures for servers were those of none. Ruled out: lost gossip; the VMs knew 0 of 399 servers. Change: the layout names pools without processes, and a measurement fails unless every role knows 98 % of the announced servers.

--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -70,17 +70,17 @@
 // Markdown returns the sweep as a table with a line for each size and role, and one for each fit.
 func (s *Sweep) Markdown() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "**%s**\n\n| %s | role | core %% | resident MB | wire bytes/s |\n|---|---|---|---|---|\n", s.Name, s.Size)
+	fmt.Fprintf(&b, "**%s**\n\n| %s | role | core %% | resident MB | wire bytes/s | servers known |\n|---|---|---|---|---|---|\n", s.Name, s.Size)
 	for _, p := range s.Points {
 		for _, role := range []Role{RoleLeader, RoleFollower, RoleEntry} {
 			if c, ok := p.Costs[role]; ok {
-				fmt.Fprintf(&b, "| %g | %s | %.2f | %.1f | %.0f |\n", p.Size, role, c.Core, c.Resident, c.Wire)
+				fmt.Fprintf(&b, "| %g | %s | %.2f | %.1f | %.0f | %.0f |\n", p.Size, role, c.Core, c.Resident, c.Wire, c.Servers)
 			}
 		}
 	}
 	for _, role := range []Role{RoleLeader, RoleFollower, RoleEntry} {
 		if f, ok := s.Fits[string(role)]; ok {
-			fmt.Fprintf(&b, "| slope (error) | %s | %.4f (%.0f%%) | %.4f (%.0f%%) | %.1f (%.0f%%) |\n", role,
+			fmt.Fprintf(&b, "| slope (error) | %s | %.4f (%.0f%%) | %.4f (%.0f%%) | %.1f (%.0f%%) | |\n", role,
 				f.Core.Slope, 100*f.Core.Error, f.Resident.Slope, 100*f.Resident.Error, f.Wire.Slope, 100*f.Wire.Error)
 		}
 	}
--- a/internal/capacity/run.go
+++ b/internal/capacity/run.go
@@ -30,6 +30,7 @@
 	Core     float64 `json:"core_percent"`     // of one core
 	Resident float64 `json:"resident_mb"`      // MB
 	Wire     float64 `json:"wire_bytes_per_s"` // UDP payload in and out, between VMs
+	Servers  float64 `json:"servers_known"`    // usable at the end of the measurement
 }
 
 // Point describes one measured deployment.
@@ -57,14 +58,16 @@
 	// serverCapacity is a typical number of concurrent requests of an engine.
 	serverCapacity = 32
 	megabyte       = 1e6
+	// knownShare is the share of the servers that every VM has to know for a measurement to count.
+	knownShare = 0.98
 )
 
 func (p Point) layout() harness.Layout {
 	l := harness.Layout{
 		Name: "capacity", Model: modelName,
 		// The layout has no backend server processes: the measurement announces servers itself.
-		Engines: nil,
-		Rows:    []harness.RowSpec{{Name: "chat", Kind: "chat", Pool: poolName, Model: modelName, Deadline: 30 * time.Second}},
+		OtherPools: []string{poolName},
+		Rows:       []harness.RowSpec{{Name: "chat", Kind: "chat", Pool: poolName, Model: modelName, Deadline: 30 * time.Second}},
 	}
 	for i := range p.VMs {
 		l.VMs = append(l.VMs, harness.VMSpec{Name: fmt.Sprintf("a-%d", i+1), Domain: "a", Replica: i == 0})
@@ -174,6 +177,7 @@
 	usage Usage
 	wire  uint64
 	role  Role
+	known int // usable servers
 }
 
 func (d *Deployment) sample(ctx context.Context, vm *harness.VM) (sample, error) {
@@ -186,7 +190,7 @@
 		return sample{}, err
 	}
 	t := status.Traffic[transport.ClassWireVM]
-	return sample{usage: usage, wire: t.BytesIn + t.BytesOut, role: roleOf(status)}, nil
+	return sample{usage: usage, wire: t.BytesIn + t.BytesOut, role: roleOf(status), known: status.Servers}, nil
 }
 
 func roleOf(s operator.Status) Role {
@@ -218,7 +222,18 @@
 	if err != nil {
 		return nil, err
 	}
-	return d.mean(first, second, time.Since(start)), nil
+	costs := d.mean(first, second, time.Since(start))
+	return costs, d.checkKnown(costs)
+}
+
+// checkKnown guards against measuring VMs that refuse or lose announcements.
+func (d *Deployment) checkKnown(costs map[Role]Cost) error {
+	for role, c := range costs {
+		if c.Servers < knownShare*float64(len(d.announcers)) {
+			return fmt.Errorf("VMs with role %s know %.0f of %d announced servers", role, c.Servers, len(d.announcers))
+		}
+	}
+	return nil
 }
 
 func (d *Deployment) sampleAll(ctx context.Context) ([]sample, error) {
@@ -245,12 +260,13 @@
 		c.Core += 100 * (second[i].usage.CPU - first[i].usage.CPU).Seconds() / took.Seconds()
 		c.Resident += float64(second[i].usage.Resident) / megabyte
 		c.Wire += float64(second[i].wire-first[i].wire) / took.Seconds()
+		c.Servers += float64(second[i].known)
 		sums[role] = c
 		counts[role]++
 	}
 	for role, c := range sums {
 		n := counts[role]
-		sums[role] = Cost{Core: c.Core / n, Resident: c.Resident / n, Wire: c.Wire / n}
+		sums[role] = Cost{Core: c.Core / n, Resident: c.Resident / n, Wire: c.Wire / n, Servers: c.Servers / n}
 	}
 	return sums
 }
--- a/internal/harness/layout.go
+++ b/internal/harness/layout.go
@@ -20,6 +20,8 @@
 	Services []BackendSpec
 	Rows     []RowSpec
 	Model    string // of all engines
+	// OtherPools are pools whose servers the user of the deployment announces itself.
+	OtherPools []string
 }
 
 // VMSpec describes one entry VM.
@@ -59,7 +61,7 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// Pools returns the pools of the layout's backend servers in order of first use.
+// Pools returns the pools of the layout's backend servers in order of first use, then the other pools.
 func (l *Layout) Pools() []string {
 	var pools []string
 	seen := map[string]bool{}
@@ -71,7 +73,7 @@
 			}
 		}
 	}
-	return pools
+	return append(pools, l.OtherPools...)
 }
 
 // TableCSV returns the rows in the form of filbertledge table import.
