--- a/cmd/faults/main.go
+++ b/cmd/faults/main.go
@@ -5,6 +5,7 @@
 	"bufio"
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"strings"
 
@@ -34,6 +35,12 @@
 	}
 	out := bufio.NewWriter(os.Stdout)
 	summary := faults.Run(out, cells, known)
+	if strings.HasPrefix("availability", filter) {
+		if err := printAvailability(out); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 1
+		}
+	}
 	_, _ = fmt.Fprintln(out, summary)
 	if err := out.Flush(); err != nil || summary.Failed > 0 {
 		return 1
@@ -41,6 +48,15 @@
 	return 0
 }
 
+// printAvailability prints the comparison of the two ways to replace a voter.
+func printAvailability(w io.Writer) error {
+	list, err := faults.MeasureAvailability()
+	for _, a := range list {
+		_, _ = fmt.Fprintln(w, a)
+	}
+	return err
+}
+
 // readKnown returns the names of the cells that are known to fail. A missing file lists none.
 func readKnown(path string) ([]string, error) {
 	data, err := os.ReadFile(path)
--- /dev/null
+++ b/internal/faults/availability.go
@@ -0,0 +1,166 @@
+package faults
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"filbertledge/internal/faults/sim"
+	"filbertledge/internal/raft"
+)
+
+// Availability counts the crashes, one per step of a replacement and VM or failure domain, after which no edit
+// was accepted although the crash left a majority of the three replicas that the deployment asks for.
+type Availability struct {
+	Way         string
+	Crashes     int
+	Unavailable int
+}
+
+// String is the line that cmd/faults prints.
+func (a Availability) String() string {
+	return fmt.Sprintf("availability: replacement=%s crashes=%d unavailable=%d", a.Way, a.Crashes, a.Unavailable)
+}
+
+// availabilityLimit is how long edits may take after a crash. It is longer than editBound, so that only a lost
+// quorum counts and not a slow election.
+const availabilityLimit = 2 * editBound
+
+var errNoEdit = fmt.Errorf("no edit was accepted within %v of the crash", availabilityLimit)
+
+func init() {
+	Register("availability", func() ([]Cell, error) {
+		return []Cell{Func("availability/replacement", checkAvailability)}, nil
+	})
+}
+
+// checkAvailability requires that no crash during a joint replacement stops edits. That the other way shows some
+// proves that the measurement can see a lost quorum.
+func checkAvailability() error {
+	list, err := MeasureAvailability()
+	if err != nil {
+		return err
+	}
+	if oneAtATime, joint := list[0], list[1]; oneAtATime.Unavailable == 0 || joint.Unavailable > 0 {
+		return fmt.Errorf("%v; %v", oneAtATime, joint)
+	}
+	return nil
+}
+
+// MeasureAvailability replaces c by d, which shares c's failure domain, in three replicas over three failure
+// domains, in both ways, and crashes one VM or one failure domain for good at each step.
+func MeasureAvailability() ([]Availability, error) {
+	oneAtATime, err := measure("one-at-a-time", oneAtATimeProtocol(), raft.Mutations{SingleStepChange: true})
+	if err != nil {
+		return nil, err
+	}
+	joint, err := measure("joint", protocolNamed("replacement-by-name"), raft.Mutations{})
+	return []Availability{oneAtATime, joint}, err
+}
+
+func protocolNamed(name string) protocol {
+	list := protocols()
+	return list[slices.IndexFunc(list, func(p protocol) bool { return p.name == name })]
+}
+
+// oneAtATimeProtocol adds d to the voters and then removes c. Each of the two changes is safe without a joint
+// configuration, because majorities of neighboring configurations overlap.
+func oneAtATimeProtocol() protocol {
+	p := protocolNamed("replacement-by-name")
+	p.start = func(r *run) {
+		r.Add("d", r.Server("c").FailureDomain)
+		r.replaceOneAtATime()
+	}
+	return p
+}
+
+func (r *run) replaceOneAtATime() {
+	const retry = 10 * time.Millisecond
+	if l := r.Leader(); l != nil && l.Idle() {
+		r.nextSingleChange(l)
+	}
+	if !r.Replaced("c", "d") {
+		r.After(retry, r.replaceOneAtATime)
+	}
+}
+
+func (r *run) nextSingleChange(l *sim.Server) {
+	c := l.Status().Configuration
+	d := r.Server("d")
+	_, learner := c.Member(d.ID)
+	switch {
+	case !learner:
+		_ = l.AddLearner(raft.Learner{Member: d.Member})
+	case !c.IsVoter(d.ID) && l.CaughtUp(d.ID):
+		_ = l.ChangeVoters(append(slices.Clone(c.Voters), d.Member))
+	case c.IsVoter(d.ID):
+		_ = l.ChangeVoters(slices.DeleteFunc(slices.Clone(c.Voters), func(m raft.Member) bool { return m.Name == "c" }))
+	}
+}
+
+// measure runs every crash of one way of replacement.
+func measure(way string, p protocol, m raft.Mutations) (Availability, error) {
+	o := matrixOptions{seed: matrixSeed, mutations: m}
+	points, err := tracePoints(p, o)
+	if err != nil {
+		return Availability{}, err
+	}
+	var cells []Cell
+	for _, at := range points {
+		for name, hit := range crashes() {
+			cells = append(cells, &crashCell{agreementCell{protocol: p, at: at, options: o, injection: injection{name: name}, drift: driftNone}, hit})
+		}
+	}
+	a := Availability{Way: way, Crashes: len(cells)}
+	for _, r := range runAll(cells) {
+		switch {
+		case errors.Is(r.err, errNoEdit):
+			a.Unavailable++
+		case r.err != nil:
+			return a, r.err
+		}
+	}
+	return a, nil
+}
+
+// crashes returns what each crash takes away, by name.
+func crashes() map[string]func(*sim.Server) bool {
+	list := map[string]func(*sim.Server) bool{}
+	for _, name := range []string{"a", "b", "c", "d"} {
+		list["vm-"+name] = func(s *sim.Server) bool { return s.Name == name }
+	}
+	for _, m := range sim.Members(3) {
+		list[m.FailureDomain] = func(s *sim.Server) bool { return s.FailureDomain == m.FailureDomain }
+	}
+	return list
+}
+
+// crashCell takes servers away for good at a point and fails if no edit is accepted any more.
+type crashCell struct {
+	agreementCell
+	hit func(*sim.Server) bool
+}
+
+// Run returns an error if the crash stops edits.
+func (c *crashCell) Run() error {
+	r, err := newRun(c.protocol, withMutations(sim.Options{Seed: c.options.seed}, c.options.mutations))
+	if err != nil {
+		return err
+	}
+	c.injection.inject = func(r *run, _ sim.Point) {
+		for _, s := range r.Servers() {
+			if c.hit(s) {
+				s.Kill(false)
+			}
+		}
+	}
+	client, _, err := c.inject(r)
+	if err != nil {
+		return err
+	}
+	if !r.RunUntil(availabilityLimit, func() bool { return client.Accepted > 0 }) {
+		return errNoEdit
+	}
+	return r.Err()
+}
--- /dev/null
+++ b/internal/faults/faults_test.go
@@ -0,0 +1,37 @@
+package faults
+
+import (
+	"errors"
+	"strings"
+	"testing"
+)
+
+// Guards against a summary that hides a failure, and against a known failure that hides another one.
+func TestRunCountsResults(t *testing.T) {
+	cells := []Cell{
+		Func("p/one", func() error { return nil }),
+		Func("p/two", func() error { return errors.New("broken") }),
+		Func("p/three", func() error { return errors.New("known") }),
+		Func("p/four", func() error { panic("lost") }),
+	}
+	var out strings.Builder
+	s := Run(&out, cells, []string{"p/three", "p/one"})
+	if got := s.String(); got != "faults: cells=4 passed=1 failed=2 red=1" {
+		t.Errorf("summary %q", got)
+	}
+	want := "p/one passed\np/two FAILED: broken\np/three red: known\np/four FAILED: panic: lost\n"
+	if out.String() != want {
+		t.Errorf("got %q, want %q", out.String(), want)
+	}
+}
+
+// Guards against two protocols that overwrite each other's cells.
+func TestRegistryRefusesDuplicates(t *testing.T) {
+	var r Registry
+	source := func() ([]Cell, error) { return []Cell{Func("same", func() error { return nil })}, nil }
+	r.Register("first", source)
+	r.Register("second", source)
+	if _, err := r.Cells(""); err == nil {
+		t.Error("two cells with one name were accepted")
+	}
+}
--- a/internal/faults/protocols.go
+++ b/internal/faults/protocols.go
@@ -41,7 +41,7 @@
 
 // checkOlder returns an error if the witness still leads and has not refused the older disk.
 func (r *run) checkOlder() error {
-	if r.older == nil || r.older.Status().Refused {
+	if r.older == nil || r.older.Status().Refused || !r.isMember(r.older) {
 		return nil
 	}
 	if s := r.witness.server.Status(); s.Role == raft.Leader && s.Term == r.witness.term {
--- a/internal/faults/sim/server.go
+++ b/internal/faults/sim/server.go
@@ -108,6 +108,13 @@
 	return err
 }
 
+// AddLearner asks the server, as leader, to add a learner.
+func (s *Server) AddLearner(l raft.Learner) error {
+	err := s.node.AddLearner(l)
+	s.pump()
+	return err
+}
+
 // ChangeVoters asks the server, as leader, to change the voters.
 func (s *Server) ChangeVoters(voters []raft.Member) error {
 	err := s.node.ChangeVoters(voters)
