Free keys of calls that were given up while BeginCall was open

FinishCall alone could overtake a BeginCall whose answer was lost; the key then stayed in progress until the VM was declared lost. BeginCall is now resent until it certainly was applied, and only then is the key freed.

--- a/internal/caller/fakes_test.go
+++ b/internal/caller/fakes_test.go
@@ -37,6 +37,7 @@
 	calls   map[uuid.UUID]*control.CallRecord
 	stale   atomic.Bool
 	failing atomic.Bool // Do answers Unavailable
+	mute    atomic.Bool // Do applies commands, but its answers are lost
 	vms     []api.VM
 }
 
@@ -56,13 +57,28 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	var res control.Result
 	switch {
 	case cmd.BeginCall != nil:
-		return f.begin(cmd.BeginCall), nil
+		res = f.begin(cmd.BeginCall)
 	case cmd.FinishCall != nil:
 		f.finish(cmd.FinishCall)
 	}
-	return control.Result{}, nil
+	if f.mute.Load() {
+		return control.Result{}, errs.New(errs.OutcomeUnknown, "resend the command", "answer was lost")
+	}
+	return res, nil
+}
+
+// states returns the states of all records.
+func (f *fakeControl) states() []control.CallState {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []control.CallState
+	for _, rec := range f.calls {
+		out = append(out, rec.State)
+	}
+	return out
 }
 
 func (f *fakeControl) begin(b *control.BeginCall) control.Result {
--- a/internal/caller/once.go
+++ b/internal/caller/once.go
@@ -83,13 +83,33 @@
 		}
 		if err := w.wait(ctx, err); err != nil {
 			if open {
-				go h.record(context.Background(), r, finishNotRun(r, key, attempt))
+				go h.abandon(cmd, finishNotRun(r, key, attempt))
 			}
 			return nil, err
 		}
 	}
 }
 
+// abandon frees the key of a call that was given up while it was open whether BeginCall was applied. BeginCall
+// is resent until it certainly was: a copy that is still on its way could otherwise take the key later.
+func (h *Handler) abandon(begin control.Command, notRun control.FinishCall) {
+	ctx, cancel := context.WithTimeout(context.Background(), recordFor)
+	defer cancel()
+	w := waiter{give: time.Now().Add(recordFor)}
+	for {
+		res, err := h.opts.Control.Do(ctx, begin)
+		if err == nil {
+			if record := settled(&res, nil, notRun.Attempt); record != nil && record.State == control.CallGranted {
+				_ = h.record(ctx, notRun)
+			}
+			return
+		}
+		if w.wait(ctx, err) != nil {
+			return
+		}
+	}
+}
+
 // settled returns the record if the call need not wait. A key in progress under our own attempt was granted to
 // us by a command whose answer was lost.
 func settled(res *control.Result, err error, attempt uuid.UUID) *control.CallRecord {
@@ -227,19 +247,19 @@
 func (h *Handler) recordInTime(r *request, finish control.FinishCall) error {
 	ctx, cancel := context.WithDeadline(context.Background(), r.deadline.Add(recordGrace))
 	defer cancel()
-	err := h.record(ctx, r, finish)
+	err := h.record(ctx, finish)
 	if err == nil {
 		return nil
 	}
 	if errs.Is(err, errs.OutcomeUnknown) || ctx.Err() != nil {
-		go h.record(context.Background(), r, finish)
+		go h.record(context.Background(), finish)
 	}
 	return errs.Wrap(err, errs.OutcomeUnknown, "resend the request with the same key", "the call's outcome could not be recorded in time")
 }
 
 // record resends FinishCall until it is applied. A refusal by the state machine also ends it: the record was
 // closed by others, as when this VM was declared lost, and stays as it is.
-func (h *Handler) record(ctx context.Context, r *request, finish control.FinishCall) error {
+func (h *Handler) record(ctx context.Context, finish control.FinishCall) error {
 	ctx, cancel := context.WithTimeout(ctx, recordFor)
 	defer cancel()
 	w := waiter{give: time.Now().Add(recordFor)}
--- a/internal/caller/once_test.go
+++ b/internal/caller/once_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -127,10 +128,8 @@
 			})
 			resp, _ := send(t, "POST", v.url+"/services/booking/x", "{}", api.HeaderIdempotencyKey, newKey(), api.HeaderDeadline, "1000")
 			expect(t, resp, c.status, c.outcome, c.kind)
-			for _, rec := range ctl.calls {
-				if rec.State != c.state {
-					t.Fatalf("record %q, want %q", rec.State, c.state)
-				}
+			if got := ctl.states(); len(got) != 1 || got[0] != c.state {
+				t.Fatalf("records %q, want %q", got, c.state)
 			}
 			if hits.Load() != c.hits {
 				t.Fatalf("%d requests reached the service, want %d", hits.Load(), c.hits)
@@ -195,6 +194,32 @@
 	}
 }
 
+// Guards against a key that stays taken by a call that was given up before its BeginCall was answered, and
+// against a call that is refused although it was granted by a command whose answer was lost.
+func TestLostControlAnswers(t *testing.T) {
+	ctl := newControl(bookingRow)
+	service := newService()
+	close(service.release)
+	v := newVM(t, ctl)
+	v.join(t, "s1", listen(t, service.ServeHTTP), "api", false)
+	key := newKey()
+	ctl.mute.Store(true)
+	resp, _ := send(t, "POST", v.url+"/services/booking/x", "{}", api.HeaderIdempotencyKey, key, api.HeaderDeadline, "100")
+	expect(t, resp, http.StatusBadGateway, api.OutcomeUnknown, "outcome_unknown")
+	if resp.Header.Get(api.HeaderAttempt) != string(api.OutcomeNotRun) || service.runs.Load() != 0 {
+		t.Fatalf("attempt %q, %d runs", resp.Header.Get(api.HeaderAttempt), service.runs.Load())
+	}
+	ctl.mute.Store(false)
+	waitFor(t, func() bool { return slices.Equal(ctl.states(), []control.CallState{control.CallNotRun}) })
+	ctl.mute.Store(true)
+	time.AfterFunc(100*time.Millisecond, func() { ctl.mute.Store(false) })
+	resp, _ = send(t, "POST", v.url+"/services/booking/x", "{}", api.HeaderIdempotencyKey, key)
+	expect(t, resp, http.StatusOK, api.OutcomeRan, "")
+	if service.runs.Load() != 1 {
+		t.Fatalf("%d runs", service.runs.Load())
+	}
+}
+
 // Guards against dispatch of calls that a newer table could forbid or a lost quorum could not record.
 func TestRefusalsWithoutControl(t *testing.T) {
 	ctl := newControl(bookingRow, lookupRow)
