Let suspect requests run under load and tell other VMs of crashes at once

A suspect needs a server without other requests, which a loaded pool never has, so suspects waited until their deadline. A part of the pool is now emptied for them, one server for each waiting suspect and at most a quarter. Crashes are sent when they are seen, not in the next round of gossip: the caller may resend the request through another VM at once.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -170,6 +170,49 @@
 	}
 }
 
+// Guards against suspects that starve because no server is ever without requests.
+func TestSuspectRunsUnderLoad(t *testing.T) {
+	f := newFixture(t)
+	for i := range 2 {
+		f.announce(fmt.Sprint("s", i), serve(t, func(_ int64, w http.ResponseWriter, req *http.Request) {
+			time.Sleep(10 * time.Millisecond)
+			whole(w, req)
+		}), nil)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var load sync.WaitGroup
+	for i := range 12 {
+		load.Go(func() {
+			for ctx.Err() == nil {
+				_, _ = f.DoUnary(ctx, chat(fmt.Sprintf(`{"load":%d}`, i)))
+			}
+		})
+	}
+	defer load.Wait()
+	defer cancel()
+	var digests []uint64
+	for i := range 3 {
+		w := chat(fmt.Sprintf(`{"suspect":%d}`, i))
+		digests = append(digests, f.newRun(&w, policy.Customer).digest)
+	}
+	f.reg.MarkSuspects("s9", digests)
+	var suspects sync.WaitGroup
+	for i := range 3 {
+		suspects.Go(func() {
+			if _, err := f.DoUnary(within(t, 2*time.Second), chat(fmt.Sprintf(`{"suspect":%d}`, i))); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	suspects.Wait()
+	p := f.pool("p")
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.suspects != 0 || len(p.emptying) != 0 {
+		t.Fatalf("%d suspects still wait, %d servers are still emptied", p.suspects, len(p.emptying))
+	}
+}
+
 // Guards against late answers while one server is slowed for a moment.
 func TestHedgeShortRequest(t *testing.T) {
 	f := newFixture(t)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -110,6 +110,7 @@
 			servers:  map[*membership.Server]*serverState{},
 			rows:     map[api.RowName]int{},
 			affinity: map[uint64]*membership.Server{},
+			emptying: map[*membership.Server]bool{},
 		}
 		d.pools[name] = p
 	}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -46,7 +46,9 @@
 	servers   map[*membership.Server]*serverState
 	rows      map[api.RowName]int // requests in flight
 	affinity  map[uint64]*membership.Server
-	meanRun   float64 // EWMA of predicted times in seconds
+	suspects  int                         // waiting runs that need a server of their own
+	emptying  map[*membership.Server]bool // servers that get no new work until a suspect runs there
+	meanRun   float64                     // EWMA of predicted times in seconds
 	shortSeen time.Duration
 	lastJudge time.Duration
 	slotSum   int
@@ -85,6 +87,9 @@
 	}
 	p.mu.Lock()
 	waiting := p.queue.Remove(&w.job)
+	if waiting {
+		p.countSuspect(r, -1)
+	}
 	p.mu.Unlock()
 	if !waiting {
 		(<-w.grant).release()
@@ -116,10 +121,64 @@
 	}
 	p.noteLength(&w.job, now)
 	p.queue.Push(&w.job)
+	p.countSuspect(w.run, 1)
 	p.pump(now)
 	return nil
 }
 
+// countSuspect counts the waiting runs that need a server of their own. Without any, servers that were being
+// emptied take other work again.
+func (p *pool) countSuspect(r *run, n int) {
+	if !r.isolated {
+		return
+	}
+	p.suspects += n
+	if p.suspects > 0 {
+		return
+	}
+	for s := range p.emptying {
+		s.SetExclusive(false)
+	}
+	clear(p.emptying)
+}
+
+// yieldClaims gives up servers that another VM is emptying too, after a random time, and those that left.
+// Otherwise both VMs would wait for the other.
+func (p *pool) yieldClaims() {
+	const chance = 4
+	clock := p.d.opts.Registry.Now()
+	for s := range p.emptying {
+		if !s.Usable(clock) || (s.Claimed() && p.rng.IntN(chance) == 0) {
+			s.SetExclusive(false)
+			delete(p.emptying, s)
+		}
+	}
+}
+
+// empty stops new work to one more server, so that a suspect finds one without requests even under load. At
+// most a part of the pool is emptied at one time.
+func (p *pool) empty(r *run) {
+	const part = 4
+	clock := p.d.opts.Registry.Now()
+	servers := p.d.opts.Registry.Servers(p.name)
+	if len(p.emptying) >= min(p.suspects, max(1, len(servers)/part)) {
+		return
+	}
+	var best *membership.Server
+	for _, s := range servers {
+		if !s.Usable(clock) || s.Exclusive() || r.excludes(s.ID()) || !r.admits(s.Announcement()) {
+			continue
+		}
+		if best == nil || s.InFlight() < best.InFlight() {
+			best = s
+		}
+	}
+	if best != nil {
+		best.SetExclusive(true)
+		p.emptying[best] = true
+	}
+}
+
 // jobOf describes a run to the queue. Runs that only some servers can take queue apart, so that they do not
 // hold up the others of their row.
 func (p *pool) jobOf(r *run, now time.Duration) policy.Job {
@@ -196,7 +255,9 @@
 		if job == nil {
 			return
 		}
-		job.Data.(*waiter).grant <- granted
+		w := job.Data.(*waiter)
+		p.countSuspect(w.run, -1)
+		w.grant <- granted
 	}
 }
 
@@ -211,6 +272,9 @@
 	}
 	r.again = len(r.exclude) > 0 && p.onlyExcluded(r)
 	s := p.choose(r, j, now)
+	if s == nil && r.isolated {
+		p.empty(r)
+	}
 	if s == nil {
 		return nil
 	}
@@ -243,6 +307,7 @@
 	if r.isolated {
 		st.isolated = true
 		s.SetExclusive(true)
+		delete(p.emptying, s)
 	}
 	p.rows[r.work.Row.Name]++
 	if r.prefix != 0 {
@@ -393,7 +458,8 @@
 
 // eligible reports whether a server may take the run now.
 func (p *pool) eligible(r *run, s *membership.Server, c *policy.Candidate, now, clock time.Duration, reserve reserved) bool {
-	if !s.Usable(clock) || s.Exclusive() || r.excludes(s.ID()) || !r.admits(s.Announcement()) {
+	claimed := s.Exclusive() && !(r.isolated && p.emptying[s] && !s.Claimed())
+	if !s.Usable(clock) || claimed || r.excludes(s.ID()) || !r.admits(s.Announcement()) {
 		return false
 	}
 	if c.InFlight >= reserve.limit(c) {
@@ -417,6 +483,7 @@
 	if now-p.lastJudge >= judgeInterval {
 		p.lastJudge = now
 		p.judge(now)
+		p.yieldClaims()
 	}
 	p.pump(now)
 }
--- a/internal/membership/registry.go
+++ b/internal/membership/registry.go
@@ -326,4 +326,7 @@
 func (s *Server) SetExclusive(on bool) { s.exclusive.Store(on) }
 
 // Exclusive reports whether this VM or another claims the server for one request.
-func (s *Server) Exclusive() bool { return s.exclusive.Load() || s.claims.Load() > 0 }
+func (s *Server) Exclusive() bool { return s.exclusive.Load() || s.Claimed() }
+
+// Claimed reports whether another VM claims the server for one request.
+func (s *Server) Claimed() bool { return s.claims.Load() > 0 }
--- a/internal/membership/suspects.go
+++ b/internal/membership/suspects.go
@@ -29,18 +29,31 @@
 }
 
 // MarkSuspects records that the connection to a server was lost while requests with these digests were in
-// flight on it.
+// flight on it. Other VMs are told at once: the caller may resend the request through one of them.
 func (r *Registry) MarkSuspects(server api.ServerID, digests []uint64) {
-	now := r.opts.Now()
+	vms := r.vms()
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	out := r.mark(server, digests, r.opts.Now(), vms)
+	r.mu.Unlock()
+	r.send(out)
+}
+
+func (r *Registry) mark(server api.ServerID, digests []uint64, now time.Duration, vms []api.VM) []outgoing {
 	var incarnation uint64
 	if s := r.servers[server]; s != nil {
 		incarnation = s.Announcement().Incarnation
 	}
+	m := message{From: r.opts.VM, Address: r.self(vms).Address, Domain: r.opts.Domain}
 	for _, d := range digests {
-		r.mergeCrash(crash{Digest: d, Server: server, Incarnation: incarnation}, now)
+		c := crash{Digest: d, Server: server, Incarnation: incarnation}
+		if r.mergeCrash(c, now) && len(m.Crashes) < maxCrashes {
+			m.Crashes = append(m.Crashes, c)
+		}
+	}
+	if m.empty() {
+		return nil
 	}
+	return r.spread(m, vms)
 }
 
 // mergeCrash merges one crash; r.mu must be held. It reports whether it was news.
