Merge relayed gossip and send records in full only if they are new

Messages from other failure domains were passed on one by one, and a VM sent a whole record the first time it heard a server itself, although the others knew it. Relayed records now go with the next batch, and a record goes in full only if its static fields are new to the sender.

--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -9,7 +9,6 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"filbertledge/internal/api"
-	"filbertledge/internal/errs"
 )
 
 // Method is the transport method of gossip messages.
@@ -110,21 +109,25 @@
 
 // gossipState is what changed since the last round, and the cursors of the digests.
 type gossipState struct {
-	dirty      map[api.ServerID]bool
-	sentStatic map[api.ServerID]uint64 // static digest last sent in full
-	reported   map[api.ServerID]int
-	lastDigest time.Duration
-	lastAsk    time.Duration
-	lastBatch  time.Duration
-	batch      time.Duration // time between batches
-	lastUses   time.Duration
-	cursor     int
+	// dirty and relayed hold the servers whose records came from the server itself and from other failure
+	// domains. True means that the record goes in full: its static fields were new here, so probably to others.
+	dirty       map[api.ServerID]bool
+	relayed     map[api.ServerID]bool
+	relayedUses map[useKey]int
+	reported    map[api.ServerID]int
+	lastDigest  time.Duration
+	lastAsk     time.Duration
+	lastBatch   time.Duration
+	batch       time.Duration // time between batches
+	lastUses    time.Duration
+	cursor      int
 }
 
 func (g *gossipState) reset() {
 	g.dirty = map[api.ServerID]bool{}
-	g.sentStatic = map[api.ServerID]uint64{}
 	g.reported = map[api.ServerID]int{}
+	g.relayed = map[api.ServerID]bool{}
+	g.relayedUses = map[useKey]int{}
 }
 
 var decMode = mustDecMode()
@@ -204,12 +207,12 @@
 
 func (r *Registry) round(now time.Duration, vms []api.VM) []outgoing {
 	self := r.self(vms)
-	delta := r.delta(now, r.batchDue(now, vms))
-	delta.From, delta.Address, delta.Domain = r.opts.VM, self.Address, r.opts.Domain
-	var out []outgoing
-	if !delta.empty() {
-		out = r.spread(delta, vms)
-	}
+	batch := r.batchDue(now, vms)
+	delta := message{From: r.opts.VM, Address: self.Address, Domain: r.opts.Domain}
+	r.addDelta(&delta, now, batch)
+	near := delta
+	r.addRelayed(&near, now, batch)
+	out := r.spread(near, delta, vms)
 	if now-r.gossip.lastDigest >= digestEvery {
 		r.gossip.lastDigest = now
 		out = append(out, r.digests(now, self, vms)...)
@@ -276,16 +279,19 @@
 	return api.VM{ID: r.opts.VM, Domain: r.opts.Domain}
 }
 
-// spread addresses a delta to all VMs of the own failure domain and to one VM in each other failure domain.
-func (r *Registry) spread(m message, vms []api.VM) []outgoing {
+// spread addresses near to all VMs of the own failure domain and far to one VM in each other failure domain.
+func (r *Registry) spread(near, far message, vms []api.VM) []outgoing {
 	var out []outgoing
-	for _, addr := range r.neighbours(vms) {
-		m.Hop = hopFinal
-		out = append(out, outgoing{addr, m})
+	near.Hop, far.Hop = hopFinal, hopRelay
+	if !near.empty() {
+		for _, addr := range r.neighbours(vms) {
+			out = append(out, outgoing{addr, near})
+		}
 	}
-	for _, vm := range r.relays(vms) {
-		m.Hop = hopRelay
-		out = append(out, outgoing{vm.Address, m})
+	if !far.empty() {
+		for _, vm := range r.relays(vms) {
+			out = append(out, outgoing{vm.Address, far})
+		}
 	}
 	return out
 }
@@ -331,49 +337,46 @@
 	return true
 }
 
-// delta collects what changed at this VM since the last round, up to the bounds of a message. Without batch it
+// addDelta adds what changed at this VM since the last round, up to the bounds of a message. Without batch it
 // leaves out renewals and counts, but not servers that are new, leaving or claimed.
-func (r *Registry) delta(now time.Duration, batch bool) message {
-	var m message
-	for _, id := range sortedKeys(r.gossip.dirty) {
-		s := r.servers[id]
-		if s == nil {
-			delete(r.gossip.dirty, id)
-			continue
-		}
-		if !batch && r.gossip.sentStatic[id] == s.rec.Load().static {
-			continue
-		}
-		if r.addRecord(&m, s, now) {
-			delete(r.gossip.dirty, id)
-		}
-	}
+func (r *Registry) addDelta(m *message, now time.Duration, batch bool) {
+	r.addRecords(m, r.gossip.dirty, now, batch)
 	for _, c := range r.suspects {
 		if c.dirty && len(m.Crashes) < maxCrashes {
 			c.dirty = false
 			m.Crashes = append(m.Crashes, aged(*c, now))
 		}
 	}
-	r.addUses(&m, now, batch)
-	return m
+	r.addUses(m, now, batch)
 }
 
-// addRecord adds a server's record: in full if its static fields changed since they were last sent.
-func (r *Registry) addRecord(m *message, s *Server, now time.Duration) bool {
-	rec := s.rec.Load()
-	if r.gossip.sentStatic[s.id] == rec.static {
-		if len(m.Renewals) >= maxRenewals {
-			return false
+// addRelayed adds what VMs of other failure domains sent for this one. Records are sent as they are now, so that
+// their age counts the time that they waited here.
+func (r *Registry) addRelayed(m *message, now time.Duration, batch bool) {
+	r.addRecords(m, r.gossip.relayed, now, batch)
+	for key, n := range r.gossip.relayedUses {
+		if (batch || n == exclusiveUse || r.use[key].inFlight == exclusiveUse) && len(m.Uses) < maxUses {
+			m.Uses = append(m.Uses, useReport{Server: key.server, VM: key.vm, InFlight: n})
+			delete(r.gossip.relayedUses, key)
 		}
-		m.Renewals = append(m.Renewals, renewalOf(rec, now))
-		return true
 	}
-	if len(m.Full) >= maxFull {
-		return false
+}
+
+// addRecords adds the records of a set and removes them from it.
+func (r *Registry) addRecords(m *message, set map[api.ServerID]bool, now time.Duration, batch bool) {
+	for _, id := range sortedKeys(set) {
+		s, full := r.servers[id], set[id]
+		switch {
+		case s == nil:
+		case full && len(m.Full) < maxFull:
+			m.Full = append(m.Full, fullOf(s.rec.Load(), now))
+		case !full && batch && len(m.Renewals) < maxRenewals:
+			m.Renewals = append(m.Renewals, renewalOf(s.rec.Load(), now))
+		default:
+			continue
+		}
+		delete(set, id)
 	}
-	m.Full = append(m.Full, fullOf(rec, now))
-	r.gossip.sentStatic[s.id] = rec.static
-	return true
 }
 
 func renewalOf(rec *record, now time.Duration) renewal {
@@ -452,133 +455,3 @@
 	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
 	return out
 }
-
-// Receive merges a gossip message of another VM.
-func (r *Registry) Receive(data []byte) error {
-	if len(data) > maxReceived {
-		return errs.New(errs.PayloadTooLarge, "check the version of the sender", "gossip message of %d bytes exceeds %d", len(data), maxReceived)
-	}
-	var m message
-	if err := decMode.Unmarshal(data, &m); err != nil {
-		return errs.Wrap(err, errs.InvalidArgument, "check the version of the sender", "gossip message is malformed")
-	}
-	now := r.opts.Now()
-	vms := r.vms()
-	r.mu.Lock()
-	out := r.receive(&m, now, vms)
-	r.mu.Unlock()
-	r.send(out)
-	return nil
-}
-
-func (r *Registry) receive(m *message, now time.Duration, vms []api.VM) []outgoing {
-	reply := message{From: r.opts.VM, Address: r.self(vms).Address, Domain: r.opts.Domain}
-	r.mergeRecords(m, now, &reply)
-	for _, c := range m.Crashes {
-		if since := now - time.Duration(c.AgeMS)*time.Millisecond; now-since < SuspectFor {
-			r.mergeCrash(c, since)
-		}
-	}
-	r.mergeUses(m, now)
-	r.answerWants(m, now, &reply)
-	r.answerLate(m, now, &reply)
-	var out []outgoing
-	if !reply.empty() && m.Address != "" {
-		out = append(out, outgoing{m.Address, reply})
-	}
-	if m.Hop == hopRelay {
-		out = append(out, r.passOn(*m, vms)...)
-	}
-	return out
-}
-
-// passOn relays a message of another failure domain to the VMs of this one. Wants stay with this VM.
-func (r *Registry) passOn(m message, vms []api.VM) []outgoing {
-	m.Hop, m.Wants, m.Late = hopFinal, nil, nil
-	var out []outgoing
-	for _, addr := range r.neighbours(vms) {
-		out = append(out, outgoing{addr, m})
-	}
-	return out
-}
-
-func (r *Registry) mergeRecords(m *message, now time.Duration, reply *message) {
-	for _, f := range m.Full {
-		r.merge(f.Announcement, now-time.Duration(f.AgeMS)*time.Millisecond)
-	}
-	for _, w := range m.Renewals {
-		s := r.byKey[w.Static]
-		if s == nil || s.rec.Load().static != w.Static {
-			if len(reply.Wants) < maxWants {
-				reply.Wants = append(reply.Wants, w.Static)
-			}
-			continue
-		}
-		a := s.rec.Load().announcement
-		a.Sequence = w.Sequence
-		a.Load = api.Load{Running: w.Running, Waiting: w.Waiting, TokensPerSecond: float64(w.Speed)}
-		r.merge(a, now-time.Duration(w.AgeMS)*time.Millisecond)
-	}
-}
-
-func (r *Registry) answerWants(m *message, now time.Duration, reply *message) {
-	for _, static := range m.Wants {
-		if s := r.byKey[static]; s != nil && len(reply.Full) < maxFull {
-			reply.Full = append(reply.Full, fullOf(s.rec.Load(), now))
-		}
-	}
-}
-
-func (r *Registry) mergeUses(m *message, now time.Duration) {
-	for _, u := range m.Uses {
-		s := r.byKey[u.Server]
-		if s == nil || u.VM == r.opts.VM {
-			continue
-		}
-		r.setUse(s, useKey{u.Server, u.VM}, max(exclusiveUse, u.InFlight), now)
-	}
-}
-
-func (s *Server) ownUse() int {
-	if s.exclusive.Load() {
-		return exclusiveUse
-	}
-	return int(s.inFlight.Load())
-}
-
-// setUse replaces what another VM reported of a server.
-func (r *Registry) setUse(s *Server, key useKey, n int, now time.Duration) {
-	s.countUse(r.use[key].inFlight, -1)
-	s.countUse(n, 1)
-	if n == 0 {
-		delete(r.use, key)
-		return
-	}
-	r.use[key] = use{inFlight: n, at: now}
-}
-
-// countUse adds or subtracts one VM's report.
-func (s *Server) countUse(n int, sign int64) {
-	if n == 0 {
-		return
-	}
-	s.users.Add(sign)
-	if n == exclusiveUse {
-		s.claims.Add(sign)
-		n = 1
-	}
-	s.others.Add(sign * int64(n))
-}
-
-func (r *Registry) expireUses(now time.Duration) {
-	for key, u := range r.use {
-		s := r.byKey[key.server]
-		if s == nil {
-			delete(r.use, key)
-			continue
-		}
-		if now-u.at >= useFor {
-			r.setUse(s, key, 0, now)
-		}
-	}
-}
--- a/internal/membership/registry.go
+++ b/internal/membership/registry.go
@@ -153,11 +153,11 @@
 func (r *Registry) Announce(a api.Announcement) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.merge(a, r.opts.Now()) {
-		return false
+	news, full := r.merge(a, r.opts.Now())
+	if news {
+		r.gossip.dirty[a.ID] = full || r.gossip.dirty[a.ID]
 	}
-	r.gossip.dirty[a.ID] = true
-	return true
+	return news
 }
 
 // Refused suspends a server until its next renewal, because a connection to it was refused.
@@ -170,21 +170,23 @@
 	}
 }
 
-// merge takes a record that was renewed at the given local time. r.mu must be held.
-func (r *Registry) merge(a api.Announcement, renewed time.Duration) bool {
+// merge takes a record that was renewed at the given local time. It reports whether the record is news, and
+// whether its static fields are new here. r.mu must be held.
+func (r *Registry) merge(a api.Announcement, renewed time.Duration) (news, full bool) {
 	s := r.servers[a.ID]
 	if s == nil {
-		return r.add(a, renewed)
+		added := r.add(a, renewed)
+		return added, added
 	}
 	old := s.rec.Load()
 	if !newer(&a, &old.announcement) {
-		return false
+		return false, false
 	}
 	if renewed < old.renewed {
 		renewed = old.renewed
 	}
 	r.store(s, a, renewed)
-	return true
+	return true, s.rec.Load().static != old.static
 }
 
 // newer reports whether a replaces old. A server that was leaving stays so for its incarnation.
@@ -277,7 +279,6 @@
 			delete(r.servers, id)
 			delete(r.byKey, s.key)
 			delete(r.byKey, s.rec.Load().static)
-			delete(r.gossip.sentStatic, id)
 			delete(r.gossip.reported, id)
 		}
 	}
--- a/internal/membership/suspects.go
+++ b/internal/membership/suspects.go
@@ -53,7 +53,7 @@
 	if m.empty() {
 		return nil
 	}
-	return r.spread(m, vms)
+	return r.spread(m, m, vms)
 }
 
 // mergeCrash merges one crash; r.mu must be held. It reports whether it was news.
