--- a/cmd/demo/edits.go
+++ b/cmd/demo/edits.go
@@ -57,10 +57,24 @@
 	Version  uint64 `json:"version"`
 }
 
-// set changes one column of a row through the first entry VM, and sends the edit again through another one, as
-// an operator whose answer was lost would. The resend must return the first result.
+// sendAttempts bounds the resends of one edit whose answer did not come.
+const sendAttempts = 5
+
+// set changes one column of a row, and sends the edit again through another entry VM, as an operator whose
+// answer was lost would. The resend must return the first result.
 func (e *edits) set(ctx context.Context, row, column, value string) error {
-	first, err := e.send(ctx, e.deployment.VMs[0], row, column+"="+value)
+	view, err := e.get(ctx, e.deployment.VMs[0])
+	if err != nil {
+		return err
+	}
+	expect := "0"
+	for _, r := range view.Rows {
+		if string(r.Name) == row {
+			expect = strconv.FormatUint(r.Version, 10)
+		}
+	}
+	args := []string{row, column + "=" + value, "--edit-id", newID(), "--expect-version", expect}
+	first, err := e.send(ctx, 0, args...)
 	if err != nil {
 		return err
 	}
@@ -71,8 +85,7 @@
 	e.mu.Lock()
 	e.accepted = append(e.accepted, edit{row: api.RowName(row), version: first.Version, at: at, seen: map[*harness.VM]bool{}})
 	e.mu.Unlock()
-	expect := strconv.FormatUint(first.Version-1, 10)
-	again, err := e.send(ctx, e.deployment.VMs[1], row, column+"="+value, "--edit-id", first.EditID, "--expect-version", expect)
+	again, err := e.send(ctx, 1, args...)
 	if err != nil {
 		return err
 	}
@@ -84,7 +97,25 @@
 	return nil
 }
 
-func (e *edits) send(ctx context.Context, vm *harness.VM, args ...string) (setResult, error) {
+// send sends an edit with an edit id, first through the entry VM of that index, and after a failure through the
+// next one. The edit id makes each resend safe.
+func (e *edits) send(ctx context.Context, index int, args ...string) (setResult, error) {
+	var result setResult
+	var err error
+	for i := range sendAttempts {
+		vm := e.deployment.VMs[(index+i)%len(e.deployment.VMs)]
+		if e.isExcluded(vm) {
+			continue
+		}
+		if result, err = e.sendOnce(ctx, vm, args...); err == nil {
+			return result, nil
+		}
+		fmt.Printf("         the edit is sent again: %v\n", err)
+	}
+	return result, err
+}
+
+func (e *edits) sendOnce(ctx context.Context, vm *harness.VM, args ...string) (setResult, error) {
 	var result setResult
 	out, err := e.deployment.Operate(ctx, vm, append([]string{"table", "set", "--output", "json"}, args...)...)
 	if err != nil {
