Let failure domains know samples of each other's servers

Cause: each renewal of each of 2,000 servers went to every VM. Ruled out: one reporter a failure domain, which adds a second wait of half a second, so that remote records flapped at the bound of 2.5 s; larger batches alone, since the bytes are those of the records. Change: inside a failure domain every VM knows every server; of the others it knows a sample by rendezvous hashing, 28 of each pool in all, at least two a failure domain, which today is every server. Leaving servers and crashes still go everywhere at once. Counts of requests in flight have a budget of bytes, late records are asked for in the server's own failure domain, and digests of the seldom changing fields are not recomputed for renewals.

--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -20,13 +22,14 @@
 	digestEvery = time.Second
 	// Renewals and counts that change all the time wait for a batch, batchPerVM for each VM of the failure
 	// domain and at most maxBatch, so that the messages a VM sends do not grow with the square of the VMs.
-	batchPerVM = 20 * time.Millisecond
-	maxBatch   = 500 * time.Millisecond
+	batchPerVM = 35 * time.Millisecond
+	maxBatch   = 900 * time.Millisecond
 	// askAfter is the age at which a record should have been renewed; a lost message is the likely cause, so
 	// another VM is asked every askEvery until the record is no longer usable.
-	askAfter = 1300 * time.Millisecond
-	askEvery = 300 * time.Millisecond
-	useFor   = 3 * time.Second // a count of requests in flight that is not repeated for so long is dropped
+	askAfter   = 1300 * time.Millisecond
+	askEvery   = 200 * time.Millisecond
+	askDomains = 4               // failure domains that one round asks about
+	useFor     = 3 * time.Second // a count of requests in flight that is not repeated for so long is dropped
 )
 
 // Bounds of one message. A full record takes about 200 bytes and a renewal about 25, so a message stays under
@@ -34,7 +37,7 @@
 const (
 	maxFull      = 32
 	maxRenewals  = 300
-	maxDigest    = 64
+	maxDigest    = 8 // each of 27 VMs sends one a second, so that 161 records are repeated every 20 s or so
 	maxCrashes   = 64
 	maxUses      = 128
 	maxWants     = 256
@@ -63,7 +66,7 @@
 	AgeMS    uint32
 	Running  int
 	Waiting  int
-	Speed    float32 // tokens a second
+	Speed    uint32 // tokens a second
 }
 
 // exclusiveUse as the number of requests in flight claims a server for one suspect request.
@@ -78,15 +81,13 @@
 }
 
 type message struct {
-	From     api.VMID          `cbor:"1,keyasint"`
-	Address  string            `cbor:"2,keyasint"` // of the sender, for wants
-	Domain   api.FailureDomain `cbor:"3,keyasint"`
-	Hop      uint8             `cbor:"4,keyasint"`
-	Full     []fullRecord      `cbor:"5,keyasint,omitempty"`
-	Renewals []renewal         `cbor:"6,keyasint,omitempty"`
-	Crashes  []crash           `cbor:"7,keyasint,omitempty"`
-	Uses     []useReport       `cbor:"8,keyasint,omitempty"`
-	Wants    []uint64          `cbor:"9,keyasint,omitempty"` // static digests that the sender does not know
+	From     api.VMID     `cbor:"1,keyasint"` // the receiver looks up its address and failure domain
+	Hop      uint8        `cbor:"4,keyasint"`
+	Full     []fullRecord `cbor:"5,keyasint,omitempty"`
+	Renewals []renewal    `cbor:"6,keyasint,omitempty"`
+	Crashes  []crash      `cbor:"7,keyasint,omitempty"`
+	Uses     []useReport  `cbor:"8,keyasint,omitempty"`
+	Wants    []uint64     `cbor:"9,keyasint,omitempty"` // static digests that the sender does not know
 	// Late lists the keys of servers whose renewal the sender missed.
 	Late []uint64 `cbor:"11,keyasint,omitempty"`
 	// Digest marks a message that repeats the sender's records to repair gaps.
@@ -120,6 +121,9 @@
 	lastBatch   time.Duration
 	batch       time.Duration // time between batches
 	lastUses    time.Duration
+	lastAllUses time.Duration
+	announced   map[api.ServerID]bool // announced themselves here since the last round
+	ranked      []rankedServer        // reused by sample
 	cursor      int
 }
 
@@ -127,6 +131,7 @@
 	g.dirty = map[api.ServerID]bool{}
 	g.reported = map[api.ServerID]int{}
 	g.relayed = map[api.ServerID]bool{}
+	g.announced = map[api.ServerID]bool{}
 	g.relayedUses = map[useKey]int{}
 }
 
@@ -206,50 +211,67 @@
 }
 
 func (r *Registry) round(now time.Duration, vms []api.VM) []outgoing {
-	self := r.self(vms)
 	batch := r.batchDue(now, vms)
-	delta := message{From: r.opts.VM, Address: self.Address, Domain: r.opts.Domain}
-	r.addDelta(&delta, now, batch)
+	delta := message{From: r.opts.VM}
+	r.addDelta(&delta, now, batch, r.receivers(vms))
 	near := delta
 	r.addRelayed(&near, now, batch)
-	out := r.spread(near, delta, vms)
+	out := r.spread(near, vms)
+	out = append(out, r.spreadFar(now, delta, vms)...)
 	if now-r.gossip.lastDigest >= digestEvery {
 		r.gossip.lastDigest = now
-		out = append(out, r.digests(now, self, vms)...)
+		out = append(out, r.digests(now, vms)...)
 	}
 	if now-r.gossip.lastAsk >= askEvery {
 		r.gossip.lastAsk = now
-		out = append(out, r.ask(now, self, vms)...)
+		out = append(out, r.ask(now, vms)...)
 	}
 	return out
 }
 
-// ask sends the records that miss a renewal to one other VM, which answers with those that it has fresh.
-func (r *Registry) ask(now time.Duration, self api.VM, vms []api.VM) []outgoing {
-	var late []uint64
+// ask sends the records that miss a renewal to one other VM, which answers with those that it has fresh. VMs of a
+// server's own failure domain know it best, so each is asked about its own.
+func (r *Registry) ask(now time.Duration, vms []api.VM) []outgoing {
+	late := map[api.FailureDomain][]uint64{}
 	for _, s := range r.servers {
 		rec := s.rec.Load()
 		age := now - rec.renewed
-		if age >= askAfter+r.gossip.batch && age < UsableFor && rec.announcement.State == api.ServerServing && len(late) < maxWants {
-			late = append(late, s.key)
+		if age >= askAfter+r.gossip.batch && age < UsableFor && rec.announcement.State == api.ServerServing {
+			domain := rec.announcement.Domain
+			late[domain] = append(late[domain], s.key)
 		}
 	}
-	if len(late) == 0 || len(vms) < 2 {
-		return nil
-	}
-	to := r.someVM(vms)
-	if to.ID == r.opts.VM {
-		return nil // asks again in the next round
+	domains := slices.Sorted(maps.Keys(late))
+	r.rng.Shuffle(len(domains), func(i, j int) { domains[i], domains[j] = domains[j], domains[i] })
+	var out []outgoing
+	for _, domain := range domains[:min(len(domains), askDomains)] {
+		if to, ok := r.someVM(domain, vms); ok {
+			keys := late[domain]
+			out = append(out, outgoing{to.Address, message{From: r.opts.VM, Late: keys[:min(len(keys), maxWants)]}})
+		}
 	}
-	return []outgoing{{to.Address, message{From: r.opts.VM, Address: self.Address, Domain: r.opts.Domain, Late: late}}}
+	return out
 }
 
-// someVM returns a VM of the own failure domain or of any, with equal chance.
-func (r *Registry) someVM(vms []api.VM) api.VM {
-	if near := r.neighbours(vms); len(near) > 0 && r.rng.IntN(2) == 0 {
-		return api.VM{Address: near[r.rng.IntN(len(near))]}
+// someVM returns another VM, mostly of the given failure domain.
+func (r *Registry) someVM(domain api.FailureDomain, vms []api.VM) (api.VM, bool) {
+	var near, all []api.VM
+	for _, vm := range vms {
+		if vm.ID == r.opts.VM {
+			continue
+		}
+		all = append(all, vm)
+		if vm.Domain == domain {
+			near = append(near, vm)
+		}
+	}
+	if len(near) == 0 || r.rng.IntN(4) == 0 {
+		near = all
 	}
-	return vms[r.rng.IntN(len(vms))]
+	if len(near) == 0 {
+		return api.VM{}, false
+	}
+	return near[r.rng.IntN(len(near))], true
 }
 
 // answerLate renews the records that the sender missed and that are fresh here. A server that is leaving is
@@ -270,28 +292,24 @@
 	}
 }
 
-func (r *Registry) self(vms []api.VM) api.VM {
+func lookUp(vms []api.VM, id api.VMID) (api.VM, bool) {
 	for _, vm := range vms {
-		if vm.ID == r.opts.VM {
-			return vm
+		if vm.ID == id {
+			return vm, true
 		}
 	}
-	return api.VM{ID: r.opts.VM, Domain: r.opts.Domain}
+	return api.VM{}, false
 }
 
-// spread addresses near to all VMs of the own failure domain and far to one VM in each other failure domain.
-func (r *Registry) spread(near, far message, vms []api.VM) []outgoing {
-	var out []outgoing
-	near.Hop, far.Hop = hopFinal, hopRelay
-	if !near.empty() {
-		for _, addr := range r.neighbours(vms) {
-			out = append(out, outgoing{addr, near})
-		}
+// spread addresses a message to all VMs of the own failure domain.
+func (r *Registry) spread(m message, vms []api.VM) []outgoing {
+	if m.empty() {
+		return nil
 	}
-	if !far.empty() {
-		for _, vm := range r.relays(vms) {
-			out = append(out, outgoing{vm.Address, far})
-		}
+	m.Hop = hopFinal
+	var out []outgoing
+	for _, addr := range r.neighbours(vms) {
+		out = append(out, outgoing{addr, m})
 	}
 	return out
 }
@@ -339,7 +357,7 @@
 
 // addDelta adds what changed at this VM since the last round, up to the bounds of a message. Without batch it
 // leaves out renewals and counts, but not servers that are new, leaving or claimed.
-func (r *Registry) addDelta(m *message, now time.Duration, batch bool) {
+func (r *Registry) addDelta(m *message, now time.Duration, batch bool, receivers int) {
 	r.addRecords(m, r.gossip.dirty, now, batch)
 	for _, c := range r.suspects {
 		if c.dirty && len(m.Crashes) < maxCrashes {
@@ -347,7 +365,7 @@
 			m.Crashes = append(m.Crashes, aged(*c, now))
 		}
 	}
-	r.addUses(m, now, batch)
+	r.addUses(m, now, receivers)
 }
 
 // addRelayed adds what VMs of other failure domains sent for this one. Records are sent as they are now, so that
@@ -383,7 +401,7 @@
 	a := &rec.announcement
 	return renewal{
 		Static: rec.static, Sequence: a.Sequence, AgeMS: ageMS(now - rec.renewed),
-		Running: a.Load.Running, Waiting: a.Load.Waiting, Speed: float32(a.Load.TokensPerSecond),
+		Running: a.Load.Running, Waiting: a.Load.Waiting, Speed: uint32(max(0, a.Load.TokensPerSecond)),
 	}
 }
 
@@ -400,19 +418,25 @@
 	return c
 }
 
-// addUses adds this VM's requests in flight: the counts that changed, and once a second all of them.
-func (r *Registry) addUses(m *message, now time.Duration, batch bool) {
-	all := batch && now-r.gossip.lastUses >= digestEvery
-	if all {
+// addUses adds this VM's requests in flight: claims at once, and the counts that changed as often as the budget
+// allows, at least once a second all of them.
+func (r *Registry) addUses(m *message, now time.Duration, receivers int) {
+	every, shared := usesInterval(min(len(r.listed), maxUses), receivers)
+	due := shared && now-r.gossip.lastUses >= every
+	all := due && now-r.gossip.lastAllUses >= digestEvery
+	if due {
 		r.gossip.lastUses = now
 	}
+	if all {
+		r.gossip.lastAllUses = now
+	}
 	for _, id := range sortedKeys(r.listed) {
 		n := r.servers[id].ownUse()
 		last := r.gossip.reported[id]
 		if (n == last && (!all || n == 0)) || len(m.Uses) >= maxUses {
 			continue
 		}
-		if !batch && n != exclusiveUse && last != exclusiveUse {
+		if !due && n != exclusiveUse && last != exclusiveUse {
 			continue
 		}
 		r.gossip.reported[id] = n
@@ -420,10 +444,10 @@
 	}
 }
 
-// digests repeats known records to one VM of the own failure domain and to one in another. The receiver asks
-// for records that it does not know.
-func (r *Registry) digests(now time.Duration, self api.VM, vms []api.VM) []outgoing {
-	m := message{From: r.opts.VM, Address: self.Address, Domain: r.opts.Domain, Digest: true}
+// digests repeats known records to one VM of the own failure domain, and crashes to one in another. The receiver
+// asks for records that it does not know.
+func (r *Registry) digests(now time.Duration, vms []api.VM) []outgoing {
+	m := message{From: r.opts.VM, Digest: true}
 	ids := sortedKeys(r.listed)
 	for range min(len(ids), maxDigest) {
 		r.gossip.cursor = (r.gossip.cursor + 1) % len(ids)
@@ -441,7 +465,8 @@
 	if near := r.neighbours(vms); len(near) > 0 {
 		out = append(out, outgoing{near[r.rng.IntN(len(near))], m})
 	}
-	if far := r.relays(vms); len(far) > 0 {
+	if far := r.relays(vms); len(far) > 0 && len(m.Crashes) > 0 {
+		m.Renewals = nil
 		out = append(out, outgoing{far[r.rng.IntN(len(far))].Address, m})
 	}
 	return out
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -26,7 +26,8 @@
 }
 
 func (r *Registry) receive(m *message, now time.Duration, vms []api.VM) []outgoing {
-	reply := message{From: r.opts.VM, Address: r.self(vms).Address, Domain: r.opts.Domain}
+	from, known := lookUp(vms, m.From)
+	reply := message{From: r.opts.VM}
 	relay := m.Hop == hopRelay
 	r.mergeRecords(m, now, &reply)
 	for _, c := range m.Crashes {
@@ -38,8 +39,8 @@
 	r.answerWants(m, now, &reply)
 	r.answerLate(m, now, &reply)
 	var out []outgoing
-	if !reply.empty() && m.Address != "" {
-		out = append(out, outgoing{m.Address, reply})
+	if !reply.empty() && known {
+		out = append(out, outgoing{from.Address, reply})
 	}
 	if relay {
 		out = append(out, r.passOn(m, vms)...)
@@ -56,12 +57,12 @@
 	if len(m.Crashes) == 0 {
 		return nil
 	}
-	return r.spread(message{From: m.From, Domain: m.Domain, Crashes: m.Crashes}, message{}, vms)
+	return r.spread(message{From: m.From, Crashes: m.Crashes}, vms)
 }
 
 func (r *Registry) mergeRecords(m *message, now time.Duration, reply *message) {
 	for _, f := range m.Full {
-		r.mergeRelayed(m, f.Announcement, now-time.Duration(f.AgeMS)*time.Millisecond)
+		r.mergeRelayed(m, f.Announcement, now-time.Duration(f.AgeMS)*time.Millisecond, staticDigest(&f.Announcement))
 	}
 	for _, w := range m.Renewals {
 		s := r.byKey[w.Static]
@@ -74,15 +75,20 @@
 		a := s.rec.Load().announcement
 		a.Sequence = w.Sequence
 		a.Load = api.Load{Running: w.Running, Waiting: w.Waiting, TokensPerSecond: float64(w.Speed)}
-		r.mergeRelayed(m, a, now-time.Duration(w.AgeMS)*time.Millisecond)
+		r.mergeRelayed(m, a, now-time.Duration(w.AgeMS)*time.Millisecond, w.Static)
 	}
 }
 
-// mergeRelayed merges a record and notes that it is to be passed on.
-func (r *Registry) mergeRelayed(m *message, a api.Announcement, renewed time.Duration) {
-	news, full := r.merge(a, renewed)
-	if news && m.Hop == hopRelay {
-		r.gossip.relayed[a.ID] = full || r.gossip.relayed[a.ID]
+// mergeRelayed merges a record and notes that it is to be passed on. A server that announced itself in another
+// failure domain is reported to all others by its own one.
+func (r *Registry) mergeRelayed(m *message, a api.Announcement, renewed time.Duration, static uint64) {
+	news, full := r.merge(a, renewed, static)
+	if !news || m.Hop != hopRelay {
+		return
+	}
+	r.gossip.relayed[a.ID] = full || r.gossip.relayed[a.ID]
+	if a.Domain == r.opts.Domain {
+		r.gossip.announced[a.ID] = true
 	}
 }
 
--- a/internal/membership/registry.go
+++ b/internal/membership/registry.go
@@ -153,8 +153,9 @@
 func (r *Registry) Announce(a api.Announcement) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	news, full := r.merge(a, r.opts.Now())
+	news, full := r.merge(a, r.opts.Now(), staticDigest(&a))
 	if news {
+		r.gossip.announced[a.ID] = true
 		r.gossip.dirty[a.ID] = full || r.gossip.dirty[a.ID]
 	}
 	return news
@@ -171,11 +172,11 @@
 }
 
 // merge takes a record that was renewed at the given local time. It reports whether the record is news, and
-// whether its static fields are new here. r.mu must be held.
-func (r *Registry) merge(a api.Announcement, renewed time.Duration) (news, full bool) {
+// whether its static fields, whose digest is static, are new here. r.mu must be held.
+func (r *Registry) merge(a api.Announcement, renewed time.Duration, static uint64) (news, full bool) {
 	s := r.servers[a.ID]
 	if s == nil {
-		added := r.add(a, renewed)
+		added := r.add(a, renewed, static)
 		return added, added
 	}
 	old := s.rec.Load()
@@ -185,8 +186,8 @@
 	if renewed < old.renewed {
 		renewed = old.renewed
 	}
-	r.store(s, a, renewed)
-	return true, s.rec.Load().static != old.static
+	r.store(s, a, renewed, static)
+	return true, static != old.static
 }
 
 // newer reports whether a replaces old. A server that was leaving stays so for its incarnation.
@@ -200,22 +201,22 @@
 	return a.Sequence > old.Sequence || a.State == api.ServerLeaving
 }
 
-func (r *Registry) add(a api.Announcement, renewed time.Duration) bool {
+func (r *Registry) add(a api.Announcement, renewed time.Duration, static uint64) bool {
 	if r.opts.Now()-renewed >= DropAfter {
 		return false
 	}
 	s := &Server{id: a.ID, key: keyOf(a.ID)}
 	r.servers[a.ID] = s
 	r.byKey[s.key] = s
-	r.store(s, a, renewed)
+	r.store(s, a, renewed, static)
 	r.event(events.ServerAnnounced, a.ID, "pool "+string(a.Pool)+" at "+a.Address)
 	return true
 }
 
 // store sets a server's record and lists it under its pool.
-func (r *Registry) store(s *Server, a api.Announcement, renewed time.Duration) {
+func (r *Registry) store(s *Server, a api.Announcement, renewed time.Duration, static uint64) {
 	old := s.rec.Load()
-	rec := &record{announcement: a, static: staticDigest(&a), renewed: renewed}
+	rec := &record{announcement: a, static: static, renewed: renewed}
 	if old == nil || old.static != rec.static {
 		r.reindex(s, old, rec)
 	}
--- a/internal/membership/suspects.go
+++ b/internal/membership/suspects.go
@@ -43,7 +43,7 @@
 	if s := r.servers[server]; s != nil {
 		incarnation = s.Announcement().Incarnation
 	}
-	m := message{From: r.opts.VM, Address: r.self(vms).Address, Domain: r.opts.Domain}
+	m := message{From: r.opts.VM}
 	for _, d := range digests {
 		c := crash{Digest: d, Server: server, Incarnation: incarnation}
 		if r.mergeCrash(c, now) && len(m.Crashes) < maxCrashes {
@@ -53,7 +53,11 @@
 	if m.empty() {
 		return nil
 	}
-	return r.spread(m, m, vms)
+	out := r.spread(m, vms)
+	for _, vm := range r.relays(vms) {
+		out = append(out, outgoing{vm.Address, message{From: m.From, Hop: hopRelay, Crashes: m.Crashes}})
+	}
+	return out
 }
 
 // mergeCrash merges one crash; r.mu must be held. It reports whether it was news.
