Adopt a new group from any replica but a lost coordinator; test membership

A replica that had been asked by the new instance of the first replica refused the group of the old instance from every source, so a group whose first replica lost its disk during bootstrap could wait for ever. Only the old instance itself is now refused as a source. Close before Run no longer races with it. The tests add replacement by name, older disks, proposal errors, hand-over at close, placement and the codec.

--- a/internal/replica/bootstrap.go
+++ b/internal/replica/bootstrap.go
@@ -47,8 +47,8 @@
 // bootstrapState guards the creation of the group.
 type bootstrapState struct {
 	mu sync.Mutex
-	// coordinator is the instance of the first replica, by name, that last asked. A group created by an earlier
-	// instance of it is not adopted, because that instance has lost its disk.
+	// coordinator is the instance of the first replica, by name, that last asked. A group is not adopted from an
+	// earlier instance of it: that instance has lost its disk, and the new one may create another group.
 	coordinator uint64
 }
 
@@ -102,6 +102,9 @@
 
 // tryJoin makes one attempt and reports whether the replica has its place in the group.
 func (r *Replica) tryJoin(ctx context.Context) bool {
+	if r.joined() {
+		return true
+	}
 	replies := r.askPeers(ctx)
 	empty := true
 	for _, reply := range replies {
@@ -117,7 +120,7 @@
 	for _, reply := range replies {
 		voters = append(voters, reply.Member)
 	}
-	return r.create(ctx, voters)
+	return r.create(ctx, voters, r.self)
 }
 
 // askPeers returns the answers of the replicas that answered in time.
@@ -146,10 +149,10 @@
 func (r *Replica) enter(ctx context.Context, reply BootstrapReply) bool {
 	switch {
 	case r.listed(reply.Initial) && r.listed(reply.Members):
-		return r.create(ctx, reply.Initial)
+		return r.create(ctx, reply.Initial, reply.Member)
 	case r.listed(reply.Members):
 		// An earlier join was accepted; the leader sends the state.
-		return r.begin(ctx, nil) && r.joined()
+		return r.begin(ctx, nil, reply.Member) && r.joined()
 	default:
 		return r.requestJoin(ctx, reply)
 	}
@@ -159,24 +162,24 @@
 	return slices.ContainsFunc(list, func(m raft.Member) bool { return m.ID == r.self.ID })
 }
 
-// create starts this replica as a voter of a new group.
-func (r *Replica) create(ctx context.Context, voters []raft.Member) bool {
+// create starts this replica as a voter of the new group that source has told it of.
+func (r *Replica) create(ctx context.Context, voters []raft.Member, source raft.Member) bool {
 	if p, blocked := blockingProblem(voters); blocked {
 		r.opts.Fatal(errs.New(errs.ConfigInvalid, "change the replicas in the settings", "%s", p.Text))
 		return true
 	}
 	state := raft.InitialState(voters)
-	return r.begin(ctx, &state)
+	return r.begin(ctx, &state, source)
 }
 
 // begin lets the replica take part, from the given initial state or, if it is nil, from an empty log.
-func (r *Replica) begin(ctx context.Context, state *raft.State) bool {
+func (r *Replica) begin(ctx context.Context, state *raft.State, source raft.Member) bool {
 	ok := false
-	err := r.call(ctx, func() { ok = r.beginInLoop(state) })
+	err := r.call(ctx, func() { ok = r.beginInLoop(state, source) })
 	return err == nil && ok
 }
 
-func (r *Replica) beginInLoop(state *raft.State) bool {
+func (r *Replica) beginInLoop(state *raft.State, source raft.Member) bool {
 	r.bootstrap.mu.Lock()
 	defer r.bootstrap.mu.Unlock()
 	if r.started.Load() {
@@ -186,7 +189,7 @@
 		r.started.Store(true)
 		return true
 	}
-	if c := r.bootstrap.coordinator; c != 0 && !slices.ContainsFunc(state.Snapshot.Configuration.Voters, func(m raft.Member) bool { return m.ID == c }) {
+	if c := r.bootstrap.coordinator; c != 0 && source.Name == r.coordinatorName() && source.ID != c {
 		return false
 	}
 	if err := r.store.SaveInitial(*state); err != nil {
@@ -215,7 +218,7 @@
 		_, err := r.opts.Join(joinCtx, address, JoinRequest{Member: r.self, Replace: r.opts.Replace})
 		cancel()
 		if err == nil {
-			return r.begin(ctx, nil) && r.joined()
+			return r.begin(ctx, nil, reply.Member) && r.joined()
 		}
 	}
 	return false
--- a/internal/replica/errors.go
+++ b/internal/replica/errors.go
@@ -11,6 +11,7 @@
 	errStopped     = errors.New("the replica is stopped")
 	errNotStarted  = errors.New("the replica has not joined its group yet")
 	errOverwritten = errors.New("a newer leader replaced the entry before it was committed")
+	errSnapshot    = errors.New("a snapshot of a newer leader replaced the log")
 	errTimedOut    = errors.New("no quorum answered in time")
 )
 
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -102,9 +102,11 @@
 // Run takes part in the group until ctx ends, Close is called or the storage fails. An empty replica joins its
 // group first. Run returns the error of the storage, if any, after Options.Fatal was called with it.
 func (r *Replica) Run(ctx context.Context) error {
+	if !r.phase.CompareAndSwap(phaseOpen, phaseRunning) {
+		return errs.New(errs.Unavailable, "open the replica again", "the replica is closed or runs already")
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	r.running.Store(true)
 	defer close(r.stopped)
 	defer func() { _ = r.store.Close() }()
 	r.loop.encoder = encoder{self: r.self}
@@ -302,7 +304,7 @@
 	for index, p := range r.loop.waiters {
 		if index <= s.Index {
 			delete(r.loop.waiters, index)
-			p.done <- outcome{err: errUnknown(errOverwritten)}
+			p.done <- outcome{err: errUnknown(errSnapshot)}
 		}
 	}
 }
--- /dev/null
+++ b/internal/replica/membership_test.go
@@ -0,0 +1,223 @@
+package replica
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"filbertledge/internal/errs"
+	"filbertledge/internal/events"
+	"filbertledge/internal/raft"
+	"filbertledge/internal/storage"
+)
+
+// Guards against a replacement under another name that never takes the place of the absent voter, also when its
+// state needs a snapshot of several fragments.
+func TestReplaceAbsentVoterByName(t *testing.T) {
+	g := newGroup(t, "a", "b", "c")
+	g.snapshot = 8
+	g.startAll()
+	var want []string
+	for i := range 12 {
+		want = append(want, fmt.Sprint(i, strings.Repeat("x", fragmentBytes/4)))
+		g.propose(want[i])
+	}
+	g.agree(want)
+	g.stop("c")
+	d := raft.Member{Name: "d", FailureDomain: "domain-c", Address: "d"}
+	t.Cleanup(func() { g.stop("d") })
+	g.start(d, "d", func(o *Options) { o.Replace = "c" })
+	eventually(t, "d is a voter and c is not", func() bool {
+		names := ""
+		for _, m := range g.leader().Status().Members {
+			if m.Voter {
+				names += m.Name
+			}
+		}
+		return len(names) == 3 && strings.Contains(names, "d") && !strings.Contains(names, "c")
+	})
+	g.agree(want)
+}
+
+// Guards against two groups, and against a group that waits for ever, when the replica that creates the group
+// loses its disk just after that.
+func TestFirstReplicaLostDuringBootstrap(t *testing.T) {
+	g := newGroup(t, "a", "b", "c")
+	g.start(g.members[0], "a", nil)
+	g.start(g.members[1], "b", nil)
+	g.start(g.members[2], "c", nil)
+	eventually(t, "a and b are members", func() bool {
+		return len(g.get("a").Status().Members) == 3 && len(g.get("b").Status().Members) == 3
+	})
+	g.stop("a")
+	g.start(g.members[0], "a-new", nil)
+	g.propose("one")
+	eventually(t, "the new instance of a is a voter", func() bool {
+		members := g.leader().Status().Members
+		return len(members) == 3 && g.get("a").Status().Role != RoleJoining
+	})
+	g.agree([]string{"one"})
+}
+
+// Guards against a follower on an older copy of its disk that is counted as if it remembered its acknowledgements.
+func TestOlderDiskIsRefused(t *testing.T) {
+	g := newGroup(t, "a", "b", "c")
+	recorders := map[string]*events.Recorder{}
+	for _, m := range g.members {
+		recorders[m.Name] = events.NewRecorder("vm", io.Discard)
+		g.start(m, m.Name, func(o *Options) { o.Events = recorders[m.Name] })
+	}
+	g.propose("one")
+	g.agree([]string{"one"})
+	leader := g.leader()
+	victim := g.members[0]
+	if victim.Name == leader.self.Name {
+		victim = g.members[1]
+	}
+	g.stop(victim.Address)
+	old, err := os.ReadFile(filepath.Join(g.folder, victim.Name, storage.FileName))
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.start(victim, victim.Name, nil)
+	g.propose("two")
+	g.agree([]string{"one", "two"})
+	g.stop(victim.Address)
+	if err := os.WriteFile(filepath.Join(g.folder, victim.Name, storage.FileName), old, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	g.start(victim, victim.Name, nil)
+	eventually(t, "the older disk is refused", func() bool { return g.get(victim.Address).Status().Role == RoleRefused })
+	refused := recorders[leader.self.Name].Query(events.Filter{})
+	eventually(t, "the refusal is an event", func() bool {
+		for _, e := range refused {
+			if e.Name == events.ReplicaRefused && string(e.Peer) == victim.Name {
+				return true
+			}
+		}
+		refused = recorders[leader.self.Name].Query(events.Filter{})
+		return false
+	})
+}
+
+// Guards against errors that do not tell whether the command may have been applied.
+func TestProposeErrors(t *testing.T) {
+	g := newGroup(t, "a", "b", "c")
+	g.startAll()
+	g.propose("one")
+	leader := g.leader()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	for _, m := range g.members {
+		if m.Name == leader.self.Name {
+			continue
+		}
+		_, err := g.get(m.Address).Propose(ctx, []byte("x"))
+		hint, ok := LeaderOf(err)
+		if !errs.Is(err, errs.NotLeader) || !ok || hint.Address != leader.self.Address {
+			t.Errorf("at follower %s: %v, leader %+v", m.Name, err, hint)
+		}
+		g.stop(m.Address)
+	}
+	if _, err := leader.Propose(ctx, []byte("alone")); !errs.Is(err, errs.OutcomeUnknown) && !errs.Is(err, errs.NotLeader) {
+		t.Errorf("without a quorum: %v", err)
+	}
+	ended, end := context.WithCancel(context.Background())
+	end()
+	p := &proposal{data: []byte("x"), done: make(chan outcome, 1)}
+	if _, err := leader.await(ended, p); !errs.Is(err, errs.Unavailable) {
+		t.Errorf("a proposal that was withdrawn before it was taken: %v", err)
+	}
+	g.stop(leader.self.Address)
+	if _, err := leader.Propose(context.Background(), []byte("x")); !errs.Is(err, errs.Unavailable) {
+		t.Errorf("at a stopped replica: %v", err)
+	}
+	if _, err := leader.Propose(context.Background(), nil); !errs.Is(err, errs.InvalidArgument) {
+		t.Errorf("an empty proposal: %v", err)
+	}
+}
+
+// Guards against a stopping leader that leaves its group without a leader for an election timeout.
+func TestCloseHandsLeadershipOver(t *testing.T) {
+	g := newGroup(t, "a", "b", "c")
+	g.startAll()
+	g.propose("one")
+	// A machine that is busy with other tests may be slow once, but not every time.
+	const rounds = 3
+	fastest := time.Hour
+	for range rounds {
+		g.agree([]string{"one"})
+		leader := g.leader().self
+		start := time.Now()
+		g.stop(leader.Address)
+		g.leader()
+		fastest = min(fastest, time.Since(start))
+		g.start(leader, leader.Name, nil)
+	}
+	if fastest > raft.DefaultElectionTimeout {
+		t.Errorf("the fastest next leader took %v, more than an election timeout", fastest)
+	}
+}
+
+func TestCheckPlacement(t *testing.T) {
+	for _, c := range []struct {
+		domains  string // one letter per voter
+		problems int
+		blocking bool
+	}{
+		{"xyz", 0, false},
+		{"xxy", 1, true},
+		{"xxyy", 2, false},
+		{"xxyyz", 0, false},
+		{"xxxyz", 1, true},
+		{"xyzwv", 0, false},
+		{"x", 1, false},
+		{"xx", 1, true},
+		{"xy", 2, false},
+	} {
+		var voters []raft.Member
+		for i, d := range c.domains {
+			voters = append(voters, raft.Member{ID: uint64(i + 1), FailureDomain: string(d)})
+		}
+		_, blocking := blockingProblem(voters)
+		if got := CheckPlacement(voters); len(got) != c.problems || blocking != c.blocking {
+			t.Errorf("domains %s: %+v, want %d problems, blocking %v", c.domains, got, c.problems, c.blocking)
+		}
+	}
+}
+
+// Guards against messages that are mixed up when fragments arrive out of order, twice or not at all, and against
+// crashes over bytes that are no message.
+func TestCodec(t *testing.T) {
+	e := encoder{self: raft.Member{ID: 7, Address: "here"}}
+	d := decoder{assemblies: map[uint64]*assembly{}}
+	data := bytes.Repeat([]byte("0123456789"), fragmentBytes/4)
+	m := raft.Message{Type: raft.MsgSnapshot, From: 7, To: 8, Term: 3, Snapshot: &raft.Snapshot{Index: 9, Term: 2, Data: data}}
+	lost, err := e.encode(m)
+	if err != nil || len(lost) != 3 {
+		t.Fatalf("%d frames, %v", len(lost), err)
+	}
+	frames, _ := e.encode(m)
+	for _, f := range [][]byte{lost[0], lost[2], frames[2], frames[0], frames[0]} {
+		if _, ok := d.decode(f); ok {
+			t.Fatal("an incomplete message was decoded")
+		}
+	}
+	f, ok := d.decode(frames[1])
+	if !ok || !bytes.Equal(f.Message.Snapshot.Data, data) || f.Address != "here" {
+		t.Fatalf("complete message: ok %v", ok)
+	}
+	small, _ := e.encode(raft.Message{Type: raft.MsgVote, From: 7, To: 8, Term: 3})
+	for i := range small[0] {
+		broken := bytes.Clone(small[0])
+		broken[i] ^= 0x55
+		d.decode(broken)
+		d.decode(small[0][:i])
+	}
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -28,6 +28,13 @@
 	Send(to uint64, data []byte)
 }
 
+// Phases of a replica. Run works only on an open one.
+const (
+	phaseOpen int32 = iota
+	phaseRunning
+	phaseClosed
+)
+
 // Replica is one member of the group. Its methods are safe for concurrent use.
 type Replica struct {
 	opts  Options
@@ -41,7 +48,7 @@
 	stopping  chan struct{}
 	stopped   chan struct{}
 	stopOnce  sync.Once
-	running   atomic.Bool
+	phase     atomic.Int32
 
 	started    atomic.Bool  // the replica takes part in the group
 	leaseUntil atomic.Int64 // end of the lease on the replica's clock, in nanoseconds
@@ -143,7 +150,8 @@
 // Close stops the replica and closes its files. A leader hands its leadership over first.
 func (r *Replica) Close() error {
 	r.stopOnce.Do(func() { close(r.stopping) })
-	if !r.running.Load() {
+	if r.phase.CompareAndSwap(phaseOpen, phaseClosed) {
+		close(r.stopped)
 		return r.store.Close()
 	}
 	<-r.stopped
