--- a/internal/cli/edit.go
+++ b/internal/cli/edit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"strings"
@@ -110,7 +111,7 @@
 			return a.finishSet(ctx, c, f, edit, done, err)
 		}
 	}
-	a.note("edit %s of row %s at version %d (to resend it: --edit-id %s --expect-version %d)", edit.EditID, args[0], expect, edit.EditID, expect)
+	a.announce(edit)
 	result, err := a.send(ctx, c, edit)
 	return a.finishSet(ctx, c, f, edit, newSetResult(edit, result, table.Diff(current, after)), err)
 }
@@ -173,6 +174,22 @@
 	return setResult{}, false, nil
 }
 
+// announcedEdit is printed to stderr before an edit is sent.
+type announcedEdit struct {
+	EditID          uuid.UUID   `json:"edit_id"`
+	Row             api.RowName `json:"row"`
+	ExpectedVersion uint64      `json:"expected_version"`
+}
+
+// announce prints what is needed to resend an edit whose answer is lost.
+func (a *app) announce(edit operator.EditRequest) {
+	if a.format == formatJSON {
+		_ = json.NewEncoder(a.Stderr).Encode(announcedEdit{edit.EditID, edit.Row.Name, edit.ExpectedVersion})
+		return
+	}
+	a.note("edit of row %s: --edit-id %s --expect-version %d", edit.Row.Name, edit.EditID, edit.ExpectedVersion)
+}
+
 // resendPause is the wait before an edit without an answer is sent again.
 const resendPause = 300 * time.Millisecond
 
@@ -337,7 +354,7 @@
 			return err
 		}
 		edit := operator.EditRequest{EditID: id, ExpectedVersion: d.Version, Row: d.after, DryRun: f.dryRun}
-		a.note("edit %s of row %s at version %d", id, d.Row, d.Version)
+		a.announce(edit)
 		answer, err := a.send(ctx, c, edit)
 		result := newSetResult(edit, answer, d.Changes)
 		if err != nil {
--- a/internal/cli/keys.go
+++ b/internal/cli/keys.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"path/filepath"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -33,11 +34,8 @@
 		Example: "  filbertledge keys init --dir keys --name galambkert",
 		Args:    cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			if _, err := pki.Init(dir, name); err != nil {
-				return err
-			}
-			files := pki.LeafFiles(dir, "ca")
-			return a.print(files, func(w io.Writer) { fmt.Fprintln(w, files.CA) })
+			_, err := pki.Init(dir, name)
+			return a.printCA(dir, err)
 		},
 	}
 	dirFlag(cmd, &dir)
@@ -45,6 +43,19 @@
 	return cmd
 }
 
+// caFile is the CA file to distribute.
+type caFile struct {
+	CA string `json:"ca"`
+}
+
+func (a *app) printCA(dir string, err error) error {
+	if err != nil {
+		return err
+	}
+	file := caFile{filepath.Join(dir, pki.CAFile)}
+	return a.print(file, func(w io.Writer) { fmt.Fprintln(w, file.CA) })
+}
+
 func (a *app) keysIssueCommand() *cobra.Command {
 	var dir, role string
 	var r pki.Request
@@ -115,9 +126,9 @@
 			}
 			switch {
 			case f.ca && !f.dropOld && !f.all && len(names) == 0:
-				return authority.RotateCA(f.name)
+				return a.printCA(f.dir, authority.RotateCA(f.name))
 			case f.dropOld && !f.ca && !f.all && len(names) == 0:
-				return authority.DropOldCAs()
+				return a.printCA(f.dir, authority.DropOldCAs())
 			case f.ca || f.dropOld || f.all == (len(names) > 0):
 				return errs.New(errs.InvalidArgument, "give names, or one of --all, --new-ca and --drop-old-ca", "nothing to rotate, or too much")
 			}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -17,6 +17,8 @@
 	"filbertledge/internal/pki"
 )
 
+var loopback = []net.IP{net.IPv4(127, 0, 0, 1)}
+
 // deployment is a CA with a server and clients on loopback.
 type deployment struct {
 	t   *testing.T
@@ -36,7 +38,7 @@
 
 func (d *deployment) source(name string, role pki.Role, options pki.SourceOptions) *pki.Source {
 	d.t.Helper()
-	files, err := d.ca.Issue(pki.Request{Name: name, Role: role, IPs: []net.IP{net.IPv4(127, 0, 0, 1)}})
+	files, err := d.ca.Issue(pki.Request{Name: name, Role: role, IPs: loopback})
 	if err != nil {
 		d.t.Fatal(err)
 	}
