Show engines' refusals of streams, fix HEAD, test the platform server

A stream that an engine refused with a client error was answered 502 without the reason, HEAD requests to plain services waited for a body that never comes, and refused requests counted as very short run times.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -177,7 +177,7 @@
 		ex.end(false)
 		return nil, ex.failure(err)
 	}
-	if err := ex.readHeader(); err != nil {
+	if err := ex.readHeader(req.Method); err != nil {
 		ex.end(false)
 		return nil, ex.failure(err)
 	}
@@ -242,7 +242,7 @@
 }
 
 // readHeader reads the header of the answer and skips interim answers.
-func (ex *exchange) readHeader() error {
+func (ex *exchange) readHeader(method string) error {
 	for {
 		ex.header.Reset()
 		if err := ex.header.Read(ex.conn.br); err != nil {
@@ -252,7 +252,7 @@
 			break
 		}
 	}
-	ex.body = bodyReader(&ex.header, ex.conn.br)
+	ex.body = bodyReader(method, &ex.header, ex.conn.br)
 	return nil
 }
 
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -124,11 +124,11 @@
 }
 
 // bodyReader returns a reader that ends with io.EOF only at the end mark of the body.
-func bodyReader(h *fasthttp.ResponseHeader, br *bufio.Reader) io.Reader {
+func bodyReader(method string, h *fasthttp.ResponseHeader, br *bufio.Reader) io.Reader {
 	status := h.StatusCode()
 	n := h.ContentLength()
 	switch {
-	case status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified || n == 0:
+	case method == fasthttp.MethodHead || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified || n == 0:
 		return noBody{}
 	case n > 0:
 		return &lengthReader{r: br, left: n}
--- a/internal/caller/input_test.go
+++ b/internal/caller/input_test.go
@@ -163,6 +163,27 @@
 	if want := `PUT /a%2Fb/../c?q=1&r=%20 "in" auth="" x="please"`; body != want {
 		t.Fatalf("service saw %s, want %s", body, want)
 	}
+	// The answer to HEAD has a length but no body.
+	resp, _ = send(t, "HEAD", v.url+"/services/lookup/x", "")
+	if resp.StatusCode != http.StatusTeapot || resp.Header.Get("X-Answer") != "yes" {
+		t.Fatalf("HEAD: status %d, headers %v", resp.StatusCode, resp.Header)
+	}
+}
+
+// Guards against hiding why an engine refuses a request, in streams as in whole answers.
+func TestEngineRefusalIsShown(t *testing.T) {
+	v := newVM(t, newControl(chatRow))
+	addr := listen(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusUnprocessableEntity)
+		fmt.Fprint(w, `{"error":{"message":"temperature is out of range"}}`)
+	})
+	v.join(t, "e1", addr, "llm", true)
+	for _, body := range []string{`{"model":"chat"}`, `{"model":"chat","stream":true}`} {
+		resp, got := send(t, "POST", v.url+pathChat, body)
+		if resp.StatusCode != http.StatusUnprocessableEntity || !strings.Contains(got, "temperature") {
+			t.Fatalf("status %d, body %q", resp.StatusCode, got)
+		}
+	}
 }
 
 // Guards against requests cut off by a graceful shutdown (P8).
--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -4,8 +4,11 @@
 	"context"
 	"io"
 	"iter"
+	"net/http"
 	"sync"
 
+	"github.com/tidwall/gjson"
+
 	"filbertledge/internal/api"
 	"filbertledge/internal/backend"
 	"filbertledge/internal/dispatch"
@@ -125,6 +128,7 @@
 			s.err = errs.New(errs.BackendFailed, "resend the request", "stream ended without a piece")
 		}
 		h.refuse(r, s.err, dispatch.OutcomeOf(s.err))
+		r.showRefusal(s.err)
 		return
 	}
 	r.http.Response.Header.SetContentType(contentTypeEvents)
@@ -135,3 +139,12 @@
 	r.writeOutcome(api.OutcomeRan)
 	r.http.SetBodyStream(s, -1)
 }
+
+// showRefusal replaces the error body with the engine's own if the engine refused the request itself.
+func (r *request) showRefusal(err error) {
+	f := backend.FailureOf(err)
+	if f.Status >= http.StatusBadRequest && f.Status < http.StatusInternalServerError && gjson.ValidBytes(f.Body) {
+		r.http.SetStatusCode(f.Status)
+		r.http.SetBody(f.Body)
+	}
+}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -235,12 +235,17 @@
 
 // succeeded notes a finished attempt.
 func (r *run) succeeded(l *lease, m policy.Measurement) {
-	ran := r.d.now() - l.at
+	r.d.learn(r.work.Row.Name, len(r.work.Body), r.d.now()-l.at)
 	l.measured(m)
+	r.answered()
+}
+
+// answered notes an attempt that the server answered, if only with a refusal of the request. Refusals say
+// nothing of run times.
+func (r *run) answered() {
 	r.note("ok")
 	r.attempts++
 	r.sent = true
-	r.d.learn(r.work.Row.Name, len(r.work.Body), ran)
 	r.d.opts.Registry.ClearSuspect(r.digest)
 }
 
--- a/internal/dispatch/unary.go
+++ b/internal/dispatch/unary.go
@@ -89,9 +89,12 @@
 
 // settle notes the end of an attempt.
 func (r *run) settle(ctx context.Context, res *unaryResult) {
-	if res.err != nil {
+	switch {
+	case res.err != nil:
 		res.retry = r.failed(ctx, res.lease, res.err)
-	} else {
+	case r.engine() && res.answer.Status != http.StatusOK:
+		r.answered()
+	default:
 		r.succeeded(res.lease, r.measurement(res))
 	}
 	res.lease.release()
