--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -158,8 +158,10 @@
 	ctx    context.Context
 	conn   *conn
 	stop   func() bool
-	header fasthttp.ResponseHeader
-	body   io.Reader
+	// detached is true once the end of ctx no longer closes the connection.
+	detached bool
+	header   fasthttp.ResponseHeader
+	body     io.Reader
 }
 
 // begin connects, writes the request and reads the header of the answer. When ctx ends, the connection is
@@ -175,7 +177,7 @@
 		ex.end(false)
 		return nil, ex.failure(err)
 	}
-	if err := ex.readHeader(); err != nil {
+	if err := ex.readHeader(req.Method); err != nil {
 		ex.end(false)
 		return nil, ex.failure(err)
 	}
@@ -240,7 +242,7 @@
 }
 
 // readHeader reads the header of the answer and skips interim answers.
-func (ex *exchange) readHeader() error {
+func (ex *exchange) readHeader(method string) error {
 	for {
 		ex.header.Reset()
 		if err := ex.header.Read(ex.conn.br); err != nil {
@@ -250,7 +252,7 @@
 			break
 		}
 	}
-	ex.body = bodyReader(&ex.header, ex.conn.br)
+	ex.body = bodyReader(method, &ex.header, ex.conn.br)
 	return nil
 }
 
@@ -282,10 +284,17 @@
 	return false
 }
 
+// detach stops watching ctx. It reports false if ctx has ended and the connection is closed.
+func (ex *exchange) detach() bool {
+	if !ex.detached {
+		ex.detached = ex.stop()
+	}
+	return ex.detached
+}
+
 // end stops watching ctx and returns the connection to the pool, or closes it.
 func (ex *exchange) end(reusable bool) {
-	stopped := ex.stop()
-	if stopped && reusable && !ex.header.ConnectionClose() {
+	if ex.detach() && reusable && !ex.header.ConnectionClose() {
 		ex.client.pool.put(ex.conn)
 		return
 	}
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -9,7 +11,6 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"filbertledge/internal/api"
-	"filbertledge/internal/errs"
 )
 
 // Method is the transport method of gossip messages.
@@ -21,13 +22,14 @@
 	digestEvery = time.Second
 	// Renewals and counts that change all the time wait for a batch, batchPerVM for each VM of the failure
 	// domain and at most maxBatch, so that the messages a VM sends do not grow with the square of the VMs.
-	batchPerVM = 20 * time.Millisecond
-	maxBatch   = 500 * time.Millisecond
+	batchPerVM = 35 * time.Millisecond
+	maxBatch   = 900 * time.Millisecond
 	// askAfter is the age at which a record should have been renewed; a lost message is the likely cause, so
 	// another VM is asked every askEvery until the record is no longer usable.
-	askAfter = 1300 * time.Millisecond
-	askEvery = 300 * time.Millisecond
-	useFor   = 3 * time.Second // a count of requests in flight that is not repeated for so long is dropped
+	askAfter   = 1300 * time.Millisecond
+	askEvery   = 200 * time.Millisecond
+	askDomains = 4               // failure domains that one round asks about
+	useFor     = 3 * time.Second // a count of requests in flight that is not repeated for so long is dropped
 )
 
 // Bounds of one message. A full record takes about 200 bytes and a renewal about 25, so a message stays under
@@ -35,7 +37,7 @@
 const (
 	maxFull      = 32
 	maxRenewals  = 300
-	maxDigest    = 64
+	maxDigest    = 8 // each of 27 VMs sends one a second, so that 161 records are repeated every 20 s or so
 	maxCrashes   = 64
 	maxUses      = 128
 	maxWants     = 256
@@ -64,7 +66,7 @@
 	AgeMS    uint32
 	Running  int
 	Waiting  int
-	Speed    float32 // tokens a second
+	Speed    uint32 // tokens a second
 }
 
 // exclusiveUse as the number of requests in flight claims a server for one suspect request.
@@ -79,15 +81,13 @@
 }
 
 type message struct {
-	From     api.VMID          `cbor:"1,keyasint"`
-	Address  string            `cbor:"2,keyasint"` // of the sender, for wants
-	Domain   api.FailureDomain `cbor:"3,keyasint"`
-	Hop      uint8             `cbor:"4,keyasint"`
-	Full     []fullRecord      `cbor:"5,keyasint,omitempty"`
-	Renewals []renewal         `cbor:"6,keyasint,omitempty"`
-	Crashes  []crash           `cbor:"7,keyasint,omitempty"`
-	Uses     []useReport       `cbor:"8,keyasint,omitempty"`
-	Wants    []uint64          `cbor:"9,keyasint,omitempty"` // static digests that the sender does not know
+	From     api.VMID     `cbor:"1,keyasint"` // the receiver looks up its address and failure domain
+	Hop      uint8        `cbor:"4,keyasint"`
+	Full     []fullRecord `cbor:"5,keyasint,omitempty"`
+	Renewals []renewal    `cbor:"6,keyasint,omitempty"`
+	Crashes  []crash      `cbor:"7,keyasint,omitempty"`
+	Uses     []useReport  `cbor:"8,keyasint,omitempty"`
+	Wants    []uint64     `cbor:"9,keyasint,omitempty"` // static digests that the sender does not know
 	// Late lists the keys of servers whose renewal the sender missed.
 	Late []uint64 `cbor:"11,keyasint,omitempty"`
 	// Digest marks a message that repeats the sender's records to repair gaps.
@@ -110,21 +110,29 @@
 
 // gossipState is what changed since the last round, and the cursors of the digests.
 type gossipState struct {
-	dirty      map[api.ServerID]bool
-	sentStatic map[api.ServerID]uint64 // static digest last sent in full
-	reported   map[api.ServerID]int
-	lastDigest time.Duration
-	lastAsk    time.Duration
-	lastBatch  time.Duration
-	batch      time.Duration // time between batches
-	lastUses   time.Duration
-	cursor     int
+	// dirty and relayed hold the servers whose records came from the server itself and from other failure
+	// domains. True means that the record goes in full: its static fields were new here, so probably to others.
+	dirty       map[api.ServerID]bool
+	relayed     map[api.ServerID]bool
+	relayedUses map[useKey]int
+	reported    map[api.ServerID]int
+	lastDigest  time.Duration
+	lastAsk     time.Duration
+	lastBatch   time.Duration
+	batch       time.Duration // time between batches
+	lastUses    time.Duration
+	lastAllUses time.Duration
+	announced   map[api.ServerID]bool // announced themselves here since the last round
+	ranked      []rankedServer        // reused by sample
+	cursor      int
 }
 
 func (g *gossipState) reset() {
 	g.dirty = map[api.ServerID]bool{}
-	g.sentStatic = map[api.ServerID]uint64{}
 	g.reported = map[api.ServerID]int{}
+	g.relayed = map[api.ServerID]bool{}
+	g.announced = map[api.ServerID]bool{}
+	g.relayedUses = map[useKey]int{}
 }
 
 var decMode = mustDecMode()
@@ -203,50 +211,67 @@
 }
 
 func (r *Registry) round(now time.Duration, vms []api.VM) []outgoing {
-	self := r.self(vms)
-	delta := r.delta(now, r.batchDue(now, vms))
-	delta.From, delta.Address, delta.Domain = r.opts.VM, self.Address, r.opts.Domain
-	var out []outgoing
-	if !delta.empty() {
-		out = r.spread(delta, vms)
-	}
+	batch := r.batchDue(now, vms)
+	delta := message{From: r.opts.VM}
+	r.addDelta(&delta, now, batch, r.receivers(vms))
+	near := delta
+	r.addRelayed(&near, now, batch)
+	out := r.spread(near, vms)
+	out = append(out, r.spreadFar(now, delta, vms)...)
 	if now-r.gossip.lastDigest >= digestEvery {
 		r.gossip.lastDigest = now
-		out = append(out, r.digests(now, self, vms)...)
+		out = append(out, r.digests(now, vms)...)
 	}
 	if now-r.gossip.lastAsk >= askEvery {
 		r.gossip.lastAsk = now
-		out = append(out, r.ask(now, self, vms)...)
+		out = append(out, r.ask(now, vms)...)
 	}
 	return out
 }
 
-// ask sends the records that miss a renewal to one other VM, which answers with those that it has fresh.
-func (r *Registry) ask(now time.Duration, self api.VM, vms []api.VM) []outgoing {
-	var late []uint64
+// ask sends the records that miss a renewal to one other VM, which answers with those that it has fresh. VMs of a
+// server's own failure domain know it best, so each is asked about its own.
+func (r *Registry) ask(now time.Duration, vms []api.VM) []outgoing {
+	late := map[api.FailureDomain][]uint64{}
 	for _, s := range r.servers {
 		rec := s.rec.Load()
 		age := now - rec.renewed
-		if age >= askAfter+r.gossip.batch && age < UsableFor && rec.announcement.State == api.ServerServing && len(late) < maxWants {
-			late = append(late, s.key)
+		if age >= askAfter+r.gossip.batch && age < UsableFor && rec.announcement.State == api.ServerServing {
+			domain := rec.announcement.Domain
+			late[domain] = append(late[domain], s.key)
 		}
 	}
-	if len(late) == 0 || len(vms) < 2 {
-		return nil
-	}
-	to := r.someVM(vms)
-	if to.ID == r.opts.VM {
-		return nil // asks again in the next round
+	domains := slices.Sorted(maps.Keys(late))
+	r.rng.Shuffle(len(domains), func(i, j int) { domains[i], domains[j] = domains[j], domains[i] })
+	var out []outgoing
+	for _, domain := range domains[:min(len(domains), askDomains)] {
+		if to, ok := r.someVM(domain, vms); ok {
+			keys := late[domain]
+			out = append(out, outgoing{to.Address, message{From: r.opts.VM, Late: keys[:min(len(keys), maxWants)]}})
+		}
 	}
-	return []outgoing{{to.Address, message{From: r.opts.VM, Address: self.Address, Domain: r.opts.Domain, Late: late}}}
+	return out
 }
 
-// someVM returns a VM of the own failure domain or of any, with equal chance.
-func (r *Registry) someVM(vms []api.VM) api.VM {
-	if near := r.neighbours(vms); len(near) > 0 && r.rng.IntN(2) == 0 {
-		return api.VM{Address: near[r.rng.IntN(len(near))]}
+// someVM returns another VM, mostly of the given failure domain.
+func (r *Registry) someVM(domain api.FailureDomain, vms []api.VM) (api.VM, bool) {
+	var near, all []api.VM
+	for _, vm := range vms {
+		if vm.ID == r.opts.VM {
+			continue
+		}
+		all = append(all, vm)
+		if vm.Domain == domain {
+			near = append(near, vm)
+		}
 	}
-	return vms[r.rng.IntN(len(vms))]
+	if len(near) == 0 || r.rng.IntN(4) == 0 {
+		near = all
+	}
+	if len(near) == 0 {
+		return api.VM{}, false
+	}
+	return near[r.rng.IntN(len(near))], true
 }
 
 // answerLate renews the records that the sender missed and that are fresh here. A server that is leaving is
@@ -267,26 +292,25 @@
 	}
 }
 
-func (r *Registry) self(vms []api.VM) api.VM {
+func lookUp(vms []api.VM, id api.VMID) (api.VM, bool) {
 	for _, vm := range vms {
-		if vm.ID == r.opts.VM {
-			return vm
+		if vm.ID == id {
+			return vm, true
 		}
 	}
-	return api.VM{ID: r.opts.VM, Domain: r.opts.Domain}
+	return api.VM{}, false
 }
 
-// spread addresses a delta to all VMs of the own failure domain and to one VM in each other failure domain.
+// spread addresses a message to all VMs of the own failure domain.
 func (r *Registry) spread(m message, vms []api.VM) []outgoing {
+	if m.empty() {
+		return nil
+	}
+	m.Hop = hopFinal
 	var out []outgoing
 	for _, addr := range r.neighbours(vms) {
-		m.Hop = hopFinal
 		out = append(out, outgoing{addr, m})
 	}
-	for _, vm := range r.relays(vms) {
-		m.Hop = hopRelay
-		out = append(out, outgoing{vm.Address, m})
-	}
 	return out
 }
 
@@ -331,56 +355,53 @@
 	return true
 }
 
-// delta collects what changed at this VM since the last round, up to the bounds of a message. Without batch it
+// addDelta adds what changed at this VM since the last round, up to the bounds of a message. Without batch it
 // leaves out renewals and counts, but not servers that are new, leaving or claimed.
-func (r *Registry) delta(now time.Duration, batch bool) message {
-	var m message
-	for _, id := range sortedKeys(r.gossip.dirty) {
-		s := r.servers[id]
-		if s == nil {
-			delete(r.gossip.dirty, id)
-			continue
-		}
-		if !batch && r.gossip.sentStatic[id] == s.rec.Load().static {
-			continue
-		}
-		if r.addRecord(&m, s, now) {
-			delete(r.gossip.dirty, id)
-		}
-	}
+func (r *Registry) addDelta(m *message, now time.Duration, batch bool, receivers int) {
+	r.addRecords(m, r.gossip.dirty, now, batch)
 	for _, c := range r.suspects {
 		if c.dirty && len(m.Crashes) < maxCrashes {
 			c.dirty = false
 			m.Crashes = append(m.Crashes, aged(*c, now))
 		}
 	}
-	r.addUses(&m, now, batch)
-	return m
+	r.addUses(m, now, receivers)
 }
 
-// addRecord adds a server's record: in full if its static fields changed since they were last sent.
-func (r *Registry) addRecord(m *message, s *Server, now time.Duration) bool {
-	rec := s.rec.Load()
-	if r.gossip.sentStatic[s.id] == rec.static {
-		if len(m.Renewals) >= maxRenewals {
-			return false
+// addRelayed adds what VMs of other failure domains sent for this one. Records are sent as they are now, so that
+// their age counts the time that they waited here.
+func (r *Registry) addRelayed(m *message, now time.Duration, batch bool) {
+	r.addRecords(m, r.gossip.relayed, now, batch)
+	for key, n := range r.gossip.relayedUses {
+		if (batch || n == exclusiveUse || r.use[key].inFlight == exclusiveUse) && len(m.Uses) < maxUses {
+			m.Uses = append(m.Uses, useReport{Server: key.server, VM: key.vm, InFlight: n})
+			delete(r.gossip.relayedUses, key)
 		}
-		m.Renewals = append(m.Renewals, renewalOf(rec, now))
-		return true
 	}
-	if len(m.Full) >= maxFull {
-		return false
+}
+
+// addRecords adds the records of a set and removes them from it.
+func (r *Registry) addRecords(m *message, set map[api.ServerID]bool, now time.Duration, batch bool) {
+	for _, id := range sortedKeys(set) {
+		s, full := r.servers[id], set[id]
+		switch {
+		case s == nil:
+		case full && len(m.Full) < maxFull:
+			m.Full = append(m.Full, fullOf(s.rec.Load(), now))
+		case !full && batch && len(m.Renewals) < maxRenewals:
+			m.Renewals = append(m.Renewals, renewalOf(s.rec.Load(), now))
+		default:
+			continue
+		}
+		delete(set, id)
 	}
-	m.Full = append(m.Full, fullOf(rec, now))
-	r.gossip.sentStatic[s.id] = rec.static
-	return true
 }
 
 func renewalOf(rec *record, now time.Duration) renewal {
 	a := &rec.announcement
 	return renewal{
 		Static: rec.static, Sequence: a.Sequence, AgeMS: ageMS(now - rec.renewed),
-		Running: a.Load.Running, Waiting: a.Load.Waiting, Speed: float32(a.Load.TokensPerSecond),
+		Running: a.Load.Running, Waiting: a.Load.Waiting, Speed: uint32(max(0, a.Load.TokensPerSecond)),
 	}
 }
 
@@ -397,19 +418,25 @@
 	return c
 }
 
-// addUses adds this VM's requests in flight: the counts that changed, and once a second all of them.
-func (r *Registry) addUses(m *message, now time.Duration, batch bool) {
-	all := batch && now-r.gossip.lastUses >= digestEvery
-	if all {
+// addUses adds this VM's requests in flight: claims at once, and the counts that changed as often as the budget
+// allows, at least once a second all of them.
+func (r *Registry) addUses(m *message, now time.Duration, receivers int) {
+	every, shared := usesInterval(min(len(r.listed), maxUses), receivers)
+	due := shared && now-r.gossip.lastUses >= every
+	all := due && now-r.gossip.lastAllUses >= digestEvery
+	if due {
 		r.gossip.lastUses = now
 	}
+	if all {
+		r.gossip.lastAllUses = now
+	}
 	for _, id := range sortedKeys(r.listed) {
 		n := r.servers[id].ownUse()
 		last := r.gossip.reported[id]
 		if (n == last && (!all || n == 0)) || len(m.Uses) >= maxUses {
 			continue
 		}
-		if !batch && n != exclusiveUse && last != exclusiveUse {
+		if !due && n != exclusiveUse && last != exclusiveUse {
 			continue
 		}
 		r.gossip.reported[id] = n
@@ -417,10 +444,10 @@
 	}
 }
 
-// digests repeats known records to one VM of the own failure domain and to one in another. The receiver asks
-// for records that it does not know.
-func (r *Registry) digests(now time.Duration, self api.VM, vms []api.VM) []outgoing {
-	m := message{From: r.opts.VM, Address: self.Address, Domain: r.opts.Domain, Digest: true}
+// digests repeats known records to one VM of the own failure domain, and crashes to one in another. The receiver
+// asks for records that it does not know.
+func (r *Registry) digests(now time.Duration, vms []api.VM) []outgoing {
+	m := message{From: r.opts.VM, Digest: true}
 	ids := sortedKeys(r.listed)
 	for range min(len(ids), maxDigest) {
 		r.gossip.cursor = (r.gossip.cursor + 1) % len(ids)
@@ -438,7 +465,8 @@
 	if near := r.neighbours(vms); len(near) > 0 {
 		out = append(out, outgoing{near[r.rng.IntN(len(near))], m})
 	}
-	if far := r.relays(vms); len(far) > 0 {
+	if far := r.relays(vms); len(far) > 0 && len(m.Crashes) > 0 {
+		m.Renewals = nil
 		out = append(out, outgoing{far[r.rng.IntN(len(far))].Address, m})
 	}
 	return out
@@ -452,133 +480,3 @@
 	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
 	return out
 }
-
-// Receive merges a gossip message of another VM.
-func (r *Registry) Receive(data []byte) error {
-	if len(data) > maxReceived {
-		return errs.New(errs.PayloadTooLarge, "check the version of the sender", "gossip message of %d bytes exceeds %d", len(data), maxReceived)
-	}
-	var m message
-	if err := decMode.Unmarshal(data, &m); err != nil {
-		return errs.Wrap(err, errs.InvalidArgument, "check the version of the sender", "gossip message is malformed")
-	}
-	now := r.opts.Now()
-	vms := r.vms()
-	r.mu.Lock()
-	out := r.receive(&m, now, vms)
-	r.mu.Unlock()
-	r.send(out)
-	return nil
-}
-
-func (r *Registry) receive(m *message, now time.Duration, vms []api.VM) []outgoing {
-	reply := message{From: r.opts.VM, Address: r.self(vms).Address, Domain: r.opts.Domain}
-	r.mergeRecords(m, now, &reply)
-	for _, c := range m.Crashes {
-		if since := now - time.Duration(c.AgeMS)*time.Millisecond; now-since < SuspectFor {
-			r.mergeCrash(c, since)
-		}
-	}
-	r.mergeUses(m, now)
-	r.answerWants(m, now, &reply)
-	r.answerLate(m, now, &reply)
-	var out []outgoing
-	if !reply.empty() && m.Address != "" {
-		out = append(out, outgoing{m.Address, reply})
-	}
-	if m.Hop == hopRelay {
-		out = append(out, r.passOn(*m, vms)...)
-	}
-	return out
-}
-
-// passOn relays a message of another failure domain to the VMs of this one. Wants stay with this VM.
-func (r *Registry) passOn(m message, vms []api.VM) []outgoing {
-	m.Hop, m.Wants, m.Late = hopFinal, nil, nil
-	var out []outgoing
-	for _, addr := range r.neighbours(vms) {
-		out = append(out, outgoing{addr, m})
-	}
-	return out
-}
-
-func (r *Registry) mergeRecords(m *message, now time.Duration, reply *message) {
-	for _, f := range m.Full {
-		r.merge(f.Announcement, now-time.Duration(f.AgeMS)*time.Millisecond)
-	}
-	for _, w := range m.Renewals {
-		s := r.byKey[w.Static]
-		if s == nil || s.rec.Load().static != w.Static {
-			if len(reply.Wants) < maxWants {
-				reply.Wants = append(reply.Wants, w.Static)
-			}
-			continue
-		}
-		a := s.rec.Load().announcement
-		a.Sequence = w.Sequence
-		a.Load = api.Load{Running: w.Running, Waiting: w.Waiting, TokensPerSecond: float64(w.Speed)}
-		r.merge(a, now-time.Duration(w.AgeMS)*time.Millisecond)
-	}
-}
-
-func (r *Registry) answerWants(m *message, now time.Duration, reply *message) {
-	for _, static := range m.Wants {
-		if s := r.byKey[static]; s != nil && len(reply.Full) < maxFull {
-			reply.Full = append(reply.Full, fullOf(s.rec.Load(), now))
-		}
-	}
-}
-
-func (r *Registry) mergeUses(m *message, now time.Duration) {
-	for _, u := range m.Uses {
-		s := r.byKey[u.Server]
-		if s == nil || u.VM == r.opts.VM {
-			continue
-		}
-		r.setUse(s, useKey{u.Server, u.VM}, max(exclusiveUse, u.InFlight), now)
-	}
-}
-
-func (s *Server) ownUse() int {
-	if s.exclusive.Load() {
-		return exclusiveUse
-	}
-	return int(s.inFlight.Load())
-}
-
-// setUse replaces what another VM reported of a server.
-func (r *Registry) setUse(s *Server, key useKey, n int, now time.Duration) {
-	s.countUse(r.use[key].inFlight, -1)
-	s.countUse(n, 1)
-	if n == 0 {
-		delete(r.use, key)
-		return
-	}
-	r.use[key] = use{inFlight: n, at: now}
-}
-
-// countUse adds or subtracts one VM's report.
-func (s *Server) countUse(n int, sign int64) {
-	if n == 0 {
-		return
-	}
-	s.users.Add(sign)
-	if n == exclusiveUse {
-		s.claims.Add(sign)
-		n = 1
-	}
-	s.others.Add(sign * int64(n))
-}
-
-func (r *Registry) expireUses(now time.Duration) {
-	for key, u := range r.use {
-		s := r.byKey[key.server]
-		if s == nil {
-			delete(r.use, key)
-			continue
-		}
-		if now-u.at >= useFor {
-			r.setUse(s, key, 0, now)
-		}
-	}
-}
