--- a/internal/cli/page.go
+++ b/internal/cli/page.go
@@ -60,7 +60,7 @@
 func renderPage(w io.Writer, t operator.Timeline, now time.Time) error {
 	p := page{Written: now.Format(time.RFC3339), Classes: classes, Missing: t.Missing, Answered: t.Asked - len(t.Missing)}
 	for i, e := range t.Events {
-		p.Events = append(p.Events, pageEvent{Event: e, At: e.Time.Format(eventTime), Class: classOf(e.Name), Index: i})
+		p.Events = append(p.Events, pageEvent{Event: e, At: formatTime(e.Time), Class: classOf(e.Name), Index: i})
 	}
 	if n := len(p.Events); n > 0 {
 		p.First, p.Last = p.Events[0].At, p.Events[n-1].At
--- a/internal/cli/timeline.go
+++ b/internal/cli/timeline.go
@@ -100,14 +100,15 @@
 	}
 }
 
-const eventTime = "2006-01-02T15:04:05.000Z07:00"
+// formatTime writes UTC, because VMs may have different time zones.
+func formatTime(t time.Time) string { return t.UTC().Format("2006-01-02T15:04:05.000Z") }
 
 func newEventTable(w io.Writer) *textTable {
 	return newTextTable(w, "TIME", "VM", "EVENT", "REQUEST", "ROW", "SERVER", "PEER", "DETAIL")
 }
 
 func eventRow(t *textTable, e events.Event) {
-	t.row(e.Time.Format(eventTime), e.VM, e.Name, e.Request, e.Row, e.Server, e.Peer, e.Detail)
+	t.row(formatTime(e.Time), e.VM, e.Name, e.Request, e.Row, e.Server, e.Peer, e.Detail)
 }
 
 // overlap is how far back each query of a watch reaches: events of a VM with a slow clock, or of one that did
@@ -157,7 +158,7 @@
 		}
 		seen[key] = e.Time
 		err := a.print(e, func(w io.Writer) {
-			fmt.Fprintln(w, printable(fmt.Sprint(e.Time.Format(eventTime), "  ", e.VM, "  ", e.Name, "  ", describe(e))))
+			fmt.Fprintln(w, printable(fmt.Sprint(formatTime(e.Time), "  ", e.VM, "  ", e.Name, "  ", describe(e))))
 		})
 		if err != nil {
 			return err
@@ -268,5 +269,5 @@
 		t.row(e.Time.Sub(list[0].Time).Round(10*time.Microsecond), e.VM, e.Name, e.Row, e.Server, e.Detail)
 	}
 	t.flush()
-	fmt.Fprintf(w, "first event at %s\n", list[0].Time.Format(eventTime))
+	fmt.Fprintf(w, "first event at %s\n", formatTime(list[0].Time))
 }
--- a/internal/transport/counters.go
+++ b/internal/transport/counters.go
@@ -12,7 +12,8 @@
 	MessagesOut uint64 `json:"messages_out" cbor:"2,keyasint"`
 	BytesIn     uint64 `json:"bytes_in" cbor:"3,keyasint"`
 	BytesOut    uint64 `json:"bytes_out" cbor:"4,keyasint"`
-	Dropped     uint64 `json:"dropped" cbor:"5,keyasint"` // one-way messages that were not sent
+	Dropped     uint64 `json:"dropped" cbor:"5,keyasint"`  // one-way messages that were not sent
+	GivenUp     uint64 `json:"given_up" cbor:"6,keyasint"` // outgoing connections closed because the peer was silent
 }
 
 // Classes of Counters.Snapshot that count UDP payload bytes, including handshakes, acknowledgements and
@@ -74,6 +75,7 @@
 	sum.BytesIn += t.BytesIn
 	sum.BytesOut += t.BytesOut
 	sum.Dropped += t.Dropped
+	sum.GivenUp += t.GivenUp
 	c.classes[class] = sum
 }
 
--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -24,6 +24,7 @@
 	*quic.Conn
 	generation    uint64 // of the TLS material of the handshake
 	silentTimeout time.Duration
+	givenUp       func() // called when the peer is given up
 
 	mu       sync.Mutex
 	waiting  int       // calls that wait for an answer
@@ -116,6 +117,7 @@
 				// An empty datagram is acknowledged. A failure closes the connection, which ends the loop.
 				_ = l.SendDatagram(nil)
 			case actGiveUp:
+				l.givenUp()
 				l.CloseWithError(codeSilent, "peer does not answer")
 				return
 			}
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -158,10 +158,14 @@
 		return nil, errs.Wrap(err, errs.Unavailable, retryRemedy, "cannot connect to %s", p.addr)
 	}
 	counters := p.client.options.Counters
-	wire := counters.openWire(wireClass(p.role()), wireTraffic(conn))
+	class := wireClass(p.role())
+	wire := counters.openWire(class, wireTraffic(conn))
 	context.AfterFunc(conn.Context(), func() { counters.closeWire(wire) })
 	go discardDatagrams(conn)
-	return &link{Conn: conn, generation: generation, silentTimeout: p.client.options.SilentTimeout, used: time.Now()}, nil
+	return &link{
+		Conn: conn, generation: generation, used: time.Now(), silentTimeout: p.client.options.SilentTimeout,
+		givenUp: func() { counters.add(class, Traffic{GivenUp: 1}) },
+	}, nil
 }
 
 // role returns the role under which this side sends: the class of a connection is that of its client.
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -367,7 +367,8 @@
 			return nil, ctx.Err()
 		})
 	})
-	c := d.client(d.source("a-2", pki.RoleVM, pki.SourceOptions{}), ClientOptions{DialTimeout: 20 * time.Second})
+	counters := NewCounters()
+	c := d.client(d.source("a-2", pki.RoleVM, pki.SourceOptions{}), ClientOptions{DialTimeout: 20 * time.Second, Counters: counters})
 	result := make(chan error, 1)
 	go func() {
 		_, err := c.Call(context.Background(), addr, "test.block", nil)
@@ -381,6 +382,9 @@
 	if took := time.Since(begin); took > keepaliveInterval+DefaultSilentTimeout+2*time.Second {
 		t.Fatalf("the silent cut was noticed after %s", took)
 	}
+	if n := counters.Snapshot()[ClassWireVM].GivenUp; n != 1 {
+		t.Fatalf("%d connections were given up", n)
+	}
 	_, err = c.Call(timeout(t, 2*time.Second), addr, "test.block", nil)
 	wantKind(t, err, errs.Unavailable)
 }
