--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -29,6 +29,16 @@
 	return errors.As(err, &failed) && failed.Outcome != api.OutcomeNotRun
 }
 
+// outcomeOf returns the outcome of a failed idempotent request. Without a call record, nothing is known of
+// earlier attempts with the same key.
+func (r *request) outcomeOf(err error) api.Outcome {
+	outcome := dispatch.OutcomeOf(err)
+	if outcome == api.OutcomeNotRun && r.key != "" {
+		return api.OutcomeUnknown
+	}
+	return outcome
+}
+
 // runUnary runs an idempotent request. When the caller leaves, the work is canceled.
 func (h *Handler) runUnary(r *request) {
 	ctx, cancel := context.WithDeadline(context.Background(), r.deadline)
@@ -36,7 +46,7 @@
 	defer watchLeaving(r.http.Conn(), cancel)()
 	a, err := h.opts.Dispatcher.DoUnary(ctx, r.work)
 	if err != nil {
-		h.refuse(r, err, dispatch.OutcomeOf(err))
+		h.refuse(r, err, r.outcomeOf(err))
 		return
 	}
 	r.write(&a)
--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -11,7 +11,6 @@
 
 	"filbertledge/internal/api"
 	"filbertledge/internal/backend"
-	"filbertledge/internal/dispatch"
 	"filbertledge/internal/errs"
 	"filbertledge/internal/platform"
 )
@@ -105,7 +104,7 @@
 		s.release()
 		outcome := api.OutcomeRan
 		if s.err != nil {
-			outcome = dispatch.OutcomeOf(s.err)
+			outcome = s.r.outcomeOf(s.err)
 		}
 		s.h.end(s.r, s.err, outcome)
 	})
@@ -127,7 +126,7 @@
 		if s.err == nil {
 			s.err = errs.New(errs.BackendFailed, "resend the request", "stream ended without a piece")
 		}
-		h.refuse(r, s.err, dispatch.OutcomeOf(s.err))
+		h.refuse(r, s.err, r.outcomeOf(s.err))
 		r.showRefusal(s.err)
 		return
 	}
--- a/internal/dispatch/body.go
+++ b/internal/dispatch/body.go
@@ -38,7 +38,7 @@
 	if p.tokens > 0 {
 		options.ContinueFrom = &continueFrom{Text: p.text, Tokens: p.tokens}
 	}
-	body, err := setModel(r.work.Body, r.work.Row)
+	body, err := setModel(r.work.Body, r.row)
 	if err == nil {
 		body, err = sjson.SetBytes(body, "filbertledge", options)
 	}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -60,7 +60,13 @@
 type waiter struct {
 	run   *run
 	job   policy.Job
-	grant chan *lease
+	grant chan grant
+}
+
+// grant ends a wait: with a server, or with the reason why the work may no longer run.
+type grant struct {
+	lease *lease
+	err   error
 }
 
 // lease is the right to run one attempt on a server.
@@ -76,13 +82,13 @@
 
 // acquire waits for a server. The error says that the attempt did not run.
 func (p *pool) acquire(ctx context.Context, r *run) (*lease, error) {
-	w := &waiter{run: r, grant: make(chan *lease, 1)}
+	w := &waiter{run: r, grant: make(chan grant, 1)}
 	if err := p.enqueue(ctx, w); err != nil {
 		return nil, err
 	}
 	select {
-	case l := <-w.grant:
-		return l, nil
+	case g := <-w.grant:
+		return g.lease, g.err
 	case <-ctx.Done():
 	}
 	p.mu.Lock()
@@ -92,7 +98,7 @@
 	}
 	p.mu.Unlock()
 	if !waiting {
-		(<-w.grant).release()
+		(<-w.grant).lease.discard()
 	}
 	return nil, p.waitError(ctx)
 }
@@ -247,28 +253,31 @@
 // pump places waiting work until nothing more can be placed. p.mu must be held.
 func (p *pool) pump(now time.Duration) {
 	for p.queue.Len() > 0 {
-		var granted *lease
+		var g grant
 		job := p.queue.Next(func(j *policy.Job) bool {
-			granted = p.place(j.Data.(*waiter).run, j, now)
-			return granted != nil
+			g.lease, g.err = p.place(j.Data.(*waiter).run, j, now)
+			return g.lease != nil || g.err != nil
 		})
 		if job == nil {
 			return
 		}
 		w := job.Data.(*waiter)
 		p.countSuspect(w.run, -1)
-		w.grant <- granted
+		w.grant <- g
 	}
 }
 
-// place chooses a server for a run and takes a slot on it, or returns nil.
-func (p *pool) place(r *run, j *policy.Job, now time.Duration) *lease {
-	row := &r.work.Row
+// place chooses a server for a run and takes a slot on it, or returns nil. The error says that the run may no
+// longer wait.
+func (p *pool) place(r *run, j *policy.Job, now time.Duration) (*lease, error) {
+	if err := r.refresh(); err != nil {
+		return nil, err
+	}
 	if r.class == policy.Trainer && !p.d.opts.Control.Fresh() {
-		return nil // a newer table could forbid the weights
+		return nil, nil // a newer table could forbid the weights
 	}
-	if row.MaxInFlight > 0 && p.rows[row.Name] >= p.d.opts.Share(*row) {
-		return nil
+	if r.row.MaxInFlight > 0 && p.rows[r.row.Name] >= p.d.opts.Share(r.row) {
+		return nil, nil
 	}
 	r.again = len(r.exclude) > 0 && p.onlyExcluded(r)
 	s := p.choose(r, j, now)
@@ -276,9 +285,9 @@
 		p.empty(r)
 	}
 	if s == nil {
-		return nil
+		return nil, nil
 	}
-	return p.take(s, r, now)
+	return p.take(s, r, now), nil
 }
 
 // onlyExcluded reports whether every server that could run the work has already failed it. It may then be
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -83,6 +83,7 @@
 type run struct {
 	d          *Dispatcher
 	work       *Work
+	row        table.Row // newest known; edits apply to work that waits
 	class      policy.Class
 	minVersion api.WeightVersion
 	seed       *uint64
@@ -101,7 +102,7 @@
 }
 
 func (d *Dispatcher) newRun(w *Work, class policy.Class) *run {
-	r := &run{d: d, work: w, class: class, digest: contentDigest(w)}
+	r := &run{d: d, work: w, row: w.Row, class: class, digest: contentDigest(w)}
 	r.predicted = d.predict(w.Row.Name, len(w.Body), 0.5)
 	if class == policy.Trainer {
 		r.predicted = d.predict(w.Row.Name, len(w.Body), 0.75)
@@ -129,7 +130,7 @@
 
 // admits reports whether the row may run on a server with this announcement.
 func (r *run) admits(a *api.Announcement) bool {
-	row := &r.work.Row
+	row := &r.row
 	if a.Engine != r.engine() {
 		return false
 	}
@@ -146,6 +147,27 @@
 	return slices.Contains(r.never, id) || (!r.again && slices.Contains(r.exclude, id))
 }
 
+// refresh takes the newest row before a dispatch, so that an edit is in force for work that already waits. The
+// error says why the work may no longer run.
+func (r *run) refresh() error {
+	snapshot := r.d.opts.Control.Table()
+	if snapshot == nil {
+		return nil
+	}
+	row, ok := snapshot.Row(r.row.Name)
+	if !ok {
+		return errs.New(errs.NotFound, "name an existing row", "row %q was deleted while the request waited", r.row.Name)
+	}
+	if row.NonIdempotent && !r.work.NonIdempotent {
+		return errs.New(errs.Conflict, "resend the request with an idempotency key", "row %q became non-idempotent while the request waited", row.Name)
+	}
+	if row.Version > r.row.Version {
+		r.row = row
+		r.minVersion = max(r.minVersion, row.Weights.Min)
+	}
+	return nil
+}
+
 // acquire waits for a server for the next attempt.
 func (r *run) acquire(ctx context.Context) (*lease, error) {
 	if err := r.checkSuspect(); err != nil {
--- a/internal/dispatch/unary.go
+++ b/internal/dispatch/unary.go
@@ -197,7 +197,8 @@
 	defer p.mu.Unlock()
 	now := r.d.now()
 	job := p.jobOf(r, now)
-	return p.place(r, &job, now)
+	l, _ := p.place(r, &job, now)
+	return l
 }
 
 // exchange runs one attempt and checks its status.
@@ -246,7 +247,7 @@
 // its last announcement.
 func (r *run) checkVersions(labels []api.PieceLabel) error {
 	for _, l := range labels {
-		if !r.work.Row.Weights.Allows(l.Version) {
+		if !r.row.Weights.Allows(l.Version) {
 			return &backend.Failure{
 				Status: statusConflict,
 				Err:    errs.New(errs.BackendFailed, "resend the request", "engine used weight version %d, which the row does not allow", l.Version),
