--- a/internal/trainer/runner.go
+++ b/internal/trainer/runner.go
@@ -70,6 +70,7 @@
 	since        uint64 // Revision of the last claim
 	claimed      uint64 // claim revision that the last complete claim covers
 	claimPending bool
+	claimedAt    time.Time // of the last attempt
 }
 
 func newRunner(s *Service) *runner {
@@ -295,12 +296,14 @@
 	r.mu.Lock()
 	draining := r.draining
 	r.mu.Unlock()
-	if draining || !r.s.o.Client.Fresh() || known && revision == r.claimed && !r.claimPending {
+	changed := known && revision != r.claimed
+	due := (r.claimPending || !known) && time.Since(r.claimedAt) >= claimInterval
+	if draining || !r.s.o.Client.Fresh() || !changed && !due {
 		return
 	}
+	r.claimedAt = time.Now()
 	ctx, cancel := context.WithTimeout(ctx, doTimeout)
 	defer cancel()
-	r.claimPending = true
 	vm := r.s.o.VM
 	res, err := r.s.o.Client.Do(ctx, control.Command{ClaimGroups: &control.ClaimGroups{
 		VM: vm.ID, Incarnation: vm.Incarnation, Max: claimedAtOnce, Since: r.since,
