Demo: check refusals that say not run on bookings that must be refused

Bookings without a key must be refused as not run; ones with a key older than the records are refused too. Refusals are printed by cause, apart for callers with a short deadline.

--- a/cmd/demo/call.go
+++ b/cmd/demo/call.go
@@ -52,6 +52,7 @@
 	method   string
 	path     string
 	body     []byte
+	key      string        // Idempotency-Key; none if empty
 	first    *harness.VM   // through which it is sent first; nil for any
 	deadline time.Duration // zero for the row's
 	attempts []attempt
@@ -171,8 +172,8 @@
 	if r.deadline > 0 {
 		req.Header.Set(api.HeaderDeadline, strconv.FormatInt(r.deadline.Milliseconds(), 10))
 	}
-	if r.kind == "booking" {
-		req.Header.Set(api.HeaderIdempotencyKey, r.id)
+	if r.key != "" {
+		req.Header.Set(api.HeaderIdempotencyKey, r.key)
 	}
 	return d.client.Do(req)
 }
--- a/cmd/demo/callers.go
+++ b/cmd/demo/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -29,6 +30,8 @@
 	resendShare    = 3
 	impatientPause = 150 * time.Millisecond
 	maxImpatience  = 60 // milliseconds
+	wrongBookings  = 20
+	wrongPause     = 500 * time.Millisecond
 	drainedStreams = 6
 	drainedTokens  = 800
 	streamLead     = 300 * time.Millisecond // from the start of the long streams to the shutdown
@@ -87,6 +90,29 @@
 	}
 }
 
+// wrongCaller sends bookings that must be refused without a run: without a key, and with a key that is too old.
+func (d *demo) wrongCaller(ctx context.Context) {
+	for i := 0; ctx.Err() == nil && i < wrongBookings; i++ {
+		r := d.bookingRequest(bookingCallers+1, i)
+		r.key = ""
+		if i%2 == 1 {
+			r.key = oldKey()
+		}
+		d.send(context.WithoutCancel(ctx), r)
+		pause(ctx, wrongPause)
+	}
+}
+
+// oldKey returns a UUID version 7 whose time is two days ago, longer than records are kept.
+func oldKey() string {
+	id := uuid.Must(uuid.NewV7())
+	milliseconds := uint64(time.Now().Add(-48 * time.Hour).UnixMilli())
+	var b [8]byte
+	binary.BigEndian.PutUint64(b[:], milliseconds<<16)
+	copy(id[:6], b[:6])
+	return id.String()
+}
+
 // drainStreams sends long streams and then, while it shuts down, short requests through one entry VM. It
 // returns when the streams have begun.
 func (d *demo) drainStreams(ctx context.Context, vm *harness.VM, wg *sync.WaitGroup) {
@@ -123,11 +149,11 @@
 		Slot   string `json:"slot"`
 		Caller int    `json:"caller"`
 	}{fmt.Sprintf("slot-%d", i), caller})
-	r := &request{
-		kind: "booking", row: "booking", id: newID(), method: http.MethodPost, path: "/services/booking" + path,
+	id := newID()
+	return &request{
+		kind: "booking", row: "booking", id: id, key: id, method: http.MethodPost, path: "/services/booking" + path,
 		body: body, digest: standin.ContentDigest(http.MethodPost, path, string(body)),
 	}
-	return r
 }
 
 // newID returns a UUID version 7.
--- a/cmd/demo/checks.go
+++ b/cmd/demo/checks.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"os"
 	"slices"
@@ -115,11 +116,15 @@
 	codes := map[string]int{}
 	for _, r := range c.demo.book.requests {
 		if a := r.best(); a.err == nil && !a.ok() {
-			codes[fmt.Sprintf("%s %d %s", r.kind, a.status, a.code)]++
+			patience := "within the row's deadline"
+			if r.deadline > 0 {
+				patience = "with a deadline of at most " + fmt.Sprint(maxImpatience*time.Millisecond)
+			}
+			codes[fmt.Sprintf("%s %s: %d %s", r.kind, patience, a.status, a.code)]++
 		}
 	}
-	for code, n := range codes {
-		fmt.Fprintf(c.out, "refused: %s: %d\n", code, n)
+	for _, code := range slices.Sorted(maps.Keys(codes)) {
+		fmt.Fprintf(c.out, "refused: %s: %d\n", code, codes[code])
 	}
 }
 
--- a/cmd/demo/demo.go
+++ b/cmd/demo/demo.go
@@ -102,6 +102,7 @@
 		callers.Go(func() { d.bookingCaller(loadCtx, i) })
 	}
 	callers.Go(func() { d.impatientCaller(loadCtx) })
+	callers.Go(func() { d.wrongCaller(loadCtx) })
 	for i, t := range d.trainers {
 		trainers.Go(func() { t.run(ctx, d.seed+uint64(i)) })
 	}
