--- a/internal/caller/bench_test.go
+++ b/internal/caller/bench_test.go
@@ -15,6 +15,15 @@
 
 // BenchmarkStream measures one streamed answer of 100 tokens through a VM, engine and client included.
 func BenchmarkStream(b *testing.B) {
+	benchmark(b, `{"model":"chat","stream":true,"messages":[]}`, eventDone)
+}
+
+// BenchmarkUnary measures one whole answer through a VM, engine and client included.
+func BenchmarkUnary(b *testing.B) {
+	benchmark(b, `{"model":"chat","messages":[]}`, []byte("}"))
+}
+
+func benchmark(b *testing.B, body string, end []byte) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
@@ -41,7 +50,6 @@
 		defer conn.Close()
 		br := bufio.NewReaderSize(conn, 64<<10)
 		for pb.Next() {
-			const body = `{"model":"chat","stream":true,"messages":[]}`
 			fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", testToken, len(body), body)
 			resp, err := http.ReadResponse(br, nil)
 			if err != nil {
@@ -49,7 +57,7 @@
 				return
 			}
 			data, err := io.ReadAll(resp.Body)
-			if err != nil || !bytes.HasSuffix(data, eventDone) {
+			if err != nil || !bytes.HasSuffix(data, end) {
 				b.Errorf("answer %q, %v", data, err)
 				return
 			}
@@ -57,7 +65,7 @@
 	})
 }
 
-// streamFast answers each request with 100 tokens, each written on its own.
+// streamFast answers each request whole or with 100 tokens, each written on its own.
 func streamFast(c net.Conn) {
 	defer c.Close()
 	br := bufio.NewReader(c)
@@ -66,8 +74,13 @@
 		if err != nil {
 			return
 		}
-		_, _ = io.Copy(io.Discard, req.Body)
+		body, _ := io.ReadAll(req.Body)
 		id := req.Header.Get(api.HeaderAttemptID)
+		if !bytes.Contains(body, []byte(`"stream":true`)) {
+			answer := fmt.Sprintf(`{"id":"c","choices":[{"message":{"content":"hello"}}],"filbertledge":{"attempt_id":"%s","offset":0,"pieces":[{"version":7,"tokens":9,"cached":false}]}}`, id)
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(answer), answer)
+			continue
+		}
 		chunk := func(data string) { fmt.Fprintf(c, "%x\r\n%s\r\n", len(data), data) }
 		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
 		for i := range 100 {
