Apply the staleness bound in versions again when a rollout is placed

A rollout may wait for minutes while newer weights are published; it was dispatched under the bound computed when it was submitted, and its sample was then dropped at hand-over.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -28,15 +28,20 @@
 	stale atomic.Bool
 	vms   []api.VM
 	table atomic.Pointer[table.Snapshot]
+
+	newest atomic.Uint64
 }
 
 func (f *fakeControl) Do(context.Context, control.Command) (control.Result, error) {
 	return control.Result{}, nil
 }
-func (f *fakeControl) Table() *table.Snapshot              { return f.table.Load() }
-func (f *fakeControl) Fresh() bool                         { return !f.stale.Load() }
-func (f *fakeControl) Weights(string) control.ModelWeights { return control.ModelWeights{} }
-func (f *fakeControl) VMs() []api.VM                       { return f.vms }
+func (f *fakeControl) Table() *table.Snapshot { return f.table.Load() }
+func (f *fakeControl) Fresh() bool            { return !f.stale.Load() }
+func (f *fakeControl) VMs() []api.VM          { return f.vms }
+func (f *fakeControl) Weights(string) control.ModelWeights {
+	return control.ModelWeights{Newest: api.WeightVersion(f.newest.Load())}
+}
+
 func (f *fakeControl) Step(context.Context, control.StepID) (control.StepView, error) {
 	return control.StepView{}, nil
 }
@@ -322,13 +327,17 @@
 // Guards against samples from weights that are too old or that the row may not use (P2).
 func TestWeightsDecideServer(t *testing.T) {
 	for name, c := range map[string]struct {
-		min  api.WeightVersion
-		rule table.WeightRule
-		want api.ServerID
+		min    api.WeightVersion
+		newest uint64 // published while the rollout waits
+		bound  uint64
+		rule   table.WeightRule
+		want   api.ServerID
 	}{
-		"minimum": {min: 7, want: "new"},
-		"rule":    {rule: table.WeightRule{Max: 6}, want: "old"},
-		"neither": {min: 8},
+		"minimum":   {min: 7, bound: 9, want: "new"},
+		"published": {newest: 8, bound: 1, want: "new"},
+		"too old":   {newest: 9, bound: 1},
+		"rule":      {bound: 9, rule: table.WeightRule{Max: 6}, want: "old"},
+		"neither":   {min: 8, bound: 9},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t)
@@ -336,8 +345,9 @@
 				addr := serve(t, func(_ int64, w http.ResponseWriter, req *http.Request) { streamTokens(w, req, version, 3) })
 				f.announce(id, addr, func(a *api.Announcement) { a.Current = version })
 			}
-			row := table.Row{Name: "r", Kind: table.KindRollout, Pool: "p", Weights: c.rule}
-			g, err := f.Generate(within(t, 300*time.Millisecond), Rollout{Row: row, Body: []byte(`{}`), MinVersion: c.min, Seed: 3})
+			row := table.Row{Name: "r", Kind: table.KindRollout, Pool: "p", Weights: c.rule, MaxStalenessVersions: c.bound}
+			f.ctl.newest.Store(c.newest)
+			g, err := f.Generate(within(t, time.Second), Rollout{Row: row, Body: []byte(`{}`), MinVersion: c.min, Seed: 3})
 			if g.Server != c.want || (err == nil) != (c.want != "") {
 				t.Fatalf("server %q, error %v", g.Server, err)
 			}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -273,8 +273,11 @@
 	if err := r.refresh(); err != nil {
 		return nil, err
 	}
-	if r.class == policy.Trainer && !p.d.opts.Control.Fresh() {
-		return nil, nil // a newer table could forbid the weights
+	if r.class == policy.Trainer {
+		if !p.d.opts.Control.Fresh() {
+			return nil, nil // a newer table could forbid the weights
+		}
+		r.raiseMinVersion()
 	}
 	if r.row.MaxInFlight > 0 && p.rows[r.row.Name] >= p.d.opts.Share(r.row) {
 		return nil, nil
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -168,6 +168,15 @@
 	return nil
 }
 
+// raiseMinVersion applies the row's bound in versions to a rollout that waited: newer weights may have been
+// published since its MinVersion was computed.
+func (r *run) raiseMinVersion() {
+	newest := r.d.opts.Control.Weights(r.row.Model).Newest
+	if bound := api.WeightVersion(r.row.MaxStalenessVersions); newest > bound {
+		r.minVersion = max(r.minVersion, newest-bound)
+	}
+}
+
 // acquire waits for a server for the next attempt.
 func (r *run) acquire(ctx context.Context) (*lease, error) {
 	if err := r.checkSuspect(); err != nil {
