--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -57,11 +57,22 @@
 	servers []api.Announcement
 }
 
-func newFixture(t testing.TB) *fixture {
+func newFixture(t testing.TB) *fixture { return newVM(t, "vm", nil) }
+
+// newVM returns the fixture of one of several VMs, which gossip through all.
+func newVM(t testing.TB, id api.VMID, all *sync.Map) *fixture {
 	t.Helper()
 	start := time.Now()
 	f := &fixture{ctl: &fakeControl{}}
-	f.reg = membership.New(membership.Options{VM: "vm", Domain: "d", Now: func() time.Duration { return time.Since(start) }})
+	f.reg = membership.New(membership.Options{
+		VM: id, Domain: "d", Now: func() time.Duration { return time.Since(start) },
+		VMs: func() []api.VM { return f.ctl.vms },
+		Send: func(addr, _ string, data []byte) {
+			if to, ok := all.Load(addr); ok {
+				_ = to.(*membership.Registry).Receive(data)
+			}
+		},
+	})
 	client := backend.New(backend.Options{})
 	f.Dispatcher = New(Options{Domain: "d", Registry: f.reg, Backend: client, Control: f.ctl, Seed: 1})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -158,6 +169,54 @@
 	}
 }
 
+// Guards against a crashing request that is sent again through other VMs, also while the first still runs: it
+// crashes at most 3 servers in the deployment.
+func TestCrashingRequestThroughSeveralVMs(t *testing.T) {
+	var crashed, all sync.Map
+	vms := make([]*fixture, 3)
+	var list []api.VM
+	for i := range vms {
+		id := fmt.Sprint("vm", i)
+		vms[i] = newVM(t, api.VMID(id), &all)
+		all.Store(id, vms[i].reg)
+		list = append(list, api.VM{ID: api.VMID(id), Domain: "d", Address: id})
+	}
+	for _, f := range vms {
+		f.ctl.vms = list
+	}
+	for i := range 8 {
+		id := fmt.Sprint("s", i)
+		addr := serve(t, func(int64, http.ResponseWriter, *http.Request) {
+			crashed.Store(id, true)
+			panic(http.ErrAbortHandler)
+		})
+		for _, f := range vms {
+			f.announce(id, addr, nil)
+		}
+	}
+	send := func(f *fixture) error {
+		_, err := f.DoUnary(within(t, 5*time.Second), chat(`{"poison":1}`))
+		return err
+	}
+	var first sync.WaitGroup
+	for _, f := range vms[:2] {
+		first.Go(func() { _ = send(f) })
+	}
+	first.Wait()
+	for range 2 {
+		for _, f := range vms {
+			if err := send(f); !errs.Is(err, errs.RequestCrashes) {
+				t.Errorf("resend ended with %v", err)
+			}
+		}
+	}
+	count := 0
+	crashed.Range(func(any, any) bool { count++; return true })
+	if count > 3 {
+		t.Fatalf("%d servers crashed, want at most 3", count)
+	}
+}
+
 // Guards against innocents that stay suspected, and against a suspect that shares a server.
 func TestSuspectRunsIsolatedAndIsCleared(t *testing.T) {
 	f := newFixture(t)
