--- a/internal/trainer/runner.go
+++ b/internal/trainer/runner.go
@@ -108,7 +108,7 @@
 		r.adoptGroup(g)
 	}
 	r.mu.Unlock()
-	r.pump()
+	r.schedule()
 }
 
 func (r *runner) adoptGroup(g control.Group) {
@@ -195,9 +195,9 @@
 	return out
 }
 
-// pump starts as much work as the limits allow. Without a valid table lease it starts nothing, because a newer
+// schedule starts as much work as the limits allow. Without a valid table lease it starts nothing, because a newer
 // table could forbid the weights.
-func (r *runner) pump() {
+func (r *runner) schedule() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.draining || r.ctx == nil || !r.s.o.Client.Fresh() {
@@ -274,21 +274,22 @@
 		if st == nil || !ok || r.inFlight >= maxInFlight || q.inFlight >= rowLimit(row) {
 			continue
 		}
-		if left[j.id.Step] <= max(1, st.total/duplicateDivisor) && st.straggles(j, now) {
+		if left[j.id.Step] <= max(1, st.total/duplicateDivisor) && st.isStraggler(j, now) {
 			j.duplicated = true
 			r.launch(q, row, j)
 		}
 	}
 }
 
-func (st *stepWork) straggles(j *job, now time.Time) bool {
+func (st *stepWork) isStraggler(j *job, now time.Time) bool {
 	if j.duplicated || j.generating != 1 || j.runs != 1 || st.finished == 0 {
 		return false
 	}
 	return now.Sub(j.started) > st.spent/time.Duration(st.finished)
 }
 
-// claim asks for groups without a live owner and for members of own groups that became pending again.
+// claim asks, if there is a reason to, for groups without a live owner and for members of own groups that became
+// pending again.
 func (r *runner) claim(ctx context.Context) {
 	r.claimMu.Lock()
 	defer r.claimMu.Unlock()
@@ -304,18 +305,30 @@
 	r.claimedAt = time.Now()
 	ctx, cancel := context.WithTimeout(ctx, doTimeout)
 	defer cancel()
+	for more := true; more; {
+		res, err := r.claimOnce(ctx)
+		if err != nil {
+			return
+		}
+		r.claimed, r.claimPending = revision, len(res.Groups) > 0
+		more = r.claimPending && res.Count == 0 // new groups wait, so that other VMs get some as well
+	}
+}
+
+func (r *runner) claimOnce(ctx context.Context) (control.Result, error) {
 	vm := r.s.o.VM
 	res, err := r.s.o.Client.Do(ctx, control.Command{ClaimGroups: &control.ClaimGroups{
 		VM: vm.ID, Incarnation: vm.Incarnation, Max: claimedAtOnce, Since: r.since,
 	}})
 	if err != nil {
-		return
+		return res, err
 	}
-	r.since, r.claimed, r.claimPending = res.Revision, revision, len(res.Groups) > 0
+	r.since = res.Revision
 	for _, g := range res.Groups {
 		r.s.o.Events.Record(events.Event{Name: events.GroupClaimed, Row: g.Step.Row, Request: groupName(g.Step, g.ID)})
 	}
 	r.adopt(res.Groups)
+	return res, nil
 }
 
 // claimRevision returns the revision at which a claim could last return something new, if the client knows it.
