--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -75,6 +75,7 @@
 	node      *raft.Node
 	applied   uint64
 	snapshot  uint64 // index of the newest snapshot
+	encoding  bool   // a snapshot is being encoded
 	waiters   map[uint64]*proposal
 	queued    []*readRequest
 	inFlight  *readBatch
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -13,17 +13,49 @@
 // behind needs no snapshot.
 const keptEntriesDivisor = 4
 
+// Capturer is a StateMachine that can copy its state quickly and encode the copy in another goroutine. Encoding
+// 14 MB in the replica's goroutine took longer than the leader lease.
+type Capturer interface {
+	Capture() func() ([]byte, error)
+}
+
 // maybeSnapshot takes a snapshot and compacts the log after enough applied entries.
 func (r *Replica) maybeSnapshot() {
-	if r.loop.failed != nil || r.loop.applied < r.loop.snapshot+r.opts.SnapshotEntries {
+	if r.loop.failed != nil || r.loop.encoding || r.loop.applied < r.loop.snapshot+r.opts.SnapshotEntries {
+		return
+	}
+	index := r.loop.applied
+	capturer, ok := r.opts.StateMachine.(Capturer)
+	if !ok {
+		data, err := r.opts.StateMachine.Snapshot()
+		r.finishSnapshot(index, data, err)
+		return
+	}
+	r.loop.encoding = true
+	encode := capturer.Capture()
+	go func() {
+		data, err := encode()
+		finish := func() {
+			r.loop.encoding = false
+			r.finishSnapshot(index, data, err)
+		}
+		select {
+		case r.calls <- finish:
+		case <-r.stopped:
+		}
+	}()
+}
+
+// finishSnapshot stores an encoded snapshot, unless the leader has sent a newer one meanwhile.
+func (r *Replica) finishSnapshot(index uint64, data []byte, err error) {
+	if r.loop.failed != nil || index <= r.loop.snapshot {
 		return
 	}
-	data, err := r.opts.StateMachine.Snapshot()
 	if err != nil {
 		r.fail(errs.Wrap(err, errs.Internal, "report this fault", "the state machine cannot write a snapshot"))
 		return
 	}
-	s, compacted := r.loop.node.CreateSnapshot(r.loop.applied, r.loop.applied-r.opts.SnapshotEntries/keptEntriesDivisor, data)
+	s, compacted := r.loop.node.CreateSnapshot(index, index-min(index, r.opts.SnapshotEntries/keptEntriesDivisor), data)
 	// The last dropped entry stays on the disk, because its term is needed after a restart.
 	if err := r.store.SaveSnapshot(s, max(compacted, 1)-1); err != nil {
 		r.fail(err)
--- a/internal/server/operator.go
+++ b/internal/server/operator.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"filbertledge/internal/api"
+	"filbertledge/internal/errs"
 	"filbertledge/internal/operator"
 )
 
@@ -21,6 +22,9 @@
 
 func (vm *VM) reach(ctx context.Context, version uint64) ([]api.VM, error) {
 	answer, err := vm.control.Reach(ctx, version)
+	if err == nil && !answer.Settled {
+		err = errs.New(errs.Unavailable, "ask again in a few seconds", "the control leader is new and does not know all VMs yet")
+	}
 	return answer.Waiting, err
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -230,6 +230,8 @@
 	vm.events.Record(events.Event{Name: events.VMStarted, Detail: vm.cfg.File})
 
 	err = vm.wait(ctx, failed)
+	// After a failure or a stop without waiting, nothing else ends the HTTP server.
+	_ = httpListener.Close()
 	stopWork()
 	wg.Wait()
 	vm.close()
--- a/internal/server/weights.go
+++ b/internal/server/weights.go
@@ -100,7 +100,7 @@
 	return out
 }
 
-// maxLoads returns how many engines may load weights at once, or zero if there is no store to ask.
+// maxLoads returns how many engines may load weights at once, or zero if there is no store to ask or it holds none.
 func (vm *VM) maxLoads(ctx context.Context) int {
 	if vm.cfg.Weights.Store == "" {
 		return 0
@@ -111,8 +111,12 @@
 		vm.events.Log().WithError(err).Warn("loads are bounded by the default")
 		return 0
 	}
+	size := vm.largestWeights(ctx, store)
+	if size == 0 {
+		return 0
+	}
 	limits.BytesPerSecond = min(limits.BytesPerSecond, int64(vm.cfg.Weights.Rate))
-	return weightstore.ConcurrentLoads(limits, vm.largestWeights(ctx, store), loadTarget)
+	return weightstore.ConcurrentLoads(limits, size, loadTarget)
 }
 
 func (vm *VM) largestWeights(ctx context.Context, store *weightstore.Client) int64 {
--- a/internal/weights/controller.go
+++ b/internal/weights/controller.go
@@ -1,7 +1,6 @@
 package weights
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"sync"
@@ -17,7 +16,8 @@
 )
 
 const (
-	planInterval = 200 * time.Millisecond
+	planInterval  = 200 * time.Millisecond
+	boundInterval = 5 * time.Second
 	// concurrentOrders bounds the connections that one round of orders opens. 64 orders at a time reach 2,000
 	// servers in 32 rounds.
 	concurrentOrders = 64
@@ -61,8 +61,8 @@
 	Servers func() []Server
 	// Targets returns the target of each model.
 	Targets func() map[string]Target
-	// MaxLoads returns how many engines may load at once; zero selects the planner's default. It is asked at the
-	// start of each term. It may be nil.
+	// MaxLoads returns how many engines may load at once; zero selects the planner's default. It is asked every
+	// few seconds. It may be nil.
 	MaxLoads func(ctx context.Context) int
 	// LeaseDuration is the longest time for which an earlier leader can still believe that it holds the lease.
 	LeaseDuration time.Duration
@@ -101,8 +101,13 @@
 	// Engines that ignore fencing tokens could still receive orders that an earlier leader sent before its
 	// lease ended.
 	quiet := c.opts.LeaseDuration + c.opts.Planner.OrderTimeout
-	planner := NewPlanner(c.plannerOptions(ctx))
+	planner := NewPlanner(c.opts.Planner)
+	var bounded time.Time
 	for sleep(ctx, planInterval) && c.opts.Leadership.HoldsLease() {
+		if time.Since(bounded) >= boundInterval {
+			bounded = time.Now()
+			c.boundLoads(ctx, planner)
+		}
 		servers := c.readBack(ctx, c.eligible(time.Since(start) >= quiet))
 		orders := planner.Plan(time.Since(start), servers, c.opts.Targets())
 		c.recordEffects(planner.Effects())
@@ -110,15 +115,14 @@
 	}
 }
 
-func (c *Controller) plannerOptions(ctx context.Context) Options {
-	opts := c.opts.Planner
+// boundLoads asks for the bound again: the sizes of weights are known only once some are published.
+func (c *Controller) boundLoads(ctx context.Context, planner *Planner) {
 	if c.opts.MaxLoads == nil {
-		return opts
+		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, opts.OrderTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.opts.Planner.OrderTimeout)
 	defer cancel()
-	opts.MaxLoads = cmp.Or(c.opts.MaxLoads(ctx), opts.MaxLoads)
-	return opts
+	planner.SetMaxLoads(c.opts.MaxLoads(ctx))
 }
 
 // eligible returns the servers that may get orders. Without all, those that ignore fencing tokens are left out.
--- a/internal/weights/planner.go
+++ b/internal/weights/planner.go
@@ -191,6 +191,9 @@
 	return p.failures[failureKey{id, v}] >= p.opts.MaxFailures
 }
 
+// SetMaxLoads changes the number of concurrent load orders; zero leaves it as it is.
+func (p *Planner) SetMaxLoads(n int) { p.opts.MaxLoads = cmp.Or(n, p.opts.MaxLoads) }
+
 // Outstanding returns the number of orders whose effect has not been seen.
 func (p *Planner) Outstanding() int { return len(p.pending) }
 
