--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -62,14 +62,15 @@
 	return s
 }
 
-// run passes the dispatcher's pieces to yield, several at once if the engine sent several.
+// run passes the dispatcher's pieces to yield: the first at once, later ones together if they came together.
 func (s *eventStream) run(ctx context.Context, yield func(struct{}) bool) {
 	_, s.err = s.h.opts.Dispatcher.DoStream(ctx, s.r.work, func(c backend.Chunk) error {
-		if !s.begun {
+		first := !s.begun
+		if first {
 			s.begun, s.first = true, c.Pieces
 		}
 		s.buf = appendEvent(s.buf, c.Data)
-		if c.More && len(s.buf) < maxBatch {
+		if c.More && !first && len(s.buf) < maxBatch {
 			return nil
 		}
 		if !yield(struct{}{}) {
--- a/internal/dispatch/mover.go
+++ b/internal/dispatch/mover.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"filbertledge/internal/policy"
@@ -25,12 +27,14 @@
 	lease  *lease
 	cancel func()
 
+	begun  time.Time
+	tokens atomic.Int64
+	last   atomic.Int64 // time of the last token since begun, in nanoseconds
+
 	mu      sync.Mutex
 	timer   *time.Timer
 	next    *lease
-	begun   time.Time
-	started time.Time // of the first token
-	tokens  int
+	started time.Duration // time of the first token since begun
 	stopped bool
 }
 
@@ -43,47 +47,68 @@
 	if p95, ok := r.d.firstTokenQuantile(r.work.Row.Name, len(r.work.Body), hedgeQuantile); ok && r.class == policy.Customer && r.short() {
 		after = max(2*p95, minStall)
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.timer = time.AfterFunc(after, m.stalled)
 	return m
 }
 
-// progress notes a piece and starts the wait for the next.
+// progress notes a piece. It is called for each token, so it leaves the timer alone: stalled looks at the last
+// time and waits for the rest.
 func (m *mover) progress(tokens int) {
 	if m.timer == nil || tokens == 0 {
 		return
 	}
+	m.last.Store(int64(time.Since(m.begun)))
+	if m.tokens.Add(int64(tokens)) == int64(tokens) {
+		m.first()
+	}
+}
+
+// first replaces the wait for the first token by that for the next.
+func (m *mover) first() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.started.IsZero() {
-		m.started = time.Now()
-	}
-	m.tokens += tokens
+	m.started = time.Duration(m.last.Load())
 	if !m.stopped && m.next == nil {
-		m.timer.Reset(m.patience())
+		m.timer.Reset(earlyStall)
 	}
 }
 
 // patience is how long the stream may pause.
 func (m *mover) patience() time.Duration {
-	if m.started.IsZero() || m.tokens < gapTokens {
+	tokens := m.tokens.Load()
+	if tokens < gapTokens {
 		return earlyStall
 	}
-	mean := time.Since(m.started) / time.Duration(m.tokens)
+	mean := (time.Duration(m.last.Load()) - m.started) / time.Duration(tokens)
 	return max(stallGaps*mean, minStall)
 }
 
-// stalled moves the stream if another server has a slot.
+// pause is how long ago the last token came; without one, it is longer than any patience.
+func (m *mover) pause() time.Duration {
+	if m.tokens.Load() == 0 {
+		return math.MaxInt64
+	}
+	return time.Since(m.begun) - time.Duration(m.last.Load())
+}
+
+// stalled moves the stream if it has paused too long and another server has a slot.
 func (m *mover) stalled() {
+	m.mu.Lock()
+	rest := m.patience() - m.pause()
+	if m.stopped || rest > 0 {
+		m.rearm(rest)
+		m.mu.Unlock()
+		return
+	}
+	m.mu.Unlock()
 	next := m.second.tryPlace()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.stopped || next == nil {
-		if next != nil {
-			go next.release()
-		}
-		if !m.stopped {
-			m.timer.Reset(m.patience())
-		}
+		next.discard()
+		m.rearm(m.patience())
 		return
 	}
 	m.next = next
@@ -91,12 +116,19 @@
 	m.cancel()
 }
 
+func (m *mover) rearm(after time.Duration) {
+	if !m.stopped {
+		m.timer.Reset(after)
+	}
+}
+
 // measurement counts the stall as part of the server's speed.
 func (m *mover) measurement() policy.Measurement {
-	if m.started.IsZero() {
+	tokens := int(m.tokens.Load())
+	if tokens == 0 {
 		return policy.Measurement{FirstToken: time.Since(m.begun)}
 	}
-	return policy.Measurement{Speed: speed(m.tokens, time.Since(m.started))}
+	return policy.Measurement{Speed: speed(tokens, time.Since(m.begun)-m.started)}
 }
 
 // stop ends the watch and returns the slot to which the stream moves, if any.
