--- a/cmd/overhead/main.go
+++ b/cmd/overhead/main.go
@@ -23,6 +23,7 @@
 	engineCapacity  = 1024
 	startLimit      = 30 * time.Second
 	defaultDuration = 4 * time.Second
+	idleTime        = 3 * time.Second
 )
 
 type options struct {
@@ -92,6 +93,14 @@
 	var rows []result
 	var verdicts []verdict
 	pid := d.VMs[0].PID()
+	idle, err := withCPU(pid, func() result {
+		time.Sleep(idleTime)
+		return result{}
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Printf("the idle entry VM uses %.1f%% of a core\n", 100*idle.cpu.Seconds()/idleTime.Seconds())
 	for _, stream := range []bool{false, true} {
 		full, err := withCPU(pid, func() result { return through.closedLoop(o, stream) })
 		if err != nil {
--- a/internal/standin/engine/answer.go
+++ b/internal/standin/engine/answer.go
@@ -185,52 +185,69 @@
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) { a.writeStream(w, cut) })
 }
 
+// streamWriter writes the events of one answer.
+type streamWriter struct {
+	*answer
+	w      *bufio.Writer
+	cut    int // break the connection after so many tokens; negative for never
+	offset int
+	begun  bool
+}
+
 func (a *answer) writeStream(w *bufio.Writer, cut int) {
-	first := true
-	offset := a.run.start
-	for {
-		from, tokens, done, cancelled := a.next()
-		cw := newChunkWriter(a, from)
-		if first {
-			first = false
-			a.pieces = cachedPieces(from)
-			cw.event(offset, nil, a.pieces)
-		}
-		if cancelled {
-			a.finish(standin.RunCancelled)
-			standin.Reset(a.conn)
-			return
-		}
-		if cut >= 0 && a.tokens+len(tokens) > cut {
-			tokens, done = tokens[:max(cut-a.tokens, 0)], false
-		}
-		a.count(tokens)
-		if len(tokens) > 0 {
-			offset = tokens[0].index
-			cw.event(offset, tokens, labels(nil, tokens))
-			offset += len(tokens)
-		}
-		if done {
-			cw.last(offset)
-			a.finish(standin.RunCompleted)
-		}
-		_, err := w.Write(cw.buf)
-		if err == nil {
-			err = w.Flush()
-		}
-		if done {
-			return
-		}
-		if err != nil {
-			a.abandon(standin.RunCancelled)
-			return
-		}
-		if cut >= 0 && a.tokens >= cut {
-			time.Sleep(cutDelay)
-			a.abandon(standin.RunCut)
-			return
-		}
+	s := &streamWriter{answer: a, w: w, cut: cut, offset: a.run.start}
+	for s.step() {
+	}
+}
+
+// step writes the tokens that are there, and reports whether more will follow.
+func (s *streamWriter) step() bool {
+	from, tokens, done, cancelled := s.next()
+	if cancelled {
+		s.abandon(standin.RunCancelled)
+		return false
+	}
+	if s.cut >= 0 && s.tokens+len(tokens) > s.cut {
+		tokens, done = tokens[:max(s.cut-s.tokens, 0)], false
+	}
+	chunks := s.events(from, tokens)
+	if done {
+		chunks.last(s.offset)
+		s.finish(standin.RunCompleted)
+	}
+	_, err := s.w.Write(chunks.buf)
+	if err == nil {
+		err = s.w.Flush()
+	}
+	switch {
+	case done:
+		return false
+	case err != nil:
+		s.abandon(standin.RunCancelled)
+		return false
+	case s.cut >= 0 && s.tokens >= s.cut:
+		time.Sleep(cutDelay)
+		s.abandon(standin.RunCut)
+		return false
+	}
+	return true
+}
+
+// events returns the chunks for tokens; the first chunk of a stream names the reused prefixes.
+func (s *streamWriter) events(from *run, tokens []token) *chunkWriter {
+	chunks := newChunkWriter(s.answer, from)
+	if !s.begun {
+		s.begun = true
+		s.pieces = cachedPieces(from)
+		chunks.event(s.offset, nil, s.pieces)
+	}
+	s.count(tokens)
+	if len(tokens) > 0 {
+		s.offset = tokens[0].index
+		chunks.event(s.offset, tokens, labels(nil, tokens))
+		s.offset += len(tokens)
 	}
+	return chunks
 }
 
 // abandon ends the run and breaks the connection.
