--- a/internal/harness/deployment.go
+++ b/internal/harness/deployment.go
@@ -82,8 +82,14 @@
 	return d, nil
 }
 
+// makeDir creates the deployment's folder. The processes run in it, so the binaries need absolute paths.
 func (d *Deployment) makeDir() error {
 	var err error
+	for _, path := range []*string{&d.opts.Filbertledge, &d.opts.Standin} {
+		if *path, err = filepath.Abs(*path); err != nil {
+			return fmt.Errorf("find the binaries: %w", err)
+		}
+	}
 	if d.Dir == "" {
 		d.Dir, err = os.MkdirTemp("", "filbertledge-"+d.Layout.Name+"-")
 	} else {
