--- a/internal/control/commands.go
+++ b/internal/control/commands.go
@@ -30,6 +30,9 @@
 	VMLost *VMLost `cbor:"12,keyasint,omitempty"`
 	// BeginOrders takes a fencing token for the orders of one leader term.
 	BeginOrders *BeginOrders `cbor:"13,keyasint,omitempty"`
+	// SetShares divides the limits of rows between the VMs. ReleaseShares frees those of one VM.
+	SetShares     *SetShares     `cbor:"20,keyasint,omitempty"`
+	ReleaseShares *ReleaseShares `cbor:"21,keyasint,omitempty"`
 }
 
 // Result is the answer of the state machine to a command. Error is empty on success.
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -15,7 +15,7 @@
 type Machine struct {
 	mu      sync.RWMutex
 	state   state
-	changed chan struct{} // closed when the table, the weights or the claim revision changes
+	changed chan struct{} // closed when the table, the weights, the claim revision or shares change
 }
 
 // state is everything that a snapshot holds.
@@ -31,6 +31,8 @@
 	// weightsVersion is the index of the last accepted PublishWeights.
 	weightsVersion uint64
 	token          uint64
+	shares         map[api.VMID]*vmShares
+	sharesVersion  uint64 // index of the last change of shares
 }
 
 func newState() state {
@@ -41,6 +43,7 @@
 		calls:   newCallRecords(),
 		ledger:  newLedger(),
 		weights: map[string]*modelEntry{},
+		shares:  map[api.VMID]*vmShares{},
 	}
 }
 
@@ -80,10 +83,10 @@
 }
 
 // watched is the part of the state whose change wakes watchers.
-type watched struct{ table, weights, claim uint64 }
+type watched struct{ table, weights, claim, shares uint64 }
 
 func (s *state) watched() watched {
-	return watched{s.table.Version(), s.weightsVersion, s.ledger.claimRevision}
+	return watched{s.table.Version(), s.weightsVersion, s.ledger.claimRevision, s.sharesVersion}
 }
 
 func (s *state) applyEncoded(data []byte) Result {
@@ -125,6 +128,10 @@
 		return s.vmLost(*c.VMLost)
 	case c.BeginOrders != nil:
 		return s.beginOrders()
+	case c.SetShares != nil:
+		return s.setShares(*c.SetShares)
+	case c.ReleaseShares != nil:
+		return s.releaseShares(*c.ReleaseShares)
 	default:
 		return failure(errs.InvalidArgument, "set one field", "the command is empty")
 	}
@@ -148,7 +155,8 @@
 	return m.state.table
 }
 
-// Changed returns a channel that is closed at the next change of the table, the weights or the claim revision.
+// Changed returns a channel that is closed at the next change of the table, the weights, the claim revision or
+// shares.
 func (m *Machine) Changed() <-chan struct{} {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
--- a/internal/control/presence.go
+++ b/internal/control/presence.go
@@ -201,6 +201,7 @@
 	lost := s.presence.lost(owners, now)
 	s.mu.Unlock()
 	s.checkReaches(now)
+	s.shareRound(ctx, now)
 	for _, owner := range lost {
 		ctx, cancel := context.WithTimeout(ctx, time.Second)
 		s.vmLost(ctx, owner.VM, owner.Number)
@@ -214,7 +215,7 @@
 		return errs.New(errs.Unavailable, "wait for an election", "no leader is known")
 	}
 	s.mu.Lock()
-	q := PresenceRequest{VMs: s.presence.recent(now, vmExpiry, true), ListHash: s.presence.listHash}
+	q := PresenceRequest{VMs: s.presence.recent(now, vmExpiry, true), ListHash: s.presence.listHash, Reports: s.reports.recent(now)}
 	s.mu.Unlock()
 	request, err := Encode(q)
 	if err != nil {
@@ -253,6 +254,7 @@
 	for _, vm := range q.VMs {
 		s.presence.note(seenVM{vm: vm, at: now - max(vm.LastSeen, 0)})
 	}
+	s.reports.noteReports(q, now)
 	a := PresenceAnswer{ListHash: s.presence.listHash}
 	if a.ListHash != q.ListHash {
 		a.VMs = s.presence.list
--- a/internal/control/remote.go
+++ b/internal/control/remote.go
@@ -29,6 +29,9 @@
 	Call     CallFunc
 	Clock    func() time.Duration // monotonic; must go on while the process is frozen
 	Events   *events.Recorder
+	// Loads returns the load of each row that has any. It must count each request from before Share was asked
+	// for it. Nil reports no demand.
+	Loads func() []RowLoad
 }
 
 // Timing of the client.
@@ -47,6 +50,8 @@
 	view  atomic.Pointer[remoteView]
 	lease atomic.Int64 // monotonic time in ns at which the table lease ends
 	fresh atomic.Bool  // last state that was recorded as an event
+	// released is set when the VM gives its shares back.
+	released atomic.Bool
 
 	mu      sync.Mutex
 	leader  string
@@ -64,6 +69,9 @@
 	vms            []api.VM
 	listHash       uint64
 	claimRevision  uint64
+	sharesKnown    bool
+	sharesVersion  uint64
+	shares         map[api.RowName]Share
 }
 
 var _ Client = (*Remote)(nil)
@@ -186,6 +194,7 @@
 	q := WatchRequest{
 		VM: r.o.VM, TableVersion: v.table.Version(), WeightsVersion: v.weightsVersion,
 		ListHash: v.listHash, ClaimRevision: v.claimRevision, NoWait: noWait || !r.Fresh(),
+		SharesVersion: v.sharesVersion, Reports: r.shareReport(v),
 	}
 	request, err := Encode(q)
 	if err != nil {
@@ -223,6 +232,7 @@
 	if a.ListHash != old.listHash {
 		next.listHash, next.vms = a.ListHash, a.VMs
 	}
+	next.takeShares(a)
 	next.claimRevision = max(old.claimRevision, a.ClaimRevision)
 	r.publish(old, &next, a.Leader, sent)
 	return nil
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -49,6 +49,7 @@
 	waiters  []chan error // watchers that wait for the next confirmed read
 	presence presence
 	reaches  []reach
+	reports  shareReports
 	wake     chan struct{}
 }
 
@@ -57,7 +58,7 @@
 	if o.Wall == nil {
 		o.Wall = time.Now
 	}
-	return &Server{o: o, presence: newPresence(), wake: make(chan struct{}, 1)}
+	return &Server{o: o, presence: newPresence(), reports: shareReports{}, wake: make(chan struct{}, 1)}
 }
 
 // Handlers returns the handlers by method.
--- /dev/null
+++ b/internal/control/sharecontrol.go
@@ -0,0 +1,236 @@
+package control
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"filbertledge/internal/api"
+)
+
+// RowLoad is what a VM has to do for a row.
+type RowLoad struct {
+	Row      api.RowName
+	InFlight int // on backend servers
+	Waiting  int
+}
+
+// ShareReport is the demand of a VM for a row and its acknowledgement of a grant. Rows without demand whose
+// share is fully acknowledged are left out.
+type ShareReport struct {
+	Row      api.RowName `cbor:"1,keyasint"`
+	Grant    uint64      `cbor:"2,keyasint,omitempty"` // number of the grant in force when InFlight was counted
+	InFlight int         `cbor:"3,keyasint,omitempty"`
+	Waiting  int         `cbor:"4,keyasint,omitempty"`
+}
+
+// VMReport holds the last reports of a VM. Age is that of the poll.
+type VMReport struct {
+	VM          api.VMID      `cbor:"1,keyasint"`
+	Incarnation uint64        `cbor:"2,keyasint"`
+	Age         time.Duration `cbor:"3,keyasint"`
+	Rows        []ShareReport `cbor:"4,keyasint"`
+}
+
+// shareReports are the newest reports of the VMs, guarded by Server.mu.
+type shareReports map[api.VMID]heardReport
+
+type heardReport struct {
+	incarnation uint64
+	at          time.Duration
+	rows        []ShareReport
+}
+
+const (
+	// sharesSettle is how long a new leader collects demand before it moves shares.
+	sharesSettle = 3 * presenceInterval
+	// shareTurn is how long VMs keep their share if there are fewer shares than VMs.
+	shareTurn = 5 * time.Second
+	// shareTimeout bounds the wait for the command of a round.
+	shareTimeout = time.Second
+)
+
+func (r shareReports) note(vm api.VMID, h heardReport) {
+	old, ok := r[vm]
+	if ok && (old.incarnation > h.incarnation || old.incarnation == h.incarnation && old.at > h.at) {
+		return
+	}
+	r[vm] = h
+}
+
+func (r shareReports) forget(now time.Duration) {
+	maps.DeleteFunc(r, func(_ api.VMID, h heardReport) bool { return now-h.at > forgetAfter })
+}
+
+// recent returns the reports with rows of VMs that were heard from lately.
+func (r shareReports) recent(now time.Duration) []VMReport {
+	var out []VMReport
+	for _, id := range slices.Sorted(maps.Keys(r)) {
+		h := r[id]
+		if now-h.at < vmExpiry && len(h.rows) > 0 {
+			out = append(out, VMReport{VM: id, Incarnation: h.incarnation, Age: now - h.at, Rows: h.rows})
+		}
+	}
+	return out
+}
+
+// noteReports takes over what another replica heard. VMs without a report there have no demand.
+func (r shareReports) noteReports(q PresenceRequest, now time.Duration) {
+	for _, vm := range q.VMs {
+		r.note(vm.ID, heardReport{incarnation: vm.Incarnation, at: now - max(vm.LastSeen, 0)})
+	}
+	for _, v := range q.Reports {
+		r.note(v.VM, heardReport{incarnation: v.Incarnation, at: now - max(v.Age, 0), rows: v.Rows})
+	}
+}
+
+// shareRound plans the shares of all rows and proposes what changes. A failure is not reported: the next round
+// plans again.
+func (s *Server) shareRound(ctx context.Context, now time.Duration) {
+	s.mu.Lock()
+	ready := s.presence.leading && now-s.presence.leaderSince >= sharesSettle
+	s.reports.forget(now)
+	list, reports := s.presence.list, maps.Clone(s.reports)
+	s.mu.Unlock()
+	if !ready {
+		return
+	}
+	c := planShares(s.o.Machine, list, reports, int(now/shareTurn))
+	if len(c.VMs) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
+	defer cancel()
+	if _, err := s.propose(ctx, Command{SetShares: &c}); err != nil {
+		s.o.Events.Log().WithError(err).Debug("shares were not set")
+	}
+}
+
+// sharePlanner builds one SetShares.
+type sharePlanner struct {
+	vms     []plannedVM // by id
+	updates map[api.VMID]*VMShareUpdate
+}
+
+type plannedVM struct {
+	id          api.VMID
+	incarnation uint64
+	present     bool
+	shares      map[api.RowName]Share
+	reports     map[api.RowName]ShareReport
+}
+
+func planShares(m *Machine, list []api.VM, reports shareReports, epoch int) SetShares {
+	p := newSharePlanner(m.Shares(), list, reports)
+	p.acknowledge()
+	rows := map[api.RowName]int{}
+	for _, v := range p.vms {
+		for name := range v.shares {
+			rows[name] = 0 // gives back the shares of rows that are deleted or lost their limit
+		}
+	}
+	for _, row := range m.Table().Sorted() {
+		if row.MaxInFlight > 0 {
+			rows[row.Name] = row.MaxInFlight
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(rows)) {
+		p.planRow(name, rows[name], epoch)
+	}
+	return p.command()
+}
+
+func newSharePlanner(known []VMShares, list []api.VM, reports shareReports) *sharePlanner {
+	byID, released := map[api.VMID]plannedVM{}, map[api.VMID]bool{}
+	for _, k := range known {
+		v := plannedVM{id: k.VM, incarnation: k.Incarnation, shares: map[api.RowName]Share{}}
+		released[k.VM] = k.Released
+		for _, share := range k.Shares {
+			v.shares[share.Row] = share
+		}
+		byID[k.VM] = v
+	}
+	for _, vm := range list {
+		v, ok := byID[vm.ID]
+		if v.incarnation > vm.Incarnation || ok && v.incarnation == vm.Incarnation && released[vm.ID] {
+			continue
+		}
+		if !ok || v.incarnation < vm.Incarnation {
+			v = plannedVM{id: vm.ID, incarnation: vm.Incarnation, shares: map[api.RowName]Share{}}
+		}
+		v.present, v.reports = true, reportsOf(reports[vm.ID], vm.Incarnation)
+		byID[vm.ID] = v
+	}
+	p := &sharePlanner{updates: map[api.VMID]*VMShareUpdate{}}
+	for _, k := range known {
+		if v := byID[k.VM]; v.incarnation > k.Incarnation && len(k.Shares) > 0 {
+			p.update(v) // frees what the earlier incarnation held
+		}
+	}
+	p.vms = slices.SortedFunc(maps.Values(byID), func(a, b plannedVM) int { return cmp.Compare(a.id, b.id) })
+	return p
+}
+
+func reportsOf(h heardReport, incarnation uint64) map[api.RowName]ShareReport {
+	out := map[api.RowName]ShareReport{}
+	if h.incarnation != incarnation {
+		return out
+	}
+	for _, r := range h.rows {
+		out[r.Row] = r
+	}
+	return out
+}
+
+func (p *sharePlanner) update(v plannedVM) *VMShareUpdate {
+	u := p.updates[v.id]
+	if u == nil {
+		u = &VMShareUpdate{VM: v.id, Incarnation: v.incarnation}
+		p.updates[v.id] = u
+	}
+	return u
+}
+
+// acknowledge passes on the reports that free something, and plans with what is left.
+func (p *sharePlanner) acknowledge() {
+	for _, v := range p.vms {
+		for _, name := range slices.Sorted(maps.Keys(v.reports)) {
+			report, share := v.reports[name], v.shares[name]
+			bound := max(share.Granted, report.InFlight)
+			if report.Grant != share.Grant || bound >= share.Holding {
+				continue
+			}
+			u := p.update(v)
+			u.Acks = append(u.Acks, ShareAck{Row: name, Grant: report.Grant, InFlight: report.InFlight})
+			share.Holding = bound
+			v.shares[name] = share
+		}
+	}
+}
+
+func (p *sharePlanner) planRow(name api.RowName, limit, epoch int) {
+	vms := make([]shareVM, len(p.vms))
+	for i, v := range p.vms {
+		share, report := v.shares[name], v.reports[name]
+		vms[i] = shareVM{
+			present: v.present, demand: report.InFlight + report.Waiting, inFlight: report.InFlight,
+			granted: share.Granted, holding: share.Holding,
+		}
+	}
+	for i, granted := range planRow(limit, vms, epoch) {
+		if granted != vms[i].granted {
+			u := p.update(p.vms[i])
+			u.Grants = append(u.Grants, ShareGrant{Row: name, Granted: granted})
+		}
+	}
+}
+
+func (p *sharePlanner) command() SetShares {
+	var c SetShares
+	for _, id := range slices.Sorted(maps.Keys(p.updates)) {
+		c.VMs = append(c.VMs, *p.updates[id])
+	}
+	return c
+}
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -32,6 +32,7 @@
 	Models         []savedModel  `cbor:"13,keyasint"`
 	WeightsVersion uint64        `cbor:"14,keyasint"`
 	Token          uint64        `cbor:"15,keyasint"`
+	Shares         []savedShares `cbor:"20,keyasint,omitempty"`
 }
 
 type savedRow struct {
@@ -64,7 +65,7 @@
 		Format: snapshotFormat, Index: s.index, Now: s.now, TableVersion: s.table.Version(),
 		EditFloor: s.edits.floor, CallFloor: s.calls.floor, Steps: copySteps(s.ledger.steps()),
 		Revision: s.ledger.revision, ClaimRevision: s.ledger.claimRevision,
-		WeightsVersion: s.weightsVersion, Token: s.token,
+		WeightsVersion: s.weightsVersion, Token: s.token, Shares: s.saveShares(),
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.rows)) {
 		entry := s.rows[name]
@@ -144,6 +145,7 @@
 		s.weights[saved.Model] = &modelEntry{ModelWeights: saved.Weights, index: saved.Index}
 	}
 	s.ledger.load(v)
+	s.loadShares(v.Shares)
 	return s, nil
 }
 
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -29,7 +29,9 @@
 	vm.LastSeen = 0
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.presence.observePoll(vm, s.o.Clock())
+	now := s.o.Clock()
+	s.presence.observePoll(vm, now)
+	s.reports.note(vm.ID, heardReport{incarnation: vm.Incarnation, at: now, rows: q.Reports})
 }
 
 func (s *Server) hasNews(q WatchRequest) bool {
@@ -40,6 +42,9 @@
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	w := m.state.watched()
+	if m.state.sharesVersionOf(q.VM.ID, q.VM.Incarnation) > q.SharesVersion {
+		return true
+	}
 	return w.table > q.TableVersion || w.weights > q.WeightsVersion || w.claim > q.ClaimRevision || hash != q.ListHash
 }
 
@@ -113,5 +118,8 @@
 	a.TableVersion, a.Rows = m.state.table.Version(), m.state.rowsSince(q.TableVersion)
 	a.WeightsVersion, a.Models = m.state.weightsVersion, m.state.weightsSince(q.WeightsVersion)
 	a.ClaimRevision = m.state.ledger.claimRevision
+	if a.SharesVersion = m.state.sharesVersionOf(q.VM.ID, q.VM.Incarnation); a.SharesVersion > q.SharesVersion {
+		_, a.Shares = m.state.sharesOf(q.VM.ID, q.VM.Incarnation)
+	}
 	return a
 }
--- a/internal/control/wire.go
+++ b/internal/control/wire.go
@@ -31,6 +31,9 @@
 	ClaimRevision  uint64 `cbor:"5,keyasint"`
 	// NoWait asks for an answer after one read index, because the VM's lease runs out.
 	NoWait bool `cbor:"6,keyasint,omitempty"`
+	// SharesVersion is that of the shares held; Reports are the VM's demand and acknowledgements under them.
+	SharesVersion uint64        `cbor:"20,keyasint,omitempty"`
+	Reports       []ShareReport `cbor:"21,keyasint,omitempty"`
 }
 
 // WatchAnswer holds what changed since the request's versions, as of a confirmed read index.
@@ -43,12 +46,18 @@
 	VMs            []api.VM       `cbor:"6,keyasint,omitempty"` // the whole list, if its hash changed
 	ClaimRevision  uint64         `cbor:"7,keyasint"`
 	Leader         string         `cbor:"8,keyasint,omitempty"` // address, if known
+	// SharesVersion is that of the last change of the VM's shares; Shares are all of them, if it is newer than
+	// the one in the request.
+	SharesVersion uint64  `cbor:"20,keyasint,omitempty"`
+	Shares        []Share `cbor:"21,keyasint,omitempty"`
 }
 
 // PresenceRequest tells the leader which VMs a replica heard from. VM.LastSeen is the age of the last poll.
 type PresenceRequest struct {
 	VMs      []api.VM `cbor:"1,keyasint"`
 	ListHash uint64   `cbor:"2,keyasint"`
+	// Reports are those of the VMs with demand.
+	Reports []VMReport `cbor:"20,keyasint,omitempty"`
 }
 
 // PresenceAnswer is the leader's list of VMs, if its hash differs from the one in the request.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -58,7 +58,7 @@
 	f := &fixture{ctl: &fakeControl{}}
 	f.reg = membership.New(membership.Options{VM: "vm", Domain: "d", Now: func() time.Duration { return time.Since(start) }})
 	client := backend.New(backend.Options{})
-	f.Dispatcher = New(Options{Domain: "d", Registry: f.reg, Backend: client, Control: f.ctl, Seed: 1})
+	f.Dispatcher = New(Options{Domain: "d", Registry: f.reg, Backend: client, Control: f.ctl, Seed: 1, Share: f.evenShare})
 	ctx, cancel := context.WithCancel(context.Background())
 	go f.Run(ctx)
 	go f.renew(ctx)
@@ -66,6 +66,9 @@
 	return f
 }
 
+// evenShare divides a row's limit between the VMs of the test.
+func (f *fixture) evenShare(row table.Row) int { return row.MaxInFlight / max(1, len(f.ctl.vms)) }
+
 func (f *fixture) announce(id, addr string, change func(*api.Announcement)) {
 	a := api.Announcement{
 		ID: api.ServerID(id), Incarnation: 1, Sequence: f.seq.Add(1), Address: addr, Domain: "d", Pool: "p",
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -29,8 +29,7 @@
 	Backend  *backend.Client
 	Control  control.Client
 	// Share returns how many requests of the row this VM may have in flight; it is asked only for rows with
-	// MaxInFlight. The default is MaxInFlight divided by the number of known VMs, at least 1, and 0 while no
-	// VMs are known.
+	// MaxInFlight, and must not call the Dispatcher. The default is MaxInFlight, for a VM that is alone.
 	Share   func(row table.Row) int
 	Metrics *metrics.Metrics
 	Events  *events.Recorder
@@ -41,6 +40,7 @@
 type Dispatcher struct {
 	opts  Options
 	start time.Time
+	loads rowLoads
 
 	mu      sync.Mutex
 	pools   map[api.Pool]*pool
@@ -53,24 +53,15 @@
 // New returns a dispatcher. Run must be running for it to work.
 func New(opts Options) *Dispatcher {
 	d := &Dispatcher{
-		opts: opts, start: time.Now(), pools: map[api.Pool]*pool{},
+		opts: opts, start: time.Now(), loads: newRowLoads(), pools: map[api.Pool]*pool{},
 		lengths: map[api.RowName]*policy.Lengths{}, firsts: map[api.RowName]*policy.Lengths{},
 	}
 	if d.opts.Share == nil {
-		d.opts.Share = d.evenShare
+		d.opts.Share = func(row table.Row) int { return row.MaxInFlight }
 	}
 	return d
 }
 
-// evenShare divides a row's limit between the known VMs.
-func (d *Dispatcher) evenShare(row table.Row) int {
-	vms := len(d.opts.Control.VMs())
-	if vms == 0 {
-		return 0
-	}
-	return max(1, row.MaxInFlight/vms)
-}
-
 // Run compares the servers and places waiting work until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) {
 	ticker := time.NewTicker(judgeEvery)
@@ -108,7 +99,6 @@
 			d: d, name: name,
 			rng:      rand.New(rand.NewPCG(d.opts.Seed, xxhash.Sum64String(string(name)))),
 			servers:  map[*membership.Server]*serverState{},
-			rows:     map[api.RowName]int{},
 			affinity: map[uint64]*membership.Server{},
 			emptying: map[*membership.Server]bool{},
 		}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -44,7 +44,6 @@
 	rng       *rand.Rand
 	queue     policy.Queue
 	servers   map[*membership.Server]*serverState
-	rows      map[api.RowName]int // requests in flight
 	affinity  map[uint64]*membership.Server
 	suspects  int                         // waiting runs that need a server of their own
 	emptying  map[*membership.Server]bool // servers that get no new work until a suspect runs there
@@ -276,7 +275,7 @@
 	if r.class == policy.Trainer && !p.d.opts.Control.Fresh() {
 		return nil, nil // a newer table could forbid the weights
 	}
-	if r.row.MaxInFlight > 0 && p.rows[r.row.Name] >= p.d.opts.Share(r.row) {
+	if !p.d.loads.reserve(r.row, p.d.opts.Share) {
 		return nil, nil
 	}
 	r.again = len(r.exclude) > 0 && p.onlyExcluded(r)
@@ -285,6 +284,7 @@
 		p.empty(r)
 	}
 	if s == nil {
+		p.d.loads.release(r.row.Name)
 		return nil, nil
 	}
 	return p.take(s, r, now), nil
@@ -318,7 +318,6 @@
 		s.SetExclusive(true)
 		delete(p.emptying, s)
 	}
-	p.rows[r.work.Row.Name]++
 	if r.prefix != 0 {
 		p.remember(r.prefix, s)
 	}
@@ -359,10 +358,7 @@
 		l.state.isolated = false
 		l.server.SetExclusive(false)
 	}
-	name := l.run.work.Row.Name
-	if p.rows[name]--; p.rows[name] == 0 {
-		delete(p.rows, name)
-	}
+	p.d.loads.release(l.run.work.Row.Name)
 	p.pump(p.d.now())
 }
 
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -174,7 +174,9 @@
 		return nil, err
 	}
 	waited := time.Now()
+	r.d.loads.wait(r.work.Row.Name, 1)
 	l, err := r.d.pool(r.work.Row.Pool).acquire(ctx, r)
+	r.d.loads.wait(r.work.Row.Name, -1)
 	r.queued += time.Since(waited)
 	if err != nil {
 		return nil, err
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -142,6 +142,7 @@
 	}
 	vm.control = control.NewRemote(control.RemoteOptions{
 		VM: vm.self, Replicas: replicas, Call: vm.client.Call, Clock: vm.clock, Events: vm.events,
+		Loads: vm.loads,
 	})
 	if _, ok := vm.cfg.Replica(); !ok {
 		return nil
@@ -162,14 +163,14 @@
 	vm.backend = backend.New(backend.Options{})
 	vm.dispatcher = dispatch.New(dispatch.Options{
 		Domain: vm.self.Domain, Registry: vm.registry, Backend: vm.backend, Control: vm.control,
-		Metrics: vm.metrics, Events: vm.events, Seed: vm.self.Incarnation,
+		Share: vm.share, Metrics: vm.metrics, Events: vm.events, Seed: vm.self.Incarnation,
 	})
 	vm.caller = caller.New(caller.Options{
 		VM: vm.self.ID, Incarnation: vm.self.Incarnation, Control: vm.control, Dispatcher: vm.dispatcher,
 		Metrics: vm.metrics, Events: vm.events,
 	})
 	vm.trainer = trainer.New(trainer.Options{
-		VM: vm.self, Client: vm.control, Generator: vm.dispatcher, Call: vm.client.Call, Events: vm.events, Metrics: vm.metrics,
+		VM: vm.self, Client: vm.control, Generator: vm.dispatcher, Call: vm.client.Call, Share: vm.share, Events: vm.events, Metrics: vm.metrics,
 	})
 	tokens := make(map[api.Pool]string, len(vm.cfg.Pools))
 	for _, p := range vm.cfg.Pools {
@@ -290,6 +291,9 @@
 	if drainErr := vm.trainer.Drain(bounded); drainErr != nil {
 		vm.events.Log().WithError(drainErr).Warn("groups were not given away; other VMs adopt them once this VM counts as lost")
 	}
+	if releaseErr := vm.control.ReleaseShares(bounded, vm.awaitIdle); releaseErr != nil {
+		vm.events.Log().WithError(releaseErr).Warn("shares were not given back; they are free once this VM has started again or is removed")
+	}
 	return err
 }
 
--- a/internal/trainer/runner.go
+++ b/internal/trainer/runner.go
@@ -210,7 +210,7 @@
 		q := r.ring[r.turn]
 		row, ok := t.Row(q.row)
 		q.ready(now)
-		if !ok || row.Kind != table.KindRollout || len(q.heap) == 0 || q.inFlight >= rowLimit(row) {
+		if !ok || row.Kind != table.KindRollout || len(q.heap) == 0 || q.inFlight >= r.rowLimit(row) {
 			q.skip()
 			r.turn++
 			skipped++
@@ -226,13 +226,26 @@
 	r.duplicate(t, now)
 }
 
-func rowLimit(row table.Row) int {
+func (r *runner) rowLimit(row table.Row) int {
 	if row.MaxInFlight > 0 {
-		return row.MaxInFlight
+		return r.s.o.Share(row)
 	}
 	return defaultRowInFlight
 }
 
+// Waiting returns the members of each row that have not been handed to the Generator.
+func (s *Service) Waiting() map[api.RowName]int {
+	s.run.mu.Lock()
+	defer s.run.mu.Unlock()
+	out := map[api.RowName]int{}
+	for _, q := range s.run.ring {
+		if len(q.heap) > 0 {
+			out[q.row] = len(q.heap)
+		}
+	}
+	return out
+}
+
 // launch starts one run of a job. The caller holds r.mu.
 func (r *runner) launch(q *rowQueue, row table.Row, j *job) {
 	if j.ctx == nil {
@@ -271,7 +284,7 @@
 		st := r.steps[j.id.Step]
 		row, ok := t.Row(j.id.Step.Row)
 		q := r.queue(j.id.Step.Row)
-		if st == nil || !ok || r.inFlight >= maxInFlight || q.inFlight >= rowLimit(row) {
+		if st == nil || !ok || r.inFlight >= maxInFlight || q.inFlight >= r.rowLimit(row) {
 			continue
 		}
 		if left[j.id.Step] <= max(1, st.total/duplicateDivisor) && st.isStraggler(j, now) {
--- a/internal/trainer/service.go
+++ b/internal/trainer/service.go
@@ -15,6 +15,7 @@
 	"filbertledge/internal/events"
 	"filbertledge/internal/metrics"
 	"filbertledge/internal/scoring"
+	"filbertledge/internal/table"
 )
 
 // Options configure a Service.
@@ -24,7 +25,9 @@
 	Generator dispatch.Generator
 	Scorer    *scoring.Client // nil: one with default options
 	// Call reaches the trainer methods of other VMs.
-	Call    control.CallFunc
+	Call control.CallFunc
+	// Share returns how many members of a row with MaxInFlight may be in flight here. Nil: MaxInFlight.
+	Share   func(row table.Row) int
 	Events  *events.Recorder
 	Metrics *metrics.Metrics
 	Wall    func() time.Time // nil: time.Now
@@ -44,6 +47,9 @@
 	if o.Wall == nil {
 		o.Wall = time.Now
 	}
+	if o.Share == nil {
+		o.Share = func(row table.Row) int { return row.MaxInFlight }
+	}
 	if o.Scorer == nil {
 		o.Scorer = scoring.NewClient(scoring.Options{})
 	}
