--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -272,8 +272,11 @@
 	if err := r.refresh(); err != nil {
 		return nil, err
 	}
-	if r.class == policy.Trainer && !p.d.opts.Control.Fresh() {
-		return nil, nil // a newer table could forbid the weights
+	if r.class == policy.Trainer {
+		if !p.d.opts.Control.Fresh() {
+			return nil, nil // a newer table could forbid the weights
+		}
+		r.raiseMinVersion()
 	}
 	if !p.d.loads.reserve(r.row, p.d.opts.Share) {
 		return nil, nil
