--- a/internal/control/sharecontrol.go
+++ b/internal/control/sharecontrol.go
@@ -118,8 +118,8 @@
 	id          api.VMID
 	incarnation uint64
 	present     bool
-	shares      map[api.RowName]Share
-	reports     map[api.RowName]ShareReport
+	shares      []Share       // by row
+	reports     []ShareReport // by row
 }
 
 func planShares(m *Machine, list []api.VM, reports shareReports, epoch int) SetShares {
@@ -127,8 +127,8 @@
 	p.acknowledge()
 	rows := map[api.RowName]int{}
 	for _, v := range p.vms {
-		for name := range v.shares {
-			rows[name] = 0 // gives back the shares of rows that are deleted or lost their limit
+		for _, share := range v.shares {
+			rows[share.Row] = 0 // gives back the shares of rows that are deleted or lost their limit
 		}
 	}
 	for _, row := range m.Table().Sorted() {
@@ -145,11 +145,8 @@
 func newSharePlanner(known []VMShares, list []api.VM, reports shareReports) *sharePlanner {
 	byID, released := map[api.VMID]plannedVM{}, map[api.VMID]bool{}
 	for _, k := range known {
-		v := plannedVM{id: k.VM, incarnation: k.Incarnation, shares: map[api.RowName]Share{}}
+		v := plannedVM{id: k.VM, incarnation: k.Incarnation, shares: k.Shares}
 		released[k.VM] = k.Released
-		for _, share := range k.Shares {
-			v.shares[share.Row] = share
-		}
 		byID[k.VM] = v
 	}
 	for _, vm := range list {
@@ -158,7 +155,7 @@
 			continue
 		}
 		if !ok || v.incarnation < vm.Incarnation {
-			v = plannedVM{id: vm.ID, incarnation: vm.Incarnation, shares: map[api.RowName]Share{}}
+			v = plannedVM{id: vm.ID, incarnation: vm.Incarnation}
 		}
 		v.present, v.reports = true, reportsOf(reports[vm.ID], vm.Incarnation)
 		byID[vm.ID] = v
@@ -173,15 +170,24 @@
 	return p
 }
 
-func reportsOf(h heardReport, incarnation uint64) map[api.RowName]ShareReport {
-	out := map[api.RowName]ShareReport{}
+// reportsOf sorts the reports if they are not, as they come from another process.
+func reportsOf(h heardReport, incarnation uint64) []ShareReport {
+	byRow := func(a, b ShareReport) int { return cmp.Compare(a.Row, b.Row) }
 	if h.incarnation != incarnation {
-		return out
+		return nil
 	}
-	for _, r := range h.rows {
-		out[r.Row] = r
+	if slices.IsSortedFunc(h.rows, byRow) {
+		return h.rows
 	}
-	return out
+	return slices.SortedStableFunc(slices.Values(h.rows), byRow)
+}
+
+func (v plannedVM) report(row api.RowName) ShareReport {
+	i, ok := slices.BinarySearchFunc(v.reports, row, func(r ShareReport, row api.RowName) int { return cmp.Compare(r.Row, row) })
+	if !ok {
+		return ShareReport{Row: row}
+	}
+	return v.reports[i]
 }
 
 func (p *sharePlanner) update(v plannedVM) *VMShareUpdate {
@@ -195,25 +201,31 @@
 
 // acknowledge passes on the reports that free something, and plans with what is left.
 func (p *sharePlanner) acknowledge() {
-	for _, v := range p.vms {
-		for _, name := range slices.Sorted(maps.Keys(v.reports)) {
-			report, share := v.reports[name], v.shares[name]
+	for i, v := range p.vms {
+		left := slices.Clone(v.shares)
+		for _, report := range v.reports {
+			at, ok := findShare(left, report.Row)
+			if !ok {
+				continue
+			}
+			share := left[at]
 			bound := max(share.Granted, report.InFlight)
 			if report.Grant != share.Grant || bound >= share.Holding {
 				continue
 			}
 			u := p.update(v)
-			u.Acks = append(u.Acks, ShareAck{Row: name, Grant: report.Grant, InFlight: report.InFlight})
-			share.Holding = bound
-			v.shares[name] = share
+			u.Acks = append(u.Acks, ShareAck{Row: report.Row, Grant: report.Grant, InFlight: report.InFlight})
+			left[at].Holding = bound
 		}
+		p.vms[i].shares = left
 	}
 }
 
 func (p *sharePlanner) planRow(name api.RowName, limit, epoch int) {
 	vms := make([]shareVM, len(p.vms))
 	for i, v := range p.vms {
-		share, report := v.shares[name], v.reports[name]
+		share, _ := shareIn(v.shares, name)
+		report := v.report(name)
 		vms[i] = shareVM{
 			present: v.present, demand: report.InFlight + report.Waiting, inFlight: report.InFlight,
 			granted: share.Granted, holding: share.Holding,
--- a/internal/control/sharestate.go
+++ b/internal/control/sharestate.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -54,14 +55,27 @@
 	Grant   uint64 `cbor:"4,keyasint"` // index of the command that set Granted
 }
 
-// vmShares are the shares of the newest known incarnation of a VM. Share values are replaced, never changed in
-// place, as snapshots share them.
+// vmShares are the shares of the newest known incarnation of a VM.
 type vmShares struct {
 	incarnation uint64
 	version     uint64    // index of the last change
 	at          time.Time // of the last change
 	released    bool
-	rows        map[api.RowName]Share
+	// rows is sorted by row. It is replaced, never changed in place, as readers and snapshots share it.
+	rows []Share
+}
+
+// findShare returns the position of a row in a list of shares sorted by row.
+func findShare(list []Share, row api.RowName) (int, bool) {
+	return slices.BinarySearchFunc(list, row, func(s Share, row api.RowName) int { return cmp.Compare(s.Row, row) })
+}
+
+// shareIn returns the share of a row, or a share of 0.
+func shareIn(list []Share, row api.RowName) (Share, bool) {
+	if i, ok := findShare(list, row); ok {
+		return list[i], true
+	}
+	return Share{Row: row}, false
 }
 
 // releasedRetention is how long a VM without shares is remembered, so that it hears that it has none.
@@ -74,7 +88,7 @@
 		return nil
 	}
 	if v == nil || v.incarnation < incarnation {
-		v = &vmShares{incarnation: incarnation, rows: map[api.RowName]Share{}}
+		v = &vmShares{incarnation: incarnation}
 		s.shares[vm] = v
 		s.touch(v)
 	}
@@ -106,8 +120,8 @@
 func (s *state) heldByRow() map[api.RowName]int {
 	held := map[api.RowName]int{}
 	for _, v := range s.shares {
-		for name, share := range v.rows {
-			held[name] += share.Holding
+		for _, share := range v.rows {
+			held[share.Row] += share.Holding
 		}
 	}
 	return held
@@ -116,7 +130,7 @@
 func (s *state) lowerShares(v *vmShares, u VMShareUpdate) int {
 	count := 0
 	for _, a := range u.Acks {
-		share, ok := v.rows[a.Row]
+		share, ok := shareIn(v.rows, a.Row)
 		if bound := max(share.Granted, a.InFlight); ok && a.Grant == share.Grant && bound < share.Holding {
 			share.Holding = bound
 			s.putShare(v, share)
@@ -124,7 +138,7 @@
 		}
 	}
 	for _, g := range u.Grants {
-		if share, ok := v.rows[g.Row]; ok && g.Granted >= 0 && g.Granted < share.Granted {
+		if share, ok := shareIn(v.rows, g.Row); ok && g.Granted >= 0 && g.Granted < share.Granted {
 			share.Granted, share.Grant = g.Granted, s.index
 			s.putShare(v, share)
 			count++
@@ -138,7 +152,7 @@
 func (s *state) raiseShares(v *vmShares, grants []ShareGrant, held map[api.RowName]int) int {
 	count := 0
 	for _, g := range grants {
-		share := v.rows[g.Row]
+		share, _ := shareIn(v.rows, g.Row)
 		if g.Granted <= share.Granted {
 			continue
 		}
@@ -155,9 +169,15 @@
 
 // putShare stores a share. One that is neither granted nor held is dropped.
 func (s *state) putShare(v *vmShares, share Share) {
-	v.rows[share.Row] = share
+	i, found := findShare(v.rows, share.Row)
+	end := i
+	if found {
+		end++
+	}
 	if share.Holding == 0 {
-		delete(v.rows, share.Row)
+		v.rows = slices.Concat(v.rows[:i], v.rows[end:])
+	} else {
+		v.rows = slices.Concat(v.rows[:i], []Share{share}, v.rows[end:])
 	}
 	s.touch(v)
 }
@@ -169,7 +189,7 @@
 	}
 	count := len(v.rows)
 	v.released = true
-	clear(v.rows)
+	v.rows = nil
 	s.touch(v)
 	return Result{Count: count, Accepted: true}
 }
@@ -188,7 +208,7 @@
 	if v == nil || v.incarnation != incarnation {
 		return 0, nil
 	}
-	return v.version, v.list()
+	return v.version, v.rows
 }
 
 // sharesVersionOf returns the version of the last change to the shares of an incarnation of a VM.
@@ -199,20 +219,12 @@
 	return 0
 }
 
-func (v *vmShares) list() []Share {
-	out := make([]Share, 0, len(v.rows))
-	for _, name := range slices.Sorted(maps.Keys(v.rows)) {
-		out = append(out, v.rows[name])
-	}
-	return out
-}
-
 // VMShares are the shares of one incarnation of a VM.
 type VMShares struct {
 	VM          api.VMID
 	Incarnation uint64
 	Released    bool
-	Shares      []Share // by row
+	Shares      []Share // by row; must not be changed
 }
 
 // Shares returns the shares of all VMs, by VM.
@@ -222,7 +234,7 @@
 	out := make([]VMShares, 0, len(m.state.shares))
 	for _, id := range slices.Sorted(maps.Keys(m.state.shares)) {
 		v := m.state.shares[id]
-		out = append(out, VMShares{VM: id, Incarnation: v.incarnation, Released: v.released, Shares: v.list()})
+		out = append(out, VMShares{VM: id, Incarnation: v.incarnation, Released: v.released, Shares: v.rows})
 	}
 	return out
 }
@@ -241,7 +253,7 @@
 	for _, id := range slices.Sorted(maps.Keys(s.shares)) {
 		v := s.shares[id]
 		out = append(out, savedShares{
-			VM: id, Incarnation: v.incarnation, Version: v.version, At: v.at, Released: v.released, Shares: v.list(),
+			VM: id, Incarnation: v.incarnation, Version: v.version, At: v.at, Released: v.released, Shares: v.rows,
 		})
 	}
 	return out
@@ -250,11 +262,7 @@
 func (s *state) loadShares(saved []savedShares) {
 	for _, one := range saved {
 		v := &vmShares{
-			incarnation: one.Incarnation, version: one.Version, at: one.At, released: one.Released,
-			rows: make(map[api.RowName]Share, len(one.Shares)),
-		}
-		for _, share := range one.Shares {
-			v.rows[share.Row] = share
+			incarnation: one.Incarnation, version: one.Version, at: one.At, released: one.Released, rows: one.Shares,
 		}
 		s.shares[one.VM] = v
 		s.sharesVersion = max(s.sharesVersion, v.version)
