--- a/cmd/demo/callers.go
+++ b/cmd/demo/callers.go
@@ -3,20 +3,17 @@
 import (
 	"context"
 	"encoding/binary"
-	"encoding/json"
-	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"time"
 
 	"github.com/google/uuid"
 
 	"filbertledge/internal/harness"
-	"filbertledge/internal/standin"
 	"filbertledge/internal/standin/engine"
 	"filbertledge/internal/standin/trainer"
+	"filbertledge/internal/workload"
 )
 
 const (
@@ -42,12 +39,12 @@
 func (d *demo) chatCaller(ctx context.Context, n int) {
 	rng := rand.New(rand.NewPCG(d.seed, uint64(100+n)))
 	for i := 0; ctx.Err() == nil; i++ {
-		d.send(context.WithoutCancel(ctx), d.chatRequest(rng, n, i))
-		pause(ctx, chatPause)
+		d.sender.Send(context.WithoutCancel(ctx), d.chatRequest(rng, n, i))
+		workload.Pause(ctx, chatPause)
 	}
 }
 
-func (d *demo) chatRequest(rng *rand.Rand, caller, i int) *request {
+func (d *demo) chatRequest(rng *rand.Rand, caller, i int) *workload.Request {
 	tokens := shortTokens + rng.IntN(shortTokens)
 	if rng.IntN(10) == 0 {
 		tokens = longTokens
@@ -56,7 +53,7 @@
 }
 
 // chatRequestOf returns a chat request for an answer of so many tokens; odd numbers are streams.
-func (d *demo) chatRequestOf(rng *rand.Rand, caller, i, tokens int) *request {
+func (d *demo) chatRequestOf(rng *rand.Rand, caller, i, tokens int) *workload.Request {
 	seed := rng.Uint64N(1 << 32)
 	body := engine.Request{
 		Model: d.deployment.Layout.Model, MaxTokens: tokens, Seed: &seed, Stream: i%2 == 1,
@@ -65,14 +62,7 @@
 			{Role: "user", Content: fmt.Sprintf("Request %d of caller %d: are two doves free on Saturday?", i, caller)},
 		},
 	}
-	r := &request{
-		kind: "chat", row: "reply-chat", id: newID(), method: http.MethodPost, path: "/v1/chat/completions",
-		body: mustJSON(body), want: engine.FullText(&body), digest: standin.ContentDigest(body.PromptText()),
-	}
-	if body.Stream {
-		r.kind = "stream"
-	}
-	return r
+	return workload.ChatRequest("reply-chat", body)
 }
 
 // impatientCaller sends chat requests and bookings with deadlines that many of them cannot meet, so that there
@@ -84,9 +74,9 @@
 		if i%2 == 1 {
 			r = d.chatRequest(rng, chatCallers, i/2)
 		}
-		r.deadline = time.Duration(1+rng.IntN(maxImpatience)) * time.Millisecond
-		d.send(context.WithoutCancel(ctx), r)
-		pause(ctx, impatientPause)
+		r.Deadline = time.Duration(1+rng.IntN(maxImpatience)) * time.Millisecond
+		d.sender.Send(context.WithoutCancel(ctx), r)
+		workload.Pause(ctx, impatientPause)
 	}
 }
 
@@ -94,12 +84,12 @@
 func (d *demo) wrongCaller(ctx context.Context) {
 	for i := 0; ctx.Err() == nil && i < wrongBookings; i++ {
 		r := d.bookingRequest(bookingCallers+1, i)
-		r.key = ""
+		r.Key = ""
 		if i%2 == 1 {
-			r.key = oldKey()
+			r.Key = oldKey()
 		}
-		d.send(context.WithoutCancel(ctx), r)
-		pause(ctx, wrongPause)
+		d.sender.Send(context.WithoutCancel(ctx), r)
+		workload.Pause(ctx, wrongPause)
 	}
 }
 
@@ -120,14 +110,14 @@
 	for i := range drainedStreams {
 		long := d.chatRequestOf(rng, chatCallers+1, 2*i+1, drainedTokens)
 		late := d.chatRequestOf(rng, chatCallers+1, 2*i, shortTokens)
-		long.first, late.first = vm, vm
-		wg.Go(func() { d.send(context.WithoutCancel(ctx), long) })
+		long.First, late.First = vm, vm
+		wg.Go(func() { d.sender.Send(context.WithoutCancel(ctx), long) })
 		wg.Go(func() {
-			pause(ctx, streamLead+time.Duration(i)*lateSpacing)
-			d.send(context.WithoutCancel(ctx), late)
+			workload.Pause(ctx, streamLead+time.Duration(i)*lateSpacing)
+			d.sender.Send(context.WithoutCancel(ctx), late)
 		})
 	}
-	pause(ctx, streamLead)
+	workload.Pause(ctx, streamLead)
 }
 
 // bookingCaller sends bookings that must run at most once, and sends some keys again after the answer.
@@ -135,37 +125,16 @@
 	rng := rand.New(rand.NewPCG(d.seed, uint64(200+n)))
 	for i := 0; ctx.Err() == nil; i++ {
 		r := d.bookingRequest(n, i)
-		d.send(context.WithoutCancel(ctx), r)
-		if r.last().ok() && rng.IntN(resendShare) == 0 {
-			d.send(context.WithoutCancel(ctx), r)
+		d.sender.Send(context.WithoutCancel(ctx), r)
+		if r.Last().OK() && rng.IntN(resendShare) == 0 {
+			d.sender.Send(context.WithoutCancel(ctx), r)
 		}
-		pause(ctx, bookingPause)
+		workload.Pause(ctx, bookingPause)
 	}
 }
 
-func (d *demo) bookingRequest(caller, i int) *request {
-	const path = "/bookings"
-	body := mustJSON(struct {
-		Slot   string `json:"slot"`
-		Caller int    `json:"caller"`
-	}{fmt.Sprintf("slot-%d", i), caller})
-	id := newID()
-	return &request{
-		kind: "booking", row: "booking", id: id, key: id, method: http.MethodPost, path: "/services/booking" + path,
-		body: body, digest: standin.ContentDigest(http.MethodPost, path, string(body)),
-	}
-}
-
-// newID returns a UUID version 7.
-func newID() string { return uuid.Must(uuid.NewV7()).String() }
-
-// mustJSON encodes a value of a type that always can be encoded.
-func mustJSON(v any) []byte {
-	b, err := json.Marshal(v)
-	if err != nil {
-		panic(err)
-	}
-	return b
+func (d *demo) bookingRequest(caller, i int) *workload.Request {
+	return workload.BookingRequest("booking", "/bookings", caller, i)
 }
 
 const (
@@ -179,71 +148,19 @@
 	dyingAck      = 3 // before which each trainer dies once
 )
 
-// trainerRun is what one trainer did.
-type trainerRun struct {
-	row     string
-	opts    trainer.Options
-	trainer *trainer.Trainer
-	acks    int
-	reports []trainer.Report
-	err     error
-}
-
-func (d *demo) newTrainer(row string, n int, staleness uint64) *trainerRun {
-	t := &trainerRun{row: row, opts: trainer.Options{
-		Entries: d.balancer.entries, Row: row, Model: d.deployment.Layout.Model, Token: token(row),
-		Seed: d.seed + uint64(n), MaxStaleness: staleness, Scored: true, LoseAck: 2,
-	}}
-	t.opts.BeforeAck = t.dieOnce
-	t.trainer = trainer.New(t.opts)
-	return t
+// newTrainer returns the trainer of a row, which dies once before an acknowledgement.
+func (d *demo) newTrainer(row harness.RowSpec, n int) *workload.TrainerRun {
+	return workload.NewTrainerRun(d.deployment, d.sender.Balancer.Entries, row, d.seed+uint64(n), dyingAck)
 }
 
-// errTrainerDied ends a trainer after it has received samples and before it acknowledges them.
-var errTrainerDied = errors.New("the trainer died")
-
-func (t *trainerRun) dieOnce() error {
-	t.acks++
-	if t.acks == dyingAck {
-		return errTrainerDied
-	}
-	return nil
-}
-
-// run runs the steps of one trainer.
-func (t *trainerRun) run(ctx context.Context, seed uint64) {
+// runTrainer runs the steps of one trainer.
+func runTrainer(ctx context.Context, t *workload.TrainerRun, seed uint64) {
 	for step := uint64(1); step <= trainerSteps; step++ {
-		short, cancel := context.WithTimeout(ctx, stepLimit)
-		report, err := t.step(short, step, stepGroupsOf(t.row, step, seed))
-		cancel()
-		t.reports = append(t.reports, report)
-		if err != nil {
-			t.err = fmt.Errorf("row %s, step %d: %w", t.row, step, err)
+		if t.Step(ctx, step, stepDeadline, stepLimit, stepGroupsOf(t.Row, step, seed)) != nil {
 			return
 		}
-		pause(ctx, stepPause)
-	}
-}
-
-// step runs one step. A trainer that died goes on from its checkpoint and runs the step again.
-func (t *trainerRun) step(ctx context.Context, step uint64, groups []trainer.Group) (trainer.Report, error) {
-	report, err := t.trainer.RunStep(ctx, step, stepDeadline, groups)
-	if !errors.Is(err, errTrainerDied) {
-		return report, err
-	}
-	data, err := t.trainer.Checkpoint()
-	if err != nil {
-		return report, err
-	}
-	if t.trainer, err = trainer.Restore(t.opts, data); err != nil {
-		return report, err
+		workload.Pause(ctx, stepPause)
 	}
-	again, err := t.trainer.RunStep(ctx, step, stepDeadline, groups)
-	again.Duplicated = append(report.Duplicated, again.Duplicated...)
-	again.Stale = append(report.Stale, again.Stale...)
-	again.Problems = append(report.Problems, again.Problems...)
-	again.Staleness = append(report.Staleness, again.Staleness...)
-	return again, err
 }
 
 func stepGroupsOf(row string, step, seed uint64) []trainer.Group {
@@ -254,7 +171,7 @@
 		if i == 0 {
 			tokens = longTokens
 		}
-		groups[i] = trainer.Group{ID: fmt.Sprintf("g%d", i), Size: groupSize, Request: mustJSON(engine.Request{
+		groups[i] = trainer.Group{ID: fmt.Sprintf("g%d", i), Size: groupSize, Request: workload.MustJSON(engine.Request{
 			Model: "drafter", MaxTokens: tokens,
 			Messages: []engine.Message{{Role: "user", Content: fmt.Sprintf("Draft a reply for %s, step %d, conversation %d.", row, step, i)}},
 		})}
--- a/cmd/demo/checks.go
+++ b/cmd/demo/checks.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
@@ -15,8 +13,7 @@
 	"filbertledge/internal/api"
 	"filbertledge/internal/standin"
 	"filbertledge/internal/standin/engine"
-	"filbertledge/internal/standin/service"
-	"filbertledge/internal/standin/trainer"
+	"filbertledge/internal/workload"
 )
 
 // maxShown bounds the violations that are printed for each promise.
@@ -37,14 +34,12 @@
 
 // checker compares what the stand-ins saw with what the callers got.
 type checker struct {
-	demo     *demo
-	seen     standin.LogContent
-	byDigest map[string][]standin.RequestRecord
-	byKey    map[string][]standin.RequestRecord
-	byText   map[string][]standin.RequestRecord
-	out      io.Writer
-	totals   totals
-	broken   int
+	demo   *demo
+	seen   standin.LogContent
+	index  *workload.Index
+	out    io.Writer
+	totals totals
+	broken int
 }
 
 // report prints one line for each promise and the totals, and reports whether all promises were kept.
@@ -57,18 +52,7 @@
 }
 
 func newChecker(d *demo, seen standin.LogContent, out io.Writer) *checker {
-	c := &checker{
-		demo: d, seen: seen, out: out, byDigest: map[string][]standin.RequestRecord{},
-		byKey: map[string][]standin.RequestRecord{}, byText: map[string][]standin.RequestRecord{},
-	}
-	for _, r := range seen.Requests {
-		c.byDigest[r.Digest] = append(c.byDigest[r.Digest], r)
-		c.byText[r.TextDigest] = append(c.byText[r.TextDigest], r)
-		if r.IdempotencyKey != "" {
-			c.byKey[r.IdempotencyKey] = append(c.byKey[r.IdempotencyKey], r)
-		}
-	}
-	return c
+	return &checker{demo: d, seen: seen, index: workload.NewIndex(seen), out: out}
 }
 
 func (c *checker) check() bool {
@@ -97,12 +81,12 @@
 }
 
 func (c *checker) count() {
-	for _, r := range c.demo.book.requests {
+	for _, r := range c.demo.sender.Book.Requests() {
 		c.totals.requests++
-		switch a := r.best(); {
-		case a.ok():
+		switch a := r.Best(); {
+		case a.OK():
 			c.totals.answered++
-		case a.err == nil:
+		case a.Err == nil:
 			c.totals.refused++
 		default:
 			c.totals.lost++
@@ -114,13 +98,13 @@
 // refusals prints the final refusals by code, so that a reader sees why callers were refused.
 func (c *checker) refusals() {
 	codes := map[string]int{}
-	for _, r := range c.demo.book.requests {
-		if a := r.best(); a.err == nil && !a.ok() {
+	for _, r := range c.demo.sender.Book.Requests() {
+		if a := r.Best(); a.Err == nil && !a.OK() {
 			patience := "within the row's deadline"
-			if r.deadline > 0 {
+			if r.Deadline > 0 {
 				patience = "with a deadline of at most " + fmt.Sprint(maxImpatience*time.Millisecond)
 			}
-			codes[fmt.Sprintf("%s %s: %d %s", r.kind, patience, a.status, a.code)]++
+			codes[fmt.Sprintf("%s %s: %d %s", r.Kind, patience, a.Status, a.Code)]++
 		}
 	}
 	for _, code := range slices.Sorted(maps.Keys(codes)) {
@@ -128,135 +112,22 @@
 	}
 }
 
-// story lists the attempts of a request.
-func (r *request) story() string {
-	var b strings.Builder
-	for _, a := range r.attempts {
-		fmt.Fprintf(&b, "[%s, %.3f s: %d %s %v]", a.vm.Name, a.ended.Sub(a.sent).Seconds(), a.status, a.code, a.err)
-	}
-	return b.String()
-}
-
-// best returns the attempt that was answered, or the last one.
-func (r *request) best() *attempt {
-	for i := range r.attempts {
-		if r.attempts[i].ok() {
-			return &r.attempts[i]
-		}
-	}
-	return r.last()
-}
-
-func (c *checker) samples(f func(t *trainerRun, s trainer.Sample)) {
-	for _, t := range c.demo.trainers {
-		for _, report := range t.reports {
-			for _, s := range report.Samples {
-				f(t, s)
-			}
-		}
-	}
-}
-
 // labels checks that each sample's label is what an engine reported for exactly this text (P1).
 func (c *checker) labels() {
-	var bad []string
-	c.samples(func(t *trainerRun, s trainer.Sample) {
-		c.totals.samples++
-		if !c.labelIsTrue(s) {
-			bad = append(bad, fmt.Sprintf("%s %v: labels %v", t.row, s.ID, s.Labels))
-		}
-	})
-	for _, t := range c.demo.trainers {
-		for _, r := range t.reports {
-			bad = append(bad, r.Problems...)
-		}
-	}
-	c.totals.mislabeled = len(bad)
-	c.line("P1", fmt.Sprintf("%d samples carry the labels that the engines reported for their text", c.totals.samples), bad)
-}
-
-func (c *checker) labelIsTrue(s trainer.Sample) bool {
-	runs := c.byText[standin.TextDigest(s.Text)]
-	return slices.ContainsFunc(runs, func(r standin.RequestRecord) bool {
-		return r.State == standin.RunCompleted && c.coversLabels(r, merge(s.Labels))
-	})
-}
-
-// coversLabels reports whether a run, and for a resumed run the earlier runs of its prompt, gave these labels.
-func (c *checker) coversLabels(r standin.RequestRecord, labels []api.PieceLabel) bool {
-	tail := merge(r.Pieces)
-	if r.ResumedAt == 0 {
-		return slices.Equal(labels, tail)
-	}
-	versions := map[api.WeightVersion]bool{}
-	for _, earlier := range c.byDigest[r.Digest] {
-		for _, p := range earlier.Pieces {
-			versions[p.Version] = true
-		}
-	}
-	tokens := 0
-	for _, l := range labels {
-		tokens += l.Tokens
-		if !versions[l.Version] {
-			return false
-		}
-	}
-	for _, p := range tail {
-		same := func(l api.PieceLabel) bool {
-			return l.Version == p.Version && l.Cached == p.Cached && l.Tokens >= p.Tokens
-		}
-		if !slices.ContainsFunc(labels, same) {
-			return false
-		}
-	}
-	return tokens == r.ResumedAt+r.Tokens
-}
-
-// merge joins neighboring pieces of equal version.
-func merge(pieces []api.PieceLabel) []api.PieceLabel {
-	var out []api.PieceLabel
-	for _, p := range pieces {
-		last := len(out) - 1
-		if last >= 0 && out[last].Version == p.Version && out[last].Cached == p.Cached {
-			out[last].Tokens += p.Tokens
-			continue
-		}
-		out = append(out, p)
-	}
-	return out
+	v := c.index.Labels(c.demo.runs())
+	c.totals.samples, c.totals.mislabeled = v.Count, len(v.Bad)
+	c.line("P1", fmt.Sprintf("%d samples carry the labels that the engines reported for their text", v.Count), v.Bad)
 }
 
 // staleness checks the bound of the row at the hand-over of each sample (P2).
 func (c *checker) staleness() {
-	var bad []string
-	for _, t := range c.demo.trainers {
-		for _, r := range t.reports {
-			for _, id := range r.Stale {
-				bad = append(bad, fmt.Sprintf("%s %v", t.row, id))
-			}
-		}
-	}
-	c.totals.stale = len(bad)
-	c.line("P2", fmt.Sprintf("no sample was older than its row's bound when it was delivered; deliveries by versions behind: %v", c.behind()), bad)
+	runs := c.demo.runs()
+	v := workload.Staleness(runs)
+	c.totals.stale = len(v.Bad)
+	c.line("P2", fmt.Sprintf("no sample was older than its row's bound when it was delivered; deliveries by versions behind: %v", workload.Behind(runs)), v.Bad)
 	c.rollOut()
 }
 
-// behind counts the samples by versions behind the newest at their delivery, from zero.
-func (c *checker) behind() []int {
-	counts := []int{0}
-	for _, t := range c.demo.trainers {
-		for _, r := range t.reports {
-			for _, n := range r.Staleness {
-				for len(counts) <= int(n) {
-					counts = append(counts, 0)
-				}
-				counts[n]++
-			}
-		}
-	}
-	return counts
-}
-
 // rollOut prints when the last engine had switched to each published version.
 func (c *checker) rollOut() {
 	for _, p := range c.demo.published {
@@ -276,117 +147,32 @@
 
 // exactlyOnce checks that each sample reached its trainer once (P3).
 func (c *checker) exactlyOnce() {
-	var bad []string
-	for _, t := range c.demo.trainers {
-		got := 0
-		for _, r := range t.reports {
-			got += len(r.Samples)
-			for _, id := range r.Duplicated {
-				c.totals.duplicated++
-				bad = append(bad, fmt.Sprintf("%s %v was delivered again after its acknowledgement", t.row, id))
-			}
-		}
-		if want := trainerSteps * stepGroups * groupSize; got != want {
-			c.totals.lost += want - got
-			bad = append(bad, fmt.Sprintf("%s: %d of %d samples: %v", t.row, got, want, t.err))
-		}
-	}
-	c.line("P3", fmt.Sprintf("%d samples were delivered exactly once in %d steps, in which each trainer died once before an acknowledgement", c.totals.samples, trainerSteps*len(c.demo.trainers)), bad)
+	v := workload.ExactlyOnce(c.demo.runs())
+	c.totals.duplicated += v.Duplicated
+	c.totals.lost += v.Lost
+	c.line("P3", fmt.Sprintf("%d samples were delivered exactly once in %d steps, in which each trainer died once before an acknowledgement", v.Count, trainerSteps*len(c.demo.trainers)), v.Bad)
 }
 
 // wholeAnswers checks each answered chat request against the text that its prompt and seed determine (P4).
 func (c *checker) wholeAnswers() {
-	var bad []string
-	n := 0
-	for _, r := range c.demo.book.requests {
-		if r.want == "" {
-			continue
-		}
-		a := r.best()
-		if a.err != nil {
-			bad = append(bad, fmt.Sprintf("%s %s was never answered: %s", r.kind, r.id, r.story()))
-		}
-		if !a.ok() {
-			continue
-		}
-		n++
-		if text, err := answerText(a); err != nil || text != r.want {
-			c.totals.lost++
-			c.totals.answered--
-			bad = append(bad, fmt.Sprintf("%s %s through %s: %d bytes, want %d; %v", r.kind, r.id, a.vm.Name, len(text), len(r.want), err))
-		}
-	}
-	c.line("P4", fmt.Sprintf("%d chat answers are whole and belong to their requests", n), bad)
+	v := workload.WholeAnswers(c.demo.sender.Book.Requests())
+	c.totals.lost += v.Lost
+	c.totals.answered -= v.Lost
+	c.line("P4", fmt.Sprintf("%d chat answers are whole and belong to their requests", v.Count), v.Bad)
 }
 
-// notRun checks each answer that says "not run" against the logs (P5). Earlier attempts of a booking count,
-// because they have the same key; a chat request has no key.
+// notRun checks each answer that says "not run" against the logs (P5).
 func (c *checker) notRun() {
-	var bad []string
-	n := 0
-	for _, r := range c.demo.book.requests {
-		for _, a := range r.attempts {
-			if a.outcome != api.OutcomeNotRun {
-				continue
-			}
-			n++
-			for _, run := range c.byDigest[r.digest] {
-				since := a.sent
-				if r.kind == "booking" {
-					since = r.attempts[0].sent
-				}
-				if run.Start.After(since) && run.Start.Before(a.ended) {
-					bad = append(bad, fmt.Sprintf("%s %s was run on %s", r.kind, r.id, run.Server))
-				}
-			}
-		}
-	}
-	c.line("P5", fmt.Sprintf("%d refusals that say \"not run\" are true", n), bad)
+	v := c.index.NotRun(c.demo.sender.Book.Requests())
+	c.line("P5", fmt.Sprintf("%d refusals that say \"not run\" are true", v.Count), v.Bad)
 }
 
 // atMostOnce checks that no key ran twice and that all answers under a key are the same (P6).
 func (c *checker) atMostOnce() {
-	var bad []string
-	bookings, resent, unknown := 0, 0, 0
-	for _, r := range c.demo.book.requests {
-		if r.kind != "booking" {
-			continue
-		}
-		bookings++
-		resent += len(r.attempts) - 1
-		if a := r.best(); !a.ok() && a.outcome == api.OutcomeUnknown {
-			unknown++
-		}
-		if runs := c.byKey[r.id]; len(runs) > 1 || len(c.byDigest[r.digest]) > 1 {
-			c.totals.duplicated++
-			bad = append(bad, fmt.Sprintf("booking %s ran %d times", r.id, max(len(runs), len(c.byDigest[r.digest]))))
-		}
-		bad = append(bad, c.bookingAnswers(r)...)
-	}
-	what := fmt.Sprintf("%d bookings ran at most once, with %d resends; %d have an unknown outcome", bookings, resent, unknown)
-	c.line("P6", what, bad)
-}
-
-func (c *checker) bookingAnswers(r *request) []string {
-	var bad []string
-	var first []byte
-	for _, a := range r.attempts {
-		if !a.ok() {
-			continue
-		}
-		var reply service.Reply
-		if err := json.Unmarshal(a.body, &reply); err != nil || reply.IdempotencyKey != r.id || reply.Digest != r.digest {
-			bad = append(bad, fmt.Sprintf("booking %s got the answer %s: %v", r.id, a.body, err))
-		}
-		if first != nil && !bytes.Equal(first, a.body) {
-			bad = append(bad, fmt.Sprintf("booking %s got two answers: %s and %s", r.id, first, a.body))
-		}
-		first = a.body
-		if len(c.byKey[r.id]) == 0 {
-			bad = append(bad, fmt.Sprintf("booking %s was answered but no service ran it", r.id))
-		}
-	}
-	return bad
+	v := c.index.AtMostOnce(c.demo.sender.Book.Requests())
+	c.totals.duplicated += v.Duplicated
+	what := fmt.Sprintf("%d bookings ran at most once, with %d resends; %d have an unknown outcome", v.Count, v.Resent, v.Unknown)
+	c.line("P6", what, v.Bad)
 }
 
 // leaving checks that the leaving engine received no new work after the bound (P7).
@@ -411,18 +197,18 @@
 func (c *checker) shutdown() {
 	var bad []string
 	n := 0
-	for _, r := range c.demo.book.requests {
-		for _, a := range r.attempts {
-			if a.vm != c.demo.drainedVM || a.ended.Before(c.demo.drainedAt) {
+	for _, r := range c.demo.sender.Book.Requests() {
+		for _, a := range r.Attempts {
+			if a.VM != c.demo.drainedVM || a.Ended.Before(c.demo.drainedAt) {
 				continue
 			}
 			n++
-			late := a.err != nil && a.sent.Sub(c.demo.drainedAt) > acceptBound && strings.Contains(a.err.Error(), "connection refused")
-			if a.err != nil && !late {
-				bad = append(bad, fmt.Sprintf("%s %s, sent %.1f s after the drain began: %v", r.kind, r.id, a.sent.Sub(c.demo.drainedAt).Seconds(), a.err))
+			late := a.Err != nil && a.Sent.Sub(c.demo.drainedAt) > acceptBound && strings.Contains(a.Err.Error(), "connection refused")
+			if a.Err != nil && !late {
+				bad = append(bad, fmt.Sprintf("%s %s, sent %.1f s after the drain began: %v", r.Kind, r.ID, a.Sent.Sub(c.demo.drainedAt).Seconds(), a.Err))
 			}
-			if a.status == http.StatusServiceUnavailable {
-				bad = append(bad, fmt.Sprintf("%s %s was refused during the drain: %s", r.kind, r.id, a.code))
+			if a.Status == http.StatusServiceUnavailable {
+				bad = append(bad, fmt.Sprintf("%s %s was refused during the drain: %s", r.Kind, r.ID, a.Code))
 			}
 		}
 	}
--- a/cmd/demo/checks_test.go
+++ b/cmd/demo/checks_test.go
@@ -13,6 +13,7 @@
 	"filbertledge/internal/standin"
 	"filbertledge/internal/standin/service"
 	"filbertledge/internal/standin/trainer"
+	"filbertledge/internal/workload"
 )
 
 var origin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -29,15 +30,18 @@
 	text := strings.Repeat("w1 ", 3)
 	labels := []api.PieceLabel{{Version: 1, Cached: true}, {Version: 1, Tokens: 2}, {Version: 2, Tokens: 1}}
 	drained, other := &harness.VM{}, &harness.VM{}
-	ok := func(vm *harness.VM, sent float64, body []byte) attempt {
-		return attempt{vm: vm, sent: at(sent), ended: at(sent + 0.5), status: http.StatusOK, outcome: api.OutcomeRan, body: body}
+	ok := func(vm *harness.VM, sent float64, body []byte) workload.Attempt {
+		return workload.Attempt{VM: vm, Sent: at(sent), Ended: at(sent + 0.5), Status: http.StatusOK, Outcome: api.OutcomeRan, Body: body}
 	}
-	answer := mustJSON(service.Reply{IdempotencyKey: "k", Digest: "db", Run: 1})
+	answer := workload.MustJSON(service.Reply{IdempotencyKey: "k", Digest: "db", Run: 1})
 	d := &demo{drainedVM: drained, drainedAt: at(10), leaving: &harness.Backend{BackendSpec: harness.BackendSpec{ID: "e2"}}, leftAt: at(10)}
-	d.book.requests = []*request{
-		{kind: "chat", id: "c", digest: "dc", want: text, attempts: []attempt{ok(drained, 11, []byte(`{"choices":[{"message":{"content":"`+text+`"}}]}`))}},
-		{kind: "booking", id: "k", digest: "db", attempts: []attempt{ok(other, 1, answer), ok(drained, 2, answer)}},
-		{kind: "chat", id: "n", digest: "dn", attempts: []attempt{{vm: other, sent: at(1), ended: at(2), status: 429, outcome: api.OutcomeNotRun}}},
+	d.sender = &workload.Sender{}
+	for _, r := range []*workload.Request{
+		{Kind: "chat", ID: "c", Digest: "dc", Want: text, Attempts: []workload.Attempt{ok(drained, 11, []byte(`{"choices":[{"message":{"content":"`+text+`"}}]}`))}},
+		{Kind: "booking", ID: "k", Digest: "db", Attempts: []workload.Attempt{ok(other, 1, answer), ok(drained, 2, answer)}},
+		{Kind: "chat", ID: "n", Digest: "dn", Attempts: []workload.Attempt{{VM: other, Sent: at(1), Ended: at(2), Status: 429, Outcome: api.OutcomeNotRun}}},
+	} {
+		d.sender.Book.Add(r)
 	}
 	report := trainer.Report{}
 	s := &scene{demo: d}
@@ -48,7 +52,7 @@
 			Server: "e1", State: standin.RunCompleted, Pieces: labels, TextDigest: standin.TextDigest(sample.Text), Start: at(1),
 		})
 	}
-	d.trainers = []*trainerRun{{row: "r", reports: []trainer.Report{report}}}
+	d.trainers = []*workload.TrainerRun{{Row: "r", Reports: []trainer.Report{report}}}
 	s.seen.Requests = append(
 		s.seen.Requests,
 		standin.RequestRecord{Server: "s1", IdempotencyKey: "k", Digest: "db", Start: at(1.1)},
@@ -69,34 +73,34 @@
 		{"", func(*scene) {}, "requests=3 answered=2 refused=1 duplicated=0 lost=0 samples=64 mislabelled=0 stale=0 edits=1 reverted=0"},
 		{"P1", func(s *scene) { s.seen.Requests[5].Pieces = []api.PieceLabel{{Version: 2, Tokens: 3}} }, "mislabelled=1"},
 		{"P1", func(s *scene) { s.seen.Requests[5].State = standin.RunCancelled }, "mislabelled=1"},
-		{"P2", func(s *scene) { s.demo.trainers[0].reports[0].Stale = make([]trainer.SampleID, 1) }, "stale=1"},
-		{"P3", func(s *scene) { s.demo.trainers[0].reports[0].Duplicated = make([]trainer.SampleID, 1) }, "duplicated=1"},
+		{"P2", func(s *scene) { s.demo.trainers[0].Reports[0].Stale = make([]trainer.SampleID, 1) }, "stale=1"},
+		{"P3", func(s *scene) { s.demo.trainers[0].Reports[0].Duplicated = make([]trainer.SampleID, 1) }, "duplicated=1"},
 		{"P3", func(s *scene) {
-			r := &s.demo.trainers[0].reports[0]
+			r := &s.demo.trainers[0].Reports[0]
 			r.Samples = r.Samples[1:]
 		}, "lost=1"},
-		{"P4", func(s *scene) { s.demo.book.requests[0].want += "w2 " }, "lost=1"},
+		{"P4", func(s *scene) { s.demo.sender.Book.Requests()[0].Want += "w2 " }, "lost=1"},
 		{"P4", func(s *scene) {
-			s.demo.book.requests[0].attempts[0] = attempt{vm: &harness.VM{}, err: errNoEndMark}
+			s.demo.sender.Book.Requests()[0].Attempts[0] = workload.Attempt{VM: &harness.VM{}, Err: errors.New("no end mark")}
 		}, "lost=1"},
 		{"P5", func(s *scene) { s.seen.Requests[66].Start = at(1.5) }, "requests=3"},
 		{"P6", func(s *scene) { s.seen.Requests[66] = s.seen.Requests[64] }, "duplicated=1"},
 		{"P6", func(s *scene) {
-			s.demo.book.requests[1].attempts[1].body = mustJSON(service.Reply{IdempotencyKey: "k", Digest: "db", Run: 2})
+			s.demo.sender.Book.Requests()[1].Attempts[1].Body = workload.MustJSON(service.Reply{IdempotencyKey: "k", Digest: "db", Run: 2})
 		}, "requests=3"},
 		{"P6", func(s *scene) { s.seen.Requests[64].IdempotencyKey = "other" }, "requests=3"},
 		{"P7", func(s *scene) { s.seen.Requests[65].Start = at(13.1) }, "requests=3"},
 		{"P8", func(s *scene) {
-			r := s.demo.book.requests[1]
-			r.attempts = append(r.attempts, attempt{vm: s.demo.drainedVM, ended: at(12), err: errors.New("connection reset")})
+			r := s.demo.sender.Book.Requests()[1]
+			r.Attempts = append(r.Attempts, workload.Attempt{VM: s.demo.drainedVM, Ended: at(12), Err: errors.New("connection reset")})
 		}, "requests=3"},
 		{"P8", func(s *scene) {
-			r := s.demo.book.requests[1]
-			r.attempts = append(r.attempts, attempt{vm: s.demo.drainedVM, sent: at(14), ended: at(14), err: errors.New("connection refused")})
+			r := s.demo.sender.Book.Requests()[1]
+			r.Attempts = append(r.Attempts, workload.Attempt{VM: s.demo.drainedVM, Sent: at(14), Ended: at(14), Err: errors.New("connection refused")})
 		}, "requests=3"},
 		{"", func(s *scene) {
-			r := s.demo.book.requests[1]
-			r.attempts = append(r.attempts, attempt{vm: s.demo.drainedVM, sent: at(16), ended: at(16), err: errors.New("connection refused")})
+			r := s.demo.sender.Book.Requests()[1]
+			r.Attempts = append(r.Attempts, workload.Attempt{VM: s.demo.drainedVM, Sent: at(16), Ended: at(16), Err: errors.New("connection refused")})
 		}, "requests=3"},
 		{"P8", func(s *scene) { s.demo.drainErr = errors.New("exit code 1") }, "requests=3"},
 		{"P9", func(s *scene) { s.demo.edits.reverted = []string{"x"} }, "reverted=1"},
--- a/cmd/demo/demo.go
+++ b/cmd/demo/demo.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"sync"
 	"time"
 
@@ -11,16 +10,15 @@
 	"filbertledge/internal/harness"
 	"filbertledge/internal/standin"
 	"filbertledge/internal/standin/trainer"
+	"filbertledge/internal/workload"
 )
 
 // demo drives one deployment and keeps what the callers got.
 type demo struct {
 	deployment *harness.Deployment
 	seed       uint64
-	balancer   *balancer
-	client     *http.Client
-	book       book
-	trainers   []*trainerRun
+	sender     *workload.Sender
+	trainers   []*workload.TrainerRun
 	publisher  *trainer.Trainer
 	edits      edits
 	pinned     sync.WaitGroup // requests through the drained entry VM
@@ -40,20 +38,24 @@
 	at      time.Time
 }
 
-func token(name string) string { return harness.Token(name) }
+// runs returns the trainers. Each was to receive all samples of all its steps.
+func (d *demo) runs() []*workload.TrainerRun {
+	for _, t := range d.trainers {
+		t.Want = trainerSteps * stepGroups * groupSize
+	}
+	return d.trainers
+}
 
 func newDemo(d *harness.Deployment, seed uint64) *demo {
 	m := &demo{
-		deployment: d, seed: seed, balancer: newBalancer(d, seed),
-		// Each request has its own connection, as through the platform's balancer.
-		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		deployment: d, seed: seed, sender: workload.NewSender(workload.NewBalancer(d, seed)),
 	}
 	for i, row := range d.Layout.Rows {
 		if row.Kind == "rollout" {
-			m.trainers = append(m.trainers, m.newTrainer(row.Name, i, uint64(row.MaxStalenessVersions)))
+			m.trainers = append(m.trainers, m.newTrainer(row, i))
 		}
 	}
-	m.publisher = m.newTrainer(m.trainers[0].row, len(d.Layout.Rows), 0).trainer
+	m.publisher = m.newTrainer(harness.RowSpec{Name: m.trainers[0].Row}, len(d.Layout.Rows)).Trainer
 	m.edits.deployment = d
 	return m
 }
@@ -93,7 +95,7 @@
 	defer stopLoad()
 	defer stopWatch()
 	var watchers, callers, trainers sync.WaitGroup
-	watchers.Go(func() { d.balancer.run(watchCtx) })
+	watchers.Go(func() { d.sender.Balancer.Run(watchCtx) })
 	watchers.Go(func() { d.edits.watch(watchCtx) })
 	for i := range chatCallers {
 		callers.Go(func() { d.chatCaller(loadCtx, i) })
@@ -104,7 +106,7 @@
 	callers.Go(func() { d.impatientCaller(loadCtx) })
 	callers.Go(func() { d.wrongCaller(loadCtx) })
 	for i, t := range d.trainers {
-		trainers.Go(func() { t.run(ctx, d.seed+uint64(i)) })
+		trainers.Go(func() { runTrainer(ctx, t, d.seed+uint64(i)) })
 	}
 	err := d.runPlan(ctx)
 	trainers.Wait()
@@ -123,13 +125,13 @@
 func (d *demo) runPlan(ctx context.Context) error {
 	start := time.Now()
 	for _, e := range d.plan() {
-		pause(ctx, time.Until(start.Add(e.at)))
+		workload.Pause(ctx, time.Until(start.Add(e.at)))
 		fmt.Printf("%5.1f s: %s\n", time.Since(start).Seconds(), e.what)
 		if err := e.do(ctx); err != nil {
 			return fmt.Errorf("%s: %w", e.what, err)
 		}
 	}
-	pause(ctx, time.Until(start.Add(minLoad)))
+	workload.Pause(ctx, time.Until(start.Add(minLoad)))
 	return ctx.Err()
 }
 
@@ -138,7 +140,7 @@
 	if err := d.deployment.Publish(ctx, v); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, requestLimit)
+	ctx, cancel := context.WithTimeout(ctx, workload.RequestLimit)
 	defer cancel()
 	_, err := d.publisher.PublishWeights(ctx, v)
 	return err
--- a/cmd/demo/edits.go
+++ b/cmd/demo/edits.go
@@ -10,6 +10,7 @@
 
 	"filbertledge/internal/api"
 	"filbertledge/internal/harness"
+	"filbertledge/internal/workload"
 )
 
 const (
@@ -73,7 +74,7 @@
 			expect = strconv.FormatUint(r.Version, 10)
 		}
 	}
-	args := []string{row, column + "=" + value, "--edit-id", newID(), "--expect-version", expect}
+	args := []string{row, column + "=" + value, "--edit-id", workload.NewID(), "--expect-version", expect}
 	first, err := e.send(ctx, 0, args...)
 	if err != nil {
 		return err
@@ -164,7 +165,7 @@
 				if view, err := e.get(ctx, vm); err == nil {
 					e.observe(vm, view)
 				}
-				pause(ctx, tableInterval)
+				workload.Pause(ctx, tableInterval)
 			}
 		})
 	}
@@ -208,7 +209,7 @@
 			e.mu.Unlock()
 			return nil
 		}
-		pause(ctx, tableInterval)
+		workload.Pause(ctx, tableInterval)
 	}
 	return ctx.Err()
 }
--- a/cmd/demo/balancer.go
+++ b/internal/workload/balancer.go
@@ -1,4 +1,4 @@
-package main
+package workload
 
 import (
 	"context"
@@ -14,8 +14,8 @@
 	probeTimeout  = 500 * time.Millisecond
 )
 
-// balancer takes the place of the platform's balancer: it gives callers a random entry VM that is ready.
-type balancer struct {
+// Balancer takes the place of the platform's balancer: it gives callers a random entry VM that is ready.
+type Balancer struct {
 	d *harness.Deployment
 
 	mu    sync.Mutex
@@ -23,15 +23,15 @@
 	ready map[*harness.VM]bool
 }
 
-func newBalancer(d *harness.Deployment, seed uint64) *balancer {
-	b := &balancer{d: d, rng: rand.New(rand.NewPCG(seed, 4)), ready: map[*harness.VM]bool{}}
+func NewBalancer(d *harness.Deployment, seed uint64) *Balancer {
+	b := &Balancer{d: d, rng: rand.New(rand.NewPCG(seed, 4)), ready: map[*harness.VM]bool{}}
 	for _, vm := range d.VMs {
 		b.ready[vm] = true
 	}
 	return b
 }
 
-func (b *balancer) run(ctx context.Context) {
+func (b *Balancer) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	for _, vm := range b.d.VMs {
 		wg.Go(func() { b.probe(ctx, vm) })
@@ -39,7 +39,7 @@
 	wg.Wait()
 }
 
-func (b *balancer) probe(ctx context.Context, vm *harness.VM) {
+func (b *Balancer) probe(ctx context.Context, vm *harness.VM) {
 	for ctx.Err() == nil {
 		short, cancel := context.WithTimeout(ctx, probeTimeout)
 		ready := b.d.Ready(short, vm)
@@ -47,12 +47,12 @@
 		b.mu.Lock()
 		b.ready[vm] = ready
 		b.mu.Unlock()
-		pause(ctx, probeInterval)
+		Pause(ctx, probeInterval)
 	}
 }
 
-// pick returns a ready entry VM other than last if there is one.
-func (b *balancer) pick(last *harness.VM) *harness.VM {
+// Pick returns a ready entry VM other than last if there is one.
+func (b *Balancer) Pick(last *harness.VM) *harness.VM {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	list := b.readyVMs()
@@ -64,7 +64,7 @@
 }
 
 // readyVMs returns the ready entry VMs, or all if none is; the caller holds b.mu.
-func (b *balancer) readyVMs() []*harness.VM {
+func (b *Balancer) readyVMs() []*harness.VM {
 	var list []*harness.VM
 	for _, vm := range b.d.VMs {
 		if b.ready[vm] {
@@ -77,8 +77,8 @@
 	return list
 }
 
-// entries returns the HTTP addresses of the ready entry VMs.
-func (b *balancer) entries() []string {
+// Entries returns the HTTP addresses of the ready entry VMs.
+func (b *Balancer) Entries() []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var out []string
@@ -88,7 +88,8 @@
 	return out
 }
 
-func pause(ctx context.Context, d time.Duration) {
+// Pause waits for d or until ctx ends.
+func Pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
