Do not start a settled member again; lock the fakes of the trainer tests

Cause: under load the test of straggler duplicates saw 12 to 16 runs instead of 11 in 7 of 12 parallel processes. A list of pending members that was read before a sample's record was committed started the finished member again. Ruled out: duplicates beyond the last tenth; a probe of the scheduler showed one candidate at a time. Change: a step remembers the newest settled attempt of each member. The fakes take their locks, which the race detector once asked for. Conclusion: the extra runs were wasted work, no sample was delivered twice. TestHolderRestarted still fails about once in 100 runs under that load, with and without this change; it is looked at next.

--- a/internal/trainer/fake_test.go
+++ b/internal/trainer/fake_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -86,10 +87,12 @@
 func (c *memoryClient) ClaimRevision() uint64 { return c.machine.ClaimRevision() }
 
 func (c *memoryClient) VMs() []api.VM {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.alone.Load() {
-		return c.vms[:1]
+		return slices.Clone(c.vms[:1])
 	}
-	return c.vms
+	return slices.Clone(c.vms)
 }
 
 func (c *memoryClient) Step(_ context.Context, id control.StepID) (control.StepView, error) {
--- a/internal/trainer/http_test.go
+++ b/internal/trainer/http_test.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -130,13 +132,19 @@
 	}{
 		{"restarted", func(d *deployment) {
 			d.lose(0)
+			d.control.mu.Lock()
 			d.control.vms[0].Incarnation = 2
+			d.control.mu.Unlock()
 		}},
 		{"body gone", func(d *deployment) { d.vms[0].bodies.dropStep(step(1)) }},
 		{"body damaged", func(d *deployment) {
-			for k := range d.vms[0].bodies.steps[step(1)] {
+			store := d.vms[0].bodies
+			store.mu.Lock()
+			keys := slices.Collect(maps.Keys(store.steps[step(1)]))
+			store.mu.Unlock()
+			for _, k := range keys {
 				other, _ := control.Encode(body{Text: "other", Labels: []api.PieceLabel{{Version: 1, Tokens: 1}}})
-				d.vms[0].bodies.put(k, other)
+				store.put(k, other)
 			}
 		}},
 	}
--- a/internal/trainer/produce.go
+++ b/internal/trainer/produce.go
@@ -162,9 +162,8 @@
 
 func (r *runner) settle(j *job, key bodyKey, accepted bool, ran time.Duration) {
 	r.mu.Lock()
-	if st, ok := r.steps[j.id.Step]; ok && accepted {
-		st.finished++
-		st.spent += ran
+	if st, ok := r.steps[j.id.Step]; ok {
+		st.settle(j, accepted, ran)
 	}
 	r.end(j)
 	r.mu.Unlock()
@@ -179,6 +178,14 @@
 	r.s.finished.wake()
 }
 
+func (st *stepWork) settle(j *job, accepted bool, ran time.Duration) {
+	st.settled[j.id] = max(st.settled[j.id], j.attempt)
+	if accepted {
+		st.finished++
+		st.spent += ran
+	}
+}
+
 // finishRun ends a run. A job whose last run failed waits for its next turn.
 func (r *runner) finishRun(q *rowQueue, j *job, err error) {
 	if errors.Is(err, errStepGone) {
--- a/internal/trainer/runner.go
+++ b/internal/trainer/runner.go
@@ -46,6 +46,9 @@
 	total    int
 	finished int
 	spent    time.Duration // generation time of the finished members
+	// settled holds the newest attempt of each member whose end the ledger knows. A list of pending members that
+	// was read before that end must not start the attempt again.
+	settled map[control.SampleID]uint64
 }
 
 // runner decides which member runs when. One mutex guards all of its state; no call to another VM or engine
@@ -114,7 +117,7 @@
 func (r *runner) adoptGroup(g control.Group) {
 	st, ok := r.steps[g.Step]
 	if !ok {
-		st = &stepWork{groups: map[string]bool{}}
+		st = &stepWork{groups: map[string]bool{}, settled: map[control.SampleID]uint64{}}
 		r.steps[g.Step] = st
 	}
 	if !st.groups[g.ID] {
@@ -124,6 +127,9 @@
 	predicted := r.lengths.predict(g.Step.Row, g.Prompt)
 	for _, p := range g.Pending {
 		id := control.SampleID{Step: g.Step, Group: g.ID, Member: p.Member}
+		if p.Attempt <= st.settled[id] {
+			continue
+		}
 		if old, ok := r.jobs[id]; ok {
 			if old.attempt >= p.Attempt {
 				continue
