replica: start new reads only after Advance

Confirmed reads started the next batch between Ready and Advance, where the contract of raft.Node allows no other call. Tests of the package pass (-race).

--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -248,6 +248,7 @@
 			break
 		}
 		r.loop.node.Advance(rd)
+		r.sendReads()
 	}
 	r.publish()
 	r.maybeSnapshot()
@@ -370,9 +371,6 @@
 		}
 	}
 	r.loop.confirmed = waiting
-	if r.loop.inFlight == nil {
-		r.sendReads()
-	}
 }
 
 func (r *Replica) recordEvents(list []raft.Event) {
