--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -4,11 +4,13 @@
 	"context"
 	"io"
 	"iter"
+	"net/http"
 	"sync"
 
+	"github.com/tidwall/gjson"
+
 	"filbertledge/internal/api"
 	"filbertledge/internal/backend"
-	"filbertledge/internal/dispatch"
 	"filbertledge/internal/errs"
 	"filbertledge/internal/platform"
 )
@@ -60,14 +62,15 @@
 	return s
 }
 
-// run passes the dispatcher's pieces to yield, several at once if the engine sent several.
+// run passes the dispatcher's pieces to yield: the first at once, later ones together if they came together.
 func (s *eventStream) run(ctx context.Context, yield func(struct{}) bool) {
 	_, s.err = s.h.opts.Dispatcher.DoStream(ctx, s.r.work, func(c backend.Chunk) error {
-		if !s.begun {
+		first := !s.begun
+		if first {
 			s.begun, s.first = true, c.Pieces
 		}
 		s.buf = appendEvent(s.buf, c.Data)
-		if c.More && len(s.buf) < maxBatch {
+		if c.More && !first && len(s.buf) < maxBatch {
 			return nil
 		}
 		if !yield(struct{}{}) {
@@ -102,7 +105,7 @@
 		s.release()
 		outcome := api.OutcomeRan
 		if s.err != nil {
-			outcome = dispatch.OutcomeOf(s.err)
+			outcome = s.r.outcomeOf(s.err)
 		}
 		s.h.end(s.r, s.err, outcome)
 	})
@@ -124,7 +127,8 @@
 		if s.err == nil {
 			s.err = errs.New(errs.BackendFailed, "resend the request", "stream ended without a piece")
 		}
-		h.refuse(r, s.err, dispatch.OutcomeOf(s.err))
+		h.refuse(r, s.err, r.outcomeOf(s.err))
+		r.showRefusal(s.err)
 		return
 	}
 	r.http.Response.Header.SetContentType(contentTypeEvents)
@@ -135,3 +139,12 @@
 	r.writeOutcome(api.OutcomeRan)
 	r.http.SetBodyStream(s, -1)
 }
+
+// showRefusal replaces the error body with the engine's own if the engine refused the request itself.
+func (r *request) showRefusal(err error) {
+	f := backend.FailureOf(err)
+	if f.Status >= http.StatusBadRequest && f.Status < http.StatusInternalServerError && gjson.ValidBytes(f.Body) {
+		r.http.SetStatusCode(f.Status)
+		r.http.SetBody(f.Body)
+	}
+}
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -11,25 +11,27 @@
 func (s *Server) handleWatch(ctx context.Context, request []byte) ([]byte, error) {
 	var q WatchRequest
 	if err := Decode(request, &q); err != nil {
-		return seal(nil, err, "")
+		return encodeAnswer(nil, err, "")
 	}
 	if q.VM.ID == "" {
-		return seal(nil, errs.New(errs.InvalidArgument, "name the VM", "the poll has no VM"), "")
+		return encodeAnswer(nil, errs.New(errs.InvalidArgument, "name the VM", "the poll has no VM"), "")
 	}
-	s.heard(q)
-	if err := s.confirmed(ctx, q.NoWait || s.hasNews(q)); err != nil {
-		return seal(nil, err, s.o.Replica.LeaderAddress())
+	s.observePoll(q)
+	if err := s.confirmed(ctx, func() bool { return q.NoWait || s.hasNews(q) }); err != nil {
+		return encodeAnswer(nil, err, s.o.Replica.LeaderAddress())
 	}
-	return seal(s.watchAnswer(q), nil, "")
+	return encodeAnswer(s.watchAnswer(q), nil, "")
 }
 
-func (s *Server) heard(q WatchRequest) {
+func (s *Server) observePoll(q WatchRequest) {
 	vm := q.VM
 	vm.TableVersion = q.TableVersion
 	vm.LastSeen = 0
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.presence.hear(vm, s.o.Clock())
+	now := s.o.Clock()
+	s.presence.observePoll(vm, now)
+	s.reports.note(vm.ID, heardReport{incarnation: vm.Incarnation, at: now, rows: q.Reports})
 }
 
 func (s *Server) hasNews(q WatchRequest) bool {
@@ -40,18 +42,22 @@
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	w := m.state.watched()
+	if m.state.sharesVersionOf(q.VM.ID, q.VM.Incarnation) > q.SharesVersion {
+		return true
+	}
 	return w.table > q.TableVersion || w.weights > q.WeightsVersion || w.claim > q.ClaimRevision || hash != q.ListHash
 }
 
-// confirmed waits for the next round of confirmLoop, and asks for one at once if now is set.
-func (s *Server) confirmed(ctx context.Context, now bool) error {
+// confirmed waits for the next round of confirmLoop, and asks for one at once if urgent says so. It asks after
+// the watcher is registered, so that a change in between is not missed.
+func (s *Server) confirmed(ctx context.Context, urgent func() bool) error {
 	done := make(chan error, 1)
 	s.mu.Lock()
 	s.waiters = append(s.waiters, done)
 	s.mu.Unlock()
-	if now {
+	if urgent() {
 		select {
-		case s.kick <- struct{}{}:
+		case s.wake <- struct{}{}:
 		default:
 		}
 	}
@@ -68,14 +74,16 @@
 func (s *Server) confirmLoop(ctx context.Context) {
 	tick := time.NewTicker(watchWait)
 	defer tick.Stop()
+	changed := s.o.Machine.Changed()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-		case <-s.kick:
-		case <-s.o.Machine.Changed():
+		case <-s.wake:
+		case <-changed:
 		}
+		changed = s.o.Machine.Changed() // before the round, which may miss a change that follows
 		s.confirmRound(ctx)
 	}
 }
@@ -110,5 +118,8 @@
 	a.TableVersion, a.Rows = m.state.table.Version(), m.state.rowsSince(q.TableVersion)
 	a.WeightsVersion, a.Models = m.state.weightsVersion, m.state.weightsSince(q.WeightsVersion)
 	a.ClaimRevision = m.state.ledger.claimRevision
+	if a.SharesVersion = m.state.sharesVersionOf(q.VM.ID, q.VM.Incarnation); a.SharesVersion > q.SharesVersion {
+		_, a.Shares = m.state.sharesOf(q.VM.ID, q.VM.Incarnation)
+	}
 	return a
 }
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -44,7 +44,6 @@
 	rng       *rand.Rand
 	queue     policy.Queue
 	servers   map[*membership.Server]*serverState
-	rows      map[api.RowName]int // requests in flight
 	affinity  map[uint64]*membership.Server
 	suspects  int                         // waiting runs that need a server of their own
 	emptying  map[*membership.Server]bool // servers that get no new work until a suspect runs there
@@ -60,7 +59,13 @@
 type waiter struct {
 	run   *run
 	job   policy.Job
-	grant chan *lease
+	grant chan grant
+}
+
+// grant ends a wait: with a server, or with the reason why the work may no longer run.
+type grant struct {
+	lease *lease
+	err   error
 }
 
 // lease is the right to run one attempt on a server.
@@ -76,13 +81,13 @@
 
 // acquire waits for a server. The error says that the attempt did not run.
 func (p *pool) acquire(ctx context.Context, r *run) (*lease, error) {
-	w := &waiter{run: r, grant: make(chan *lease, 1)}
+	w := &waiter{run: r, grant: make(chan grant, 1)}
 	if err := p.enqueue(ctx, w); err != nil {
 		return nil, err
 	}
 	select {
-	case l := <-w.grant:
-		return l, nil
+	case g := <-w.grant:
+		return g.lease, g.err
 	case <-ctx.Done():
 	}
 	p.mu.Lock()
@@ -92,7 +97,7 @@
 	}
 	p.mu.Unlock()
 	if !waiting {
-		(<-w.grant).release()
+		(<-w.grant).lease.discard()
 	}
 	return nil, p.waitError(ctx)
 }
@@ -247,28 +252,34 @@
 // pump places waiting work until nothing more can be placed. p.mu must be held.
 func (p *pool) pump(now time.Duration) {
 	for p.queue.Len() > 0 {
-		var granted *lease
+		var g grant
 		job := p.queue.Next(func(j *policy.Job) bool {
-			granted = p.place(j.Data.(*waiter).run, j, now)
-			return granted != nil
+			g.lease, g.err = p.place(j.Data.(*waiter).run, j, now)
+			return g.lease != nil || g.err != nil
 		})
 		if job == nil {
 			return
 		}
 		w := job.Data.(*waiter)
 		p.countSuspect(w.run, -1)
-		w.grant <- granted
+		w.grant <- g
 	}
 }
 
-// place chooses a server for a run and takes a slot on it, or returns nil.
-func (p *pool) place(r *run, j *policy.Job, now time.Duration) *lease {
-	row := &r.work.Row
-	if r.class == policy.Trainer && !p.d.opts.Control.Fresh() {
-		return nil // a newer table could forbid the weights
+// place chooses a server for a run and takes a slot on it, or returns nil. The error says that the run may no
+// longer wait.
+func (p *pool) place(r *run, j *policy.Job, now time.Duration) (*lease, error) {
+	if err := r.refresh(); err != nil {
+		return nil, err
 	}
-	if row.MaxInFlight > 0 && p.rows[row.Name] >= p.d.opts.Share(*row) {
-		return nil
+	if r.class == policy.Trainer {
+		if !p.d.opts.Control.Fresh() {
+			return nil, nil // a newer table could forbid the weights
+		}
+		r.raiseMinVersion()
+	}
+	if !p.d.loads.reserve(r.row, p.d.opts.Share) {
+		return nil, nil
 	}
 	r.again = len(r.exclude) > 0 && p.onlyExcluded(r)
 	s := p.choose(r, j, now)
@@ -276,9 +287,10 @@
 		p.empty(r)
 	}
 	if s == nil {
-		return nil
+		p.d.loads.release(r.row.Name)
+		return nil, nil
 	}
-	return p.take(s, r, now)
+	return p.take(s, r, now), nil
 }
 
 // onlyExcluded reports whether every server that could run the work has already failed it. It may then be
@@ -309,7 +321,6 @@
 		s.SetExclusive(true)
 		delete(p.emptying, s)
 	}
-	p.rows[r.work.Row.Name]++
 	if r.prefix != 0 {
 		p.remember(r.prefix, s)
 	}
@@ -350,10 +361,7 @@
 		l.state.isolated = false
 		l.server.SetExclusive(false)
 	}
-	name := l.run.work.Row.Name
-	if p.rows[name]--; p.rows[name] == 0 {
-		delete(p.rows, name)
-	}
+	p.d.loads.release(l.run.work.Row.Name)
 	p.pump(p.d.now())
 }
 
--- a/internal/dispatch/unary.go
+++ b/internal/dispatch/unary.go
@@ -89,9 +89,12 @@
 
 // settle notes the end of an attempt.
 func (r *run) settle(ctx context.Context, res *unaryResult) {
-	if res.err != nil {
+	switch {
+	case res.err != nil:
 		res.retry = r.failed(ctx, res.lease, res.err)
-	} else {
+	case r.engine() && res.answer.Status != http.StatusOK:
+		r.answered()
+	default:
 		r.succeeded(res.lease, r.measurement(res))
 	}
 	res.lease.release()
@@ -194,7 +197,8 @@
 	defer p.mu.Unlock()
 	now := r.d.now()
 	job := p.jobOf(r, now)
-	return p.place(r, &job, now)
+	l, _ := p.place(r, &job, now)
+	return l
 }
 
 // exchange runs one attempt and checks its status.
@@ -243,7 +247,7 @@
 // its last announcement.
 func (r *run) checkVersions(labels []api.PieceLabel) error {
 	for _, l := range labels {
-		if !r.work.Row.Weights.Allows(l.Version) {
+		if !r.row.Weights.Allows(l.Version) {
 			return &backend.Failure{
 				Status: statusConflict,
 				Err:    errs.New(errs.BackendFailed, "resend the request", "engine used weight version %d, which the row does not allow", l.Version),
