--- a/internal/control/presence.go
+++ b/internal/control/presence.go
@@ -215,7 +215,8 @@
 		return errs.New(errs.Unavailable, "wait for an election", "no leader is known")
 	}
 	s.mu.Lock()
-	q := PresenceRequest{VMs: s.presence.recent(now, vmExpiry, true), ListHash: s.presence.listHash, Reports: s.reports.recent(now)}
+	q := PresenceRequest{VMs: s.presence.recent(now, vmExpiry, true), ListHash: s.presence.listHash}
+	q.Reports = s.reports.byRow(q.VMs)
 	s.mu.Unlock()
 	request, err := Encode(q)
 	if err != nil {
--- a/internal/control/share_test.go
+++ b/internal/control/share_test.go
@@ -304,6 +304,48 @@
 	}
 }
 
+// TestLimitForUnlimitedRow guards against shares that are granted while work from before the limit is in flight.
+func TestLimitForUnlimitedRow(t *testing.T) {
+	w := newShareWorld(t, 0)
+	w.limit = 6
+	for _, u := range w.vms {
+		u.inFlight, u.demand = 4, 4
+	}
+	w.rounds(2 * time.Second)
+	if _, err := w.members[0].server.propose(context.Background(), edit(idAt(time.Now(), 2), 1, limitedRow(6))); err != nil {
+		t.Fatal(err)
+	}
+	granted := func() (sum int) {
+		for _, v := range w.members[0].machine.Shares() {
+			for _, s := range v.Shares {
+				sum += s.Granted
+			}
+		}
+		return sum
+	}
+	for _, polls := range [][]api.VMID{{"one"}, {"one", "two", "three"}} {
+		for range 4 {
+			for _, id := range polls {
+				w.pollOnce(w.vms[id])
+			}
+			if len(polls) == 1 {
+				w.poll(1, "three", 1, 0) // with the table from before the edit
+			}
+			w.rounds(presenceInterval)
+		}
+		if granted() != 0 {
+			t.Fatalf("%d granted while 12 requests are in flight", granted())
+		}
+	}
+	for _, u := range w.vms {
+		u.inFlight = 0
+	}
+	w.run(2 * time.Second)
+	if granted() != 6 {
+		t.Fatalf("%d granted of 6 once the earlier work has ended", granted())
+	}
+}
+
 // TestReleaseShares guards against shares of a drained VM that stay unused, or that it uses after it gave them back.
 func TestReleaseShares(t *testing.T) {
 	w := newShareWorld(t, 12)
--- a/internal/control/sharecontrol.go
+++ b/internal/control/sharecontrol.go
@@ -20,18 +20,28 @@
 // ShareReport is the demand of a VM for a row and its acknowledgement of a grant. Rows without demand whose
 // share is fully acknowledged are left out.
 type ShareReport struct {
-	Row      api.RowName `cbor:"1,keyasint"`
-	Grant    uint64      `cbor:"2,keyasint,omitempty"` // number of the grant in force when InFlight was counted
-	InFlight int         `cbor:"3,keyasint,omitempty"`
-	Waiting  int         `cbor:"4,keyasint,omitempty"`
+	Row api.RowName `cbor:"1,keyasint"`
+	// Grant is the number of the grant in force when InFlight was counted. It is sent only while the decrease of
+	// a share is not acknowledged.
+	Grant    uint64 `cbor:"2,keyasint,omitempty"`
+	InFlight int    `cbor:"3,keyasint,omitempty"`
+	Waiting  int    `cbor:"4,keyasint,omitempty"`
 }
 
-// VMReport holds the last reports of a VM. Age is that of the poll.
+// RowReports are the reports of a row that a replica passes on to the leader. They are grouped by row, because
+// names of rows would be most of the bytes otherwise.
+type RowReports struct {
+	Row api.RowName `cbor:"1,keyasint"`
+	VMs []VMReport  `cbor:"2,keyasint"`
+}
+
+// VMReport is the ShareReport of one VM, encoded as an array.
 type VMReport struct {
-	VM          api.VMID      `cbor:"1,keyasint"`
-	Incarnation uint64        `cbor:"2,keyasint"`
-	Age         time.Duration `cbor:"3,keyasint"`
-	Rows        []ShareReport `cbor:"4,keyasint"`
+	_        struct{} `cbor:",toarray"`
+	VM       int      // position in PresenceRequest.VMs
+	Grant    uint64
+	InFlight int
+	Waiting  int
 }
 
 // shareReports are the newest reports of the VMs, guarded by Server.mu.
@@ -64,25 +74,33 @@
 	maps.DeleteFunc(r, func(_ api.VMID, h heardReport) bool { return now-h.at > forgetAfter })
 }
 
-// recent returns the reports with rows of VMs that were heard from lately.
-func (r shareReports) recent(now time.Duration) []VMReport {
-	var out []VMReport
-	for _, id := range slices.Sorted(maps.Keys(r)) {
-		h := r[id]
-		if now-h.at < vmExpiry && len(h.rows) > 0 {
-			out = append(out, VMReport{VM: id, Incarnation: h.incarnation, Age: now - h.at, Rows: h.rows})
+// byRow returns the reports of the listed VMs.
+func (r shareReports) byRow(list []api.VM) []RowReports {
+	rows := map[api.RowName][]VMReport{}
+	for i, vm := range list {
+		for _, s := range reportsOf(r[vm.ID], vm.Incarnation) {
+			rows[s.Row] = append(rows[s.Row], VMReport{VM: i, Grant: s.Grant, InFlight: s.InFlight, Waiting: s.Waiting})
 		}
 	}
+	var out []RowReports
+	for _, name := range slices.Sorted(maps.Keys(rows)) {
+		out = append(out, RowReports{Row: name, VMs: rows[name]})
+	}
 	return out
 }
 
 // noteReports takes over what another replica heard. VMs without a report there have no demand.
 func (r shareReports) noteReports(q PresenceRequest, now time.Duration) {
-	for _, vm := range q.VMs {
-		r.note(vm.ID, heardReport{incarnation: vm.Incarnation, at: now - max(vm.LastSeen, 0)})
+	rows := make([][]ShareReport, len(q.VMs))
+	for _, row := range q.Reports {
+		for _, v := range row.VMs {
+			if v.VM >= 0 && v.VM < len(rows) {
+				rows[v.VM] = append(rows[v.VM], ShareReport{Row: row.Row, Grant: v.Grant, InFlight: v.InFlight, Waiting: v.Waiting})
+			}
+		}
 	}
-	for _, v := range q.Reports {
-		r.note(v.VM, heardReport{incarnation: v.Incarnation, at: now - max(v.Age, 0), rows: v.Rows})
+	for i, vm := range q.VMs {
+		r.note(vm.ID, heardReport{incarnation: vm.Incarnation, at: now - max(vm.LastSeen, 0), rows: rows[i]})
 	}
 }
 
@@ -108,6 +126,20 @@
 	}
 }
 
+// mayBeUnlimited reports whether a VM may use a table in which the row has no limit, so that what it has in
+// flight is not reported yet.
+func (m *Machine) mayBeUnlimited(name api.RowName, list []api.VM) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	entry := m.state.rows[name]
+	if entry == nil || !slices.ContainsFunc(entry.history, func(h historyEntry) bool {
+		return !h.Row.Deleted && h.Row.MaxInFlight == 0
+	}) {
+		return false
+	}
+	return slices.ContainsFunc(list, func(vm api.VM) bool { return vm.TableVersion < entry.index })
+}
+
 // sharePlanner builds one SetShares.
 type sharePlanner struct {
 	vms     []plannedVM // by id
@@ -132,7 +164,11 @@
 		}
 	}
 	for _, row := range m.Table().Sorted() {
-		if row.MaxInFlight > 0 {
+		switch {
+		case row.MaxInFlight == 0:
+		case m.mayBeUnlimited(row.Name, list):
+			delete(rows, row.Name)
+		default:
 			rows[row.Name] = row.MaxInFlight
 		}
 	}
--- a/internal/control/shareremote.go
+++ b/internal/control/shareremote.go
@@ -29,6 +29,14 @@
 	return err
 }
 
+// unacknowledged returns the number of the grant if the VM has to acknowledge it, or else 0.
+func (s Share) unacknowledged() uint64 {
+	if s.Holding > s.Granted {
+		return s.Grant
+	}
+	return 0
+}
+
 // shareReport describes the VM's load under the shares of v. The loads are counted after v is in force, which
 // makes them an acknowledgement of its grants.
 func (r *Remote) shareReport(v *remoteView) []ShareReport {
@@ -40,7 +48,7 @@
 		reported[load.Row] = true
 		limited := ok && row.MaxInFlight > 0 && load.InFlight+load.Waiting > 0
 		if limited || held && share.Holding > share.Granted {
-			out = append(out, ShareReport{Row: load.Row, Grant: share.Grant, InFlight: load.InFlight, Waiting: load.Waiting})
+			out = append(out, ShareReport{Row: load.Row, Grant: share.unacknowledged(), InFlight: load.InFlight, Waiting: load.Waiting})
 		}
 	}
 	for name, share := range v.shares {
--- a/internal/control/wire.go
+++ b/internal/control/wire.go
@@ -56,8 +56,8 @@
 type PresenceRequest struct {
 	VMs      []api.VM `cbor:"1,keyasint"`
 	ListHash uint64   `cbor:"2,keyasint"`
-	// Reports are those of the VMs with demand.
-	Reports []VMReport `cbor:"20,keyasint,omitempty"`
+	// Reports are those of the VMs with demand, by row.
+	Reports []RowReports `cbor:"20,keyasint,omitempty"`
 }
 
 // PresenceAnswer is the leader's list of VMs, if its hash differs from the one in the request.
--- a/internal/trainer/fake_test.go
+++ b/internal/trainer/fake_test.go
@@ -102,6 +102,7 @@
 
 // fakeEngine generates at once with the current version, unless hold returns a channel to wait for.
 type fakeEngine struct {
+	share   func(table.Row) int // of the VMs; nil: the limit of the row
 	version atomic.Uint64
 	calls   atomic.Int64
 	active  atomic.Int64
@@ -174,7 +175,7 @@
 
 func (d *deployment) start(vm api.VM) {
 	client := &memoryClient{memoryControl: d.control}
-	s := New(Options{VM: vm, Client: client, Generator: d.engine, Call: d.call, Events: events.NewRecorder(vm.ID, io.Discard)})
+	s := New(Options{VM: vm, Client: client, Generator: d.engine, Call: d.call, Share: d.engine.share, Events: events.NewRecorder(vm.ID, io.Discard)})
 	ctx, cancel := context.WithCancel(context.Background())
 	v := &testVM{Service: s, client: client, stop: cancel}
 	d.vms = append(d.vms, v)
--- a/internal/trainer/trainer_test.go
+++ b/internal/trainer/trainer_test.go
@@ -12,6 +12,7 @@
 	"filbertledge/internal/api"
 	"filbertledge/internal/control"
 	"filbertledge/internal/dispatch"
+	"filbertledge/internal/table"
 )
 
 // TestStepIsDeliveredOnce guards against lost and repeated samples when the answer to an acknowledgement is
@@ -198,6 +199,13 @@
 	if p := engine.peak.Load(); p != 2 {
 		t.Fatalf("%d rollouts at a time, want 2", p)
 	}
+	engine = &fakeEngine{hold: engine.hold, share: func(table.Row) int { return 1 }}
+	d = deploy(t, 1, row, engine)
+	d.open(0, 1, 4, 2)
+	d.fetchAll(1, 8)
+	if p := engine.peak.Load(); p != 1 {
+		t.Fatalf("%d rollouts at a time, want the share of 1", p)
+	}
 }
 
 func step(n uint64) control.StepID { return control.StepID{Row: "tutor", Step: n} }
