--- a/internal/control/share_test.go
+++ b/internal/control/share_test.go
@@ -101,12 +101,16 @@
 	vm := m.vm()
 	share := m.share(vm)
 	ack := ShareAck{Row: "chat", Grant: share.Grant, InFlight: m.draw("in flight", m.bound[vm][m.alive[vm]]+1)}
-	if m.draw("old", 4) == 0 {
+	incarnation := m.alive[vm]
+	switch m.draw("old", 4) {
+	case 0:
 		ack.Grant--
-	} else {
-		m.bound[vm][m.alive[vm]] = max(share.Granted, ack.InFlight)
+	case 1:
+		incarnation--
+	default:
+		m.bound[vm][incarnation] = max(share.Granted, ack.InFlight)
 	}
-	m.change(Command{SetShares: &SetShares{VMs: []VMShareUpdate{{VM: vm, Incarnation: m.alive[vm], Acks: []ShareAck{ack}}}}})
+	m.change(Command{SetShares: &SetShares{VMs: []VMShareUpdate{{VM: vm, Incarnation: incarnation, Acks: []ShareAck{ack}}}}})
 }
 
 func (m *shareModel) restart(*rapid.T) {
@@ -280,6 +284,20 @@
 	}
 }
 
+// TestRestartFreesShare guards against a share that stays with the earlier incarnation of a VM.
+func TestRestartFreesShare(t *testing.T) {
+	w := newShareWorld(t, 1)
+	w.vms["one"].demand = 1
+	w.run(4 * time.Second)
+	had := w.share("one")
+	w.add("one", 0, 2)
+	w.vms["two"].demand = 1
+	w.run(3 * time.Second)
+	if had != 1 || w.share("one") != 0 || w.share("two") != 1 {
+		t.Fatalf("VM one had %d and has %d, VM two %d", had, w.share("one"), w.share("two"))
+	}
+}
+
 // TestSharesFollowDemand guards against shares that stay where there is no demand.
 func TestSharesFollowDemand(t *testing.T) {
 	w := newShareWorld(t, 30)
--- a/internal/control/shareplan_test.go
+++ b/internal/control/shareplan_test.go
@@ -40,17 +40,19 @@
 		vms   []shareVM
 		want  []int
 	}{
-		"first grants":                {8, []shareVM{vm(0, 0, 0), vm(0, 0, 0)}, []int{4, 4}},
-		"an absent VM keeps its own":  {10, []shareVM{absent, vm(9, 0, 0)}, []int{4, 4}},
-		"raise waits for the ack":     {8, []shareVM{vm(0, 4, 4), vm(20, 4, 4)}, []int{1, 4}},
-		"raise after the ack":         {8, []shareVM{vm(0, 1, 1), vm(20, 4, 4)}, []int{1, 7}},
-		"small change moves nothing":  {40, []shareVM{vm(30, 20, 20), vm(31, 20, 20)}, []int{20, 20}},
-		"met demand moves nothing":    {40, []shareVM{vm(1, 30, 30), vm(9, 10, 10)}, []int{30, 10}},
-		"lower limit":                 {4, []shareVM{vm(9, 4, 4), vm(9, 4, 4)}, []int{2, 2}},
-		"deleted row":                 {0, []shareVM{vm(9, 4, 4), absent}, []int{0, 4}},
-		"work from before the limit":  {6, []shareVM{{present: true, demand: 9, inFlight: 4}, vm(9, 0, 0)}, []int{1, 1}},
-		"a new VM gets its reserve":   {8, []shareVM{vm(0, 8, 8), vm(0, 0, 0)}, []int{4, 0}},
-		"a lowered share is returned": {8, []shareVM{vm(8, 2, 8), vm(0, 0, 0)}, []int{7, 0}},
+		"first grants":                  {8, []shareVM{vm(0, 0, 0), vm(0, 0, 0)}, []int{4, 4}},
+		"an absent VM keeps its own":    {10, []shareVM{absent, vm(9, 0, 0)}, []int{4, 4}},
+		"absent VMs are divided around": {10, []shareVM{absent, vm(9, 4, 4), vm(9, 0, 0)}, []int{4, 2, 0}},
+		"the odd one stays":             {7, []shareVM{vm(5, 4, 4), vm(6, 3, 3)}, []int{4, 3}},
+		"raise waits for the ack":       {8, []shareVM{vm(0, 4, 4), vm(20, 4, 4)}, []int{1, 4}},
+		"raise after the ack":           {8, []shareVM{vm(0, 1, 1), vm(20, 4, 4)}, []int{1, 7}},
+		"small change moves nothing":    {40, []shareVM{vm(30, 20, 20), vm(31, 20, 20)}, []int{20, 20}},
+		"met demand moves nothing":      {40, []shareVM{vm(1, 30, 30), vm(9, 10, 10)}, []int{30, 10}},
+		"lower limit":                   {4, []shareVM{vm(9, 4, 4), vm(9, 4, 4)}, []int{2, 2}},
+		"deleted row":                   {0, []shareVM{vm(9, 4, 4), absent}, []int{0, 4}},
+		"work from before the limit":    {6, []shareVM{{present: true, demand: 9, inFlight: 4}, vm(9, 0, 0)}, []int{1, 1}},
+		"a new VM gets its reserve":     {8, []shareVM{vm(0, 8, 8), vm(0, 0, 0)}, []int{4, 0}},
+		"a lowered share is returned":   {8, []shareVM{vm(8, 2, 8), vm(0, 0, 0)}, []int{7, 0}},
 	} {
 		if got := planRow(c.limit, c.vms, 0); !slices.Equal(got, c.want) {
 			t.Errorf("%s: %v, want %v", name, got, c.want)
