--- a/internal/control/share_test.go
+++ b/internal/control/share_test.go
@@ -101,12 +101,16 @@
 	vm := m.vm()
 	share := m.share(vm)
 	ack := ShareAck{Row: "chat", Grant: share.Grant, InFlight: m.draw("in flight", m.bound[vm][m.alive[vm]]+1)}
-	if m.draw("old", 4) == 0 {
+	incarnation := m.alive[vm]
+	switch m.draw("old", 4) {
+	case 0:
 		ack.Grant--
-	} else {
-		m.bound[vm][m.alive[vm]] = max(share.Granted, ack.InFlight)
+	case 1:
+		incarnation--
+	default:
+		m.bound[vm][incarnation] = max(share.Granted, ack.InFlight)
 	}
-	m.change(Command{SetShares: &SetShares{VMs: []VMShareUpdate{{VM: vm, Incarnation: m.alive[vm], Acks: []ShareAck{ack}}}}})
+	m.change(Command{SetShares: &SetShares{VMs: []VMShareUpdate{{VM: vm, Incarnation: incarnation, Acks: []ShareAck{ack}}}}})
 }
 
 func (m *shareModel) restart(*rapid.T) {
@@ -280,6 +284,20 @@
 	}
 }
 
+// TestRestartFreesShare guards against a share that stays with the earlier incarnation of a VM.
+func TestRestartFreesShare(t *testing.T) {
+	w := newShareWorld(t, 1)
+	w.vms["one"].demand = 1
+	w.run(4 * time.Second)
+	had := w.share("one")
+	w.add("one", 0, 2)
+	w.vms["two"].demand = 1
+	w.run(3 * time.Second)
+	if had != 1 || w.share("one") != 0 || w.share("two") != 1 {
+		t.Fatalf("VM one had %d and has %d, VM two %d", had, w.share("one"), w.share("two"))
+	}
+}
+
 // TestSharesFollowDemand guards against shares that stay where there is no demand.
 func TestSharesFollowDemand(t *testing.T) {
 	w := newShareWorld(t, 30)
@@ -304,6 +322,48 @@
 	}
 }
 
+// TestLimitForUnlimitedRow guards against shares that are granted while work from before the limit is in flight.
+func TestLimitForUnlimitedRow(t *testing.T) {
+	w := newShareWorld(t, 0)
+	w.limit = 6
+	for _, u := range w.vms {
+		u.inFlight, u.demand = 4, 4
+	}
+	w.rounds(2 * time.Second)
+	if _, err := w.members[0].server.propose(context.Background(), edit(idAt(time.Now(), 2), 1, limitedRow(6))); err != nil {
+		t.Fatal(err)
+	}
+	granted := func() (sum int) {
+		for _, v := range w.members[0].machine.Shares() {
+			for _, s := range v.Shares {
+				sum += s.Granted
+			}
+		}
+		return sum
+	}
+	for _, polls := range [][]api.VMID{{"one"}, {"one", "two", "three"}} {
+		for range 4 {
+			for _, id := range polls {
+				w.pollOnce(w.vms[id])
+			}
+			if len(polls) == 1 {
+				w.poll(1, "three", 1, 0) // with the table from before the edit
+			}
+			w.rounds(presenceInterval)
+		}
+		if granted() != 0 {
+			t.Fatalf("%d granted while 12 requests are in flight", granted())
+		}
+	}
+	for _, u := range w.vms {
+		u.inFlight = 0
+	}
+	w.run(2 * time.Second)
+	if granted() != 6 {
+		t.Fatalf("%d granted of 6 once the earlier work has ended", granted())
+	}
+}
+
 // TestReleaseShares guards against shares of a drained VM that stay unused, or that it uses after it gave them back.
 func TestReleaseShares(t *testing.T) {
 	w := newShareWorld(t, 12)
