--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,12 @@
 capacity: build
 	$(BIN)/capacity
 
+rolling: build
+	$(BIN)/rolling
+
+soak: build
+	$(BIN)/soak
+
 ci: lint build test demo
 
 clean:
--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,80 @@
+// Command soak runs the Galambkert layout under load and random faults by a printed seed, and checks the promises of
+// the design page over the whole run. It exits with 1 if one was broken, and with 2 if it could not run.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"filbertledge/internal/harness"
+)
+
+const (
+	exitBroken = 1
+	exitFailed = 2
+	// maxDuration bounds the load. endLimit is the time after it in which faults heal and all callers end.
+	maxDuration = 30 * time.Minute
+	endLimit    = 3 * time.Minute
+	maxSeed     = 1_000_000 // of a seed that was not given, short enough to type
+)
+
+func main() {
+	bin, err := binDir()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		os.Exit(exitFailed)
+	}
+	seed := flag.Uint64("seed", uint64(time.Now().UnixNano())%maxSeed, "seed of the faults and of the callers' choices")
+	duration := flag.Duration("duration", 3*time.Minute, "time under load and faults, at most 30m")
+	keep := flag.Bool("keep", false, "keep the folder with the logs of all processes")
+	flag.StringVar(&bin, "bin", bin, "folder with the binaries filbertledge and standin")
+	flag.Parse()
+	fmt.Printf("seed %d, %v\n", *seed, min(*duration, maxDuration))
+	kept, err := run(harness.Options{
+		Layout:       harness.Galambkert(),
+		Filbertledge: filepath.Join(bin, "filbertledge"),
+		Standin:      filepath.Join(bin, "standin"),
+		Keep:         *keep,
+	}, *seed, min(*duration, maxDuration))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		os.Exit(exitFailed)
+	}
+	if !kept {
+		os.Exit(exitBroken)
+	}
+}
+
+func binDir() (string, error) {
+	path, err := os.Executable()
+	if err != nil {
+		return "", fmt.Errorf("find the folder of the binaries: %w", err)
+	}
+	return filepath.Dir(path), nil
+}
+
+func run(opts harness.Options, seed uint64, duration time.Duration) (kept bool, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), duration+endLimit)
+	defer cancel()
+	d, err := harness.Start(ctx, opts)
+	if err != nil {
+		return false, err
+	}
+	defer func() {
+		if closeErr := d.Close(); err == nil {
+			err = closeErr
+		}
+	}()
+	if err := d.WaitServers(ctx); err != nil {
+		return false, err
+	}
+	s := newSoak(d, seed)
+	if err := s.drive(ctx, duration); err != nil {
+		return false, err
+	}
+	return s.report(os.Stdout)
+}
--- /dev/null
+++ b/cmd/soak/report.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"filbertledge/internal/standin"
+	"filbertledge/internal/workload"
+)
+
+const (
+	// leaveBound is the time after which a leaving backend server must receive no new work.
+	leaveBound = 3 * time.Second
+	// acceptBound is the time for which an entry VM that shuts down goes on accepting requests.
+	acceptBound = 5 * time.Second
+	maxShown    = 5
+)
+
+// report prints one line for each promise and the totals, and reports whether all promises were kept.
+func (s *soak) report(out io.Writer) (bool, error) {
+	seen, err := s.deployment.Seen()
+	if err != nil {
+		return false, err
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.faults.counts)) {
+		fmt.Fprintf(out, "fault: %s: %d\n", name, s.faults.counts[name])
+	}
+	index := workload.NewIndex(seen)
+	requests := s.callers.Sender.Book.Requests()
+	labels, once, whole := index.Labels(s.trainers), workload.ExactlyOnce(s.trainers), workload.WholeAnswers(requests)
+	notRun, atMostOnce, stale := index.NotRun(requests), index.AtMostOnce(requests), s.stale()
+	kept := true
+	for _, p := range []struct {
+		promise string
+		bad     []string
+	}{
+		{"P1", labels.Bad},
+		{"P2", stale},
+		{"P3", once.Bad},
+		{"P4", whole.Bad},
+		{"P5", notRun.Bad},
+		{"P6", atMostOnce.Bad},
+		{"P7", s.afterLeaving(seen)},
+		{"P8", s.cutByDrain(requests)},
+	} {
+		kept = line(out, p.promise, p.bad) && kept
+	}
+	fmt.Fprintf(out, "soak: requests=%d doubled=%d lost=%d false-not-run=%d samples=%d doubled=%d lost=%d mislabelled=%d stale=%d refused-minutes=%d\n",
+		len(requests), atMostOnce.Duplicated, len(whole.Bad), len(notRun.Bad), once.Count, once.Duplicated, once.Lost,
+		len(labels.Bad), len(stale), refusedMinutes(requests))
+	return kept, nil
+}
+
+func line(out io.Writer, promise string, bad []string) bool {
+	if len(bad) == 0 {
+		fmt.Fprintf(out, "%s kept\n", promise)
+		return true
+	}
+	fmt.Fprintf(out, "%s BROKEN: %d violations\n", promise, len(bad))
+	for _, v := range bad[:min(len(bad), maxShown)] {
+		fmt.Fprintf(out, "    %s\n", v)
+	}
+	return false
+}
+
+func (s *soak) stale() []string {
+	bad := workload.Staleness(s.trainers).Bad
+	for i, t := range s.trainers {
+		bad = append(bad, workload.Overdue(t, s.bounds[i], s.published).Bad...)
+	}
+	return bad
+}
+
+// afterLeaving lists the requests that a leaving backend server received after the bound (P7).
+func (s *soak) afterLeaving(seen standin.LogContent) []string {
+	var bad []string
+	for _, d := range s.faults.departed {
+		for _, r := range seen.Requests {
+			if string(r.Server) == d.name && r.Start.After(d.from.Add(leaveBound)) && r.Start.Before(d.until) {
+				bad = append(bad, fmt.Sprintf("%s received a request %.1f s after it announced that it was leaving", d.name, r.Start.Sub(d.from).Seconds()))
+			}
+		}
+	}
+	return bad
+}
+
+// cutByDrain lists the requests that broke at an entry VM while it shut down (P8). Those that came after the
+// time for which it accepts new ones may be refused.
+func (s *soak) cutByDrain(requests []*workload.Request) []string {
+	var bad []string
+	for _, d := range s.faults.drains {
+		if d.code != 0 {
+			bad = append(bad, fmt.Sprintf("%s ended with exit code %d", d.name, d.code))
+		}
+		for _, r := range requests {
+			for _, a := range r.Attempts {
+				during := a.VM.Name == d.name && a.Ended.After(d.from) && a.Ended.Before(d.until.Add(time.Second)) && a.Sent.Before(d.from.Add(acceptBound))
+				if during && a.Err != nil {
+					bad = append(bad, fmt.Sprintf("%s drained at %s: %s", d.name, d.from.Format(time.TimeOnly), r.Story()))
+				}
+			}
+		}
+	}
+	return bad
+}
+
+// refusedMinutes counts the minutes of each row in which a request of a customer was refused.
+func refusedMinutes(requests []*workload.Request) int {
+	type minute struct {
+		row string
+		at  time.Time
+	}
+	minutes := map[minute]bool{}
+	for _, r := range requests {
+		for _, a := range r.Attempts {
+			if a.Err == nil && a.Status != http.StatusOK {
+				minutes[minute{r.Row, a.Ended.Truncate(time.Minute)}] = true
+			}
+		}
+	}
+	return len(minutes)
+}
