Let lost VMs of the trainer tests end before they are declared lost

Cause: TestHolderRestarted failed about once in 100 runs under load. A trace of a failing run shows that the VM that was to be lost claimed its groups again after it was declared lost, because its goroutines had not ended yet. Ruled out: a lost claim of the remaining VM; it asked at the right revision and the groups had an owner. In a deployment the leader declares such an owner lost again, since it looks at the owners in the replicated state. Change: the fake waits until a stopped VM sends no more commands, as a dead process does. No bound or check changed. Conclusion: the fault was in the test's model of a lost VM.

--- a/internal/trainer/fake_test.go
+++ b/internal/trainer/fake_test.go
@@ -147,7 +147,7 @@
 type testVM struct {
 	*Service
 	client *memoryClient
-	stop   context.CancelFunc
+	stop   func() // returns once the VM sends no more commands
 	gone   atomic.Bool
 }
 
@@ -180,17 +180,17 @@
 	client := &memoryClient{memoryControl: d.control}
 	s := New(Options{VM: vm, Client: client, Generator: d.engine, Call: d.call, Share: d.engine.share, Events: events.NewRecorder(vm.ID, io.Discard)})
 	ctx, cancel := context.WithCancel(context.Background())
-	v := &testVM{Service: s, client: client, stop: cancel}
-	d.vms = append(d.vms, v)
 	done := make(chan struct{})
+	v := &testVM{Service: s, client: client, stop: func() {
+		cancel()
+		<-done
+	}}
+	d.vms = append(d.vms, v)
 	go func() {
 		s.Run(ctx)
 		close(done)
 	}()
-	d.t.Cleanup(func() {
-		cancel()
-		<-done
-	})
+	d.t.Cleanup(v.stop)
 }
 
 func (d *deployment) call(ctx context.Context, addr, method string, request []byte) ([]byte, error) {
