Bound how fast a VM takes free slots for trainers' work; keep slots for customers

Cause: in the scenario slot-confirmations-late the first customer request of each of six callers took 2 to 8.5 s. All VMs see the same free slots when a step starts, each took all of them, and eighteen rollouts queued on engines of eight slots, which know no priorities. Slots were kept for short work only after a customer had come within the last 10 s. Ruled out: the dispatcher's own queue; the time passed in one attempt. Change: on pools that serve customers, trainers' work leaves an eighth of the slots free at all times; a VM takes its part of the free slots in each window of 300 ms, the time in which it hears of the others. make test runs the scenarios after the other tests, on their own.

--- a/Makefile
+++ b/Makefile
@@ -17,8 +17,10 @@
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
+# The scenarios run on their own: they start whole deployments, whose deadlines need the machine.
 test:
-	$(GO) test -race -timeout 10m ./...
+	$(GO) test -race -timeout 10m $$($(GO) list ./... | grep -v internal/scenarios)
+	$(GO) test -race -timeout 10m -count=1 ./internal/scenarios
 
 demo: build
 	$(BIN)/demo
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -35,6 +35,7 @@
 func (f *fakeControl) Do(context.Context, control.Command) (control.Result, error) {
 	return control.Result{}, nil
 }
+
 func (f *fakeControl) Table() *table.Snapshot { return f.table.Load() }
 func (f *fakeControl) Fresh() bool            { return !f.stale.Load() }
 func (f *fakeControl) VMs() []api.VM          { return f.vms }
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -12,6 +12,7 @@
 	"filbertledge/internal/events"
 	"filbertledge/internal/membership"
 	"filbertledge/internal/policy"
+	"filbertledge/internal/table"
 )
 
 const (
@@ -31,6 +32,7 @@
 type serverState struct {
 	stats    policy.Stats
 	budget   policy.RetryBudget
+	growth   policy.Growth
 	isolated bool
 	flights  map[*lease]uint64 // content digests of the requests in flight
 }
@@ -52,7 +54,10 @@
 	lastJudge time.Duration
 	slotSum   int
 	slotsAt   time.Duration
-	customers time.Duration // when the last customer request came
+	// customers tells whether a row of customers uses the pool, as of the table of that version.
+	customers    bool
+	tableVersion uint64
+	contenders   int // VMs that may use the same servers
 }
 
 // waiter is a run that waits for a server.
@@ -243,9 +248,6 @@
 	if seconds < shortPart*p.meanRun {
 		p.shortSeen = now
 	}
-	if j.Class == policy.Customer {
-		p.customers = now
-	}
 	p.meanRun += 0.05 * (seconds - p.meanRun)
 }
 
@@ -393,20 +395,35 @@
 // reserved tells which slots a run must leave free.
 type reserved struct {
 	short    bool // those for short work
-	customer bool // the surplus slot: a trainer's work in it would hold up the next customer
+	customer bool // those for customers
 }
 
 func (r reserved) limit(c *policy.Candidate) int {
 	limit := policy.Limit(c)
-	if r.short {
-		limit = policy.LongLimit(limit)
-	}
 	if r.customer {
-		limit = min(limit, max(1, c.Capacity))
+		return min(limit, policy.TrainerLimit(c))
+	}
+	if r.short {
+		return policy.LongLimit(limit)
 	}
 	return limit
 }
 
+// servesCustomers reports whether a row of customers uses the pool. p.mu must be held.
+func (p *pool) servesCustomers() bool {
+	t := p.d.opts.Control.Table()
+	if t == nil || t.Version() == p.tableVersion {
+		return p.customers
+	}
+	p.customers, p.tableVersion = false, t.Version()
+	t.Rows(func(r table.Row) {
+		if r.Pool == p.name && r.Kind != table.KindRollout {
+			p.customers = true
+		}
+	})
+	return p.customers
+}
+
 // choose returns a server that may take the run now, or nil.
 func (p *pool) choose(r *run, j *policy.Job, now time.Duration) *membership.Server {
 	servers := p.d.opts.Registry.Servers(p.name)
@@ -414,7 +431,7 @@
 	short := j.Predicted.Seconds() < shortPart*p.meanRun
 	reserve := reserved{
 		short:    !short && p.shortSeen > 0 && now-p.shortSeen < shortWindow,
-		customer: r.class == policy.Trainer && p.customers > 0 && now-p.customers < shortWindow,
+		customer: r.class == policy.Trainer && p.servesCustomers(),
 	}
 	describe := func(s *membership.Server, c *policy.Candidate) {
 		if s.InFlight() > int64(s.Announcement().Capacity) {
@@ -470,7 +487,11 @@
 	if !s.Usable(clock) || claimed || r.excludes(s.ID()) || !r.admits(s.Announcement()) {
 		return false
 	}
-	if c.InFlight >= reserve.limit(c) {
+	limit := reserve.limit(c)
+	if c.InFlight >= limit {
+		return false
+	}
+	if r.class == policy.Trainer && !p.state(s).growth.Allows(c, limit-c.InFlight, p.contenders, now, p.rng) {
 		return false
 	}
 	if r.isolated && (c.InFlight > 0 || c.Others > 0) {
@@ -490,6 +511,7 @@
 	defer p.mu.Unlock()
 	if now-p.lastJudge >= judgeInterval {
 		p.lastJudge = now
+		p.contenders = min(len(p.d.opts.Control.VMs()), policy.MaxContenders)
 		p.judge(now)
 		p.yieldClaims()
 	}
--- a/internal/policy/choose.go
+++ b/internal/policy/choose.go
@@ -73,6 +73,13 @@
 // free. Small servers reserve nothing.
 func LongLimit(limit int) int { return limit - limit/reservedPart }
 
+// TrainerLimit is the limit for trainers' work on a server that also serves customers. It leaves slots free at all
+// times: a customer who comes after a pause would otherwise wait for a long rollout to end.
+func TrainerLimit(c *Candidate) int {
+	slots := max(1, c.Capacity-max(1, c.Capacity/reservedPart))
+	return max(slots-c.Others, slots/(c.Users+1))
+}
+
 // Choose returns the index of a server by power of two choices, or -1 if none is eligible among those looked
 // at. at describes the server at an index; it is called at most samplesPerChoice + scanLimit times.
 func Choose(n int, rng *rand.Rand, at func(i int, c *Candidate)) int {
