Do not say not run while a resend waits for the key

Cause: an attempt that got no backend server gave its key back and answered not-run, while a resend that waited at another VM then ran the call. The caller was told that its call had not run, and it had. Ruled out: closing the key for good after the first refusal; resends that can still be served would be refused. Change: the record tells whether another attempt waits for the key; the one that gives it back then answers unknown, with its own attempt not run. Tests: the state machine and two VMs with a resend that waits.

--- a/internal/caller/fakes_test.go
+++ b/internal/caller/fakes_test.go
@@ -62,7 +62,7 @@
 	case cmd.BeginCall != nil:
 		res = f.begin(cmd.BeginCall)
 	case cmd.FinishCall != nil:
-		f.finish(cmd.FinishCall)
+		res = f.finish(cmd.FinishCall)
 	}
 	if f.mute.Load() {
 		return control.Result{}, errs.New(errs.OutcomeUnknown, "resend the command", "answer was lost")
@@ -92,14 +92,21 @@
 	if rec.Digest != b.Digest {
 		return control.Result{ErrorKind: string(errs.KeyReused), Error: "key was used for another call"}
 	}
+	rec.Contested = rec.Contested || rec.Attempt != b.Attempt
 	copied := *rec
 	return control.Result{Call: &copied}
 }
 
-func (f *fakeControl) finish(c *control.FinishCall) {
-	if rec := f.calls[c.Key]; rec != nil && rec.Attempt == c.Attempt && rec.State == control.CallInProgress {
+func (f *fakeControl) finish(c *control.FinishCall) control.Result {
+	rec := f.calls[c.Key]
+	if rec == nil {
+		return control.Result{}
+	}
+	if rec.Attempt == c.Attempt && rec.State == control.CallInProgress {
 		rec.State, rec.Answer = c.State, c.Answer
 	}
+	copied := *rec
+	return control.Result{Call: &copied}
 }
 
 // lose marks the open calls unknown, as the state machine does when their VM is lost.
--- a/internal/caller/once.go
+++ b/internal/caller/once.go
@@ -100,7 +100,7 @@
 		res, err := h.opts.Control.Do(ctx, begin)
 		if err == nil {
 			if record := settled(&res, nil, notRun.Attempt); record != nil && record.State == control.CallGranted {
-				_ = h.record(ctx, notRun)
+				_, _ = h.record(ctx, notRun)
 			}
 			return
 		}
@@ -192,7 +192,7 @@
 	if len(answer.Body) <= MaxStoredAnswer {
 		finish.Answer = &answer
 	}
-	if err := h.recordInTime(r, finish); err != nil {
+	if _, err := h.recordInTime(r, finish); err != nil {
 		h.refuse(r, &dispatch.Error{Outcome: api.OutcomeUnknown, Err: err}, api.OutcomeUnknown)
 		return
 	}
@@ -231,8 +231,10 @@
 		err = &dispatch.Error{Outcome: outcome, Err: errs.Wrap(err, errs.OutcomeUnknown,
 			"find out from the service whether it ran, and use a new key for a new call", "the call may have run, its outcome is unknown")}
 	}
-	if recordErr := h.recordInTime(r, finish); recordErr != nil && outcome == api.OutcomeNotRun {
-		outcome = api.OutcomeUnknown // a resend may find the key in progress or unknown
+	contested, recordErr := h.recordInTime(r, finish)
+	if outcome == api.OutcomeNotRun && (contested || recordErr != nil) {
+		// Only this attempt is certain: a resend that waits for the key runs next, or finds it in progress.
+		outcome = api.OutcomeUnknown
 		err = attemptError{err}
 	}
 	h.refuse(r, err, outcome)
@@ -243,33 +245,33 @@
 }
 
 // recordInTime records an outcome within the deadline and its grace. Later it goes on in the background, and
-// the error says that the outcome is not recorded yet.
-func (h *Handler) recordInTime(r *request, finish control.FinishCall) error {
+// the error says that the outcome is not recorded yet. contested tells that another attempt waits for the key.
+func (h *Handler) recordInTime(r *request, finish control.FinishCall) (contested bool, err error) {
 	ctx, cancel := context.WithDeadline(context.Background(), r.deadline.Add(recordGrace))
 	defer cancel()
-	err := h.record(ctx, finish)
+	contested, err = h.record(ctx, finish)
 	if err == nil {
-		return nil
+		return contested, nil
 	}
 	if errs.Is(err, errs.OutcomeUnknown) || ctx.Err() != nil {
 		go h.record(context.Background(), finish)
 	}
-	return errs.Wrap(err, errs.OutcomeUnknown, "resend the request with the same key", "the call's outcome could not be recorded in time")
+	return false, errs.Wrap(err, errs.OutcomeUnknown, "resend the request with the same key", "the call's outcome could not be recorded in time")
 }
 
 // record resends FinishCall until it is applied. A refusal by the state machine also ends it: the record was
 // closed by others, as when this VM was declared lost, and stays as it is.
-func (h *Handler) record(ctx context.Context, finish control.FinishCall) error {
+func (h *Handler) record(ctx context.Context, finish control.FinishCall) (contested bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, recordFor)
 	defer cancel()
 	w := waiter{give: time.Now().Add(recordFor)}
 	for {
-		_, err := h.opts.Control.Do(ctx, control.Command{FinishCall: &finish})
+		res, err := h.opts.Control.Do(ctx, control.Command{FinishCall: &finish})
 		if err == nil {
-			return nil
+			return res.Call != nil && res.Call.Contested, nil
 		}
 		if err := w.wait(ctx, err); err != nil {
-			return err
+			return false, err
 		}
 	}
 }
--- a/internal/caller/once_test.go
+++ b/internal/caller/once_test.go
@@ -68,6 +68,32 @@
 	}
 }
 
+// Guards against "not run" for a call whose resend waits at another VM and runs next.
+func TestNotRunWhileResendWaits(t *testing.T) {
+	ctl := newControl(bookingRow)
+	service := newService()
+	close(service.release)
+	a, b := newVM(t, ctl), newVM(t, ctl) // a knows no server, so its attempt waits until its deadline
+	b.join(t, "s1", listen(t, service.ServeHTTP), "api", false)
+	key := newKey()
+	var first *http.Response
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		first, _, _ = trySend("POST", a.url+"/services/booking/x", "{}", api.HeaderIdempotencyKey, key, api.HeaderDeadline, "1000")
+	})
+	for len(ctl.states()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	second, _ := send(t, "POST", b.url+"/services/booking/x", "{}", api.HeaderIdempotencyKey, key, api.HeaderDeadline, "8000")
+	wg.Wait()
+	if second.StatusCode != http.StatusOK || service.runs.Load() != 1 {
+		t.Fatalf("the resend got status %d after %d runs", second.StatusCode, service.runs.Load())
+	}
+	if first == nil || first.Header.Get(api.HeaderOutcome) != string(api.OutcomeUnknown) || first.Header.Get(api.HeaderAttempt) != string(api.OutcomeNotRun) {
+		t.Fatalf("the first attempt got %+v", first)
+	}
+}
+
 // Guards against a second run after the VM that owned the call was lost.
 func TestOwnerLost(t *testing.T) {
 	ctl := newControl(bookingRow)
--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -114,6 +114,9 @@
 	if e.Row != b.Row || e.Record.Digest != b.Digest {
 		return failure(errs.KeyReused, "use a new key for another request", "key %s was used for another request", b.Key)
 	}
+	if e.Record.State == CallGranted && e.Record.Attempt != b.Attempt {
+		e.Record.Contested = true
+	}
 	return e.result(b.Attempt)
 }
 
--- a/internal/control/commands.go
+++ b/internal/control/commands.go
@@ -111,6 +111,8 @@
 	VM          api.VMID    `cbor:"4,keyasint"`
 	Incarnation uint64      `cbor:"5,keyasint"`
 	Answer      *CallAnswer `cbor:"6,keyasint,omitempty"`
+	// Contested tells that another attempt waits for the key, and may run once this one gives it back.
+	Contested bool `cbor:"7,keyasint,omitempty"`
 }
 
 // StepID names a trainer step.
--- a/internal/control/machine_test.go
+++ b/internal/control/machine_test.go
@@ -232,6 +232,22 @@
 	d.wantCall(begin(key, uuid.New(), "two"), CallGranted)
 }
 
+// TestContestedKey guards against "not run" for a key that another attempt waits for and will run next.
+func TestContestedKey(t *testing.T) {
+	d := newDriver(t)
+	key, a, b := d.id(1), uuid.New(), uuid.New()
+	d.wantCall(begin(key, a, "one"), CallGranted)
+	d.wantCall(begin(key, a, "one"), CallGranted)
+	d.wantCall(begin(key, b, "two"), CallInProgress)
+	if res := d.want(finish(key, a, CallNotRun, ""), ""); !res.Call.Contested {
+		t.Fatal("the waiting attempt is not told")
+	}
+	d.wantCall(begin(key, b, "two"), CallGranted)
+	if res := d.want(finish(key, b, CallNotRun, ""), ""); res.Call.Contested {
+		t.Fatal("nobody waits any more")
+	}
+}
+
 // TestLostOwner guards against a call that is run again although its owner may have run it.
 func TestLostOwner(t *testing.T) {
 	d := newDriver(t)
