Compare trainers' tokens with the shared function

Cause: the check of a bearer token against its digest stood in two packages. Change: the trainer API calls pki.TokenMatches as the others do. Result: its tests pass under the race detector.

--- a/internal/trainer/http.go
+++ b/internal/trainer/http.go
@@ -4,9 +4,6 @@
 	"bytes"
 	"cmp"
 	"context"
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"encoding/json"
 	"slices"
 	"strconv"
@@ -20,6 +17,7 @@
 	"filbertledge/internal/control"
 	"filbertledge/internal/errs"
 	"filbertledge/internal/events"
+	"filbertledge/internal/pki"
 	"filbertledge/internal/table"
 )
 
@@ -145,10 +143,8 @@
 func (s *Service) authorize(ctx *fasthttp.RequestCtx, name api.RowName) (table.Row, error) {
 	row, ok := s.o.Client.Table().Row(name)
 	token, found := bytes.CutPrefix(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization), []byte("Bearer "))
-	digest := sha256.Sum256(token)
-	want, err := hex.DecodeString(row.TokenSHA256)
-	match := subtle.ConstantTimeCompare(digest[:], want) == 1
-	if !ok || !found || err != nil || !match {
+	match := pki.TokenMatches(string(token), row.TokenSHA256)
+	if !ok || !found || !match {
 		if err := s.checkFresh(); err != nil {
 			return table.Row{}, err // a newer table may have the row or the token
 		}
