Share what the test programs repeat and drop what nothing calls

Cause: a last read of the change found the search for the binaries' folder written three times, the gossip method named twice and a method of the weight planner that nothing calls. Change: harness.BinDir serves demo, rolling and soak; the server registers membership.Method; Planner.Outstanding is gone. Behaviour is the same.

--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -22,7 +22,7 @@
 )
 
 func main() {
-	bin, err := binDir()
+	bin, err := harness.BinDir()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "demo:", err)
 		os.Exit(exitFailed)
@@ -47,14 +47,6 @@
 	}
 }
 
-func binDir() (string, error) {
-	path, err := os.Executable()
-	if err != nil {
-		return "", fmt.Errorf("find the folder of the binaries: %w", err)
-	}
-	return filepath.Dir(path), nil
-}
-
 // run reports whether all promises were kept.
 func run(opts harness.Options, seed uint64) (kept bool, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeLimit)
--- a/cmd/rolling/main.go
+++ b/cmd/rolling/main.go
@@ -21,7 +21,7 @@
 )
 
 func main() {
-	bin, err := binDir()
+	bin, err := harness.BinDir()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "rolling:", err)
 		os.Exit(exitFailed)
@@ -45,14 +45,6 @@
 	}
 }
 
-func binDir() (string, error) {
-	path, err := os.Executable()
-	if err != nil {
-		return "", fmt.Errorf("find the folder of the binaries: %w", err)
-	}
-	return filepath.Dir(path), nil
-}
-
 func run(opts harness.Options, seed uint64) (kept bool, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeLimit)
 	defer cancel()
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -23,7 +23,7 @@
 )
 
 func main() {
-	bin, err := binDir()
+	bin, err := harness.BinDir()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
 		os.Exit(exitFailed)
@@ -49,14 +49,6 @@
 	}
 }
 
-func binDir() (string, error) {
-	path, err := os.Executable()
-	if err != nil {
-		return "", fmt.Errorf("find the folder of the binaries: %w", err)
-	}
-	return filepath.Dir(path), nil
-}
-
 func run(opts harness.Options, seed uint64, duration time.Duration) (kept bool, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), duration+endLimit)
 	defer cancel()
--- a/internal/harness/deployment.go
+++ b/internal/harness/deployment.go
@@ -67,6 +67,15 @@
 	operatorName       = "harness"
 )
 
+// BinDir returns the folder of the running program, where make build puts all binaries.
+func BinDir() (string, error) {
+	path, err := os.Executable()
+	if err != nil {
+		return "", fmt.Errorf("find the folder of the binaries: %w", err)
+	}
+	return filepath.Dir(path), nil
+}
+
 // Start starts a deployment and loads its table. On an error, everything that was started is ended.
 func Start(ctx context.Context, opts Options) (*Deployment, error) {
 	if opts.ReadyWithin == 0 {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -30,7 +30,6 @@
 )
 
 const (
-	methodGossip = "membership.gossip"
 	// trainerDrainTimeout bounds the wait for the control leader while a VM gives its groups away.
 	trainerDrainTimeout  = 5 * time.Second
 	metricsHeaderTimeout = 5 * time.Second
@@ -191,7 +190,7 @@
 
 // handleInternal registers the methods that other VMs and operators call.
 func (vm *VM) handleInternal() {
-	vm.internal.Handle(methodGossip, pki.RoleVM, func(_ context.Context, _ transport.Peer, message []byte) ([]byte, error) {
+	vm.internal.Handle(membership.Method, pki.RoleVM, func(_ context.Context, _ transport.Peer, message []byte) ([]byte, error) {
 		vm.registry.Receive(message)
 		return nil, nil
 	})
--- a/internal/weights/planner.go
+++ b/internal/weights/planner.go
@@ -194,9 +194,6 @@
 // SetMaxLoads changes the number of concurrent load orders; zero leaves it as it is.
 func (p *Planner) SetMaxLoads(n int) { p.opts.MaxLoads = cmp.Or(n, p.opts.MaxLoads) }
 
-// Outstanding returns the number of orders whose effect has not been seen.
-func (p *Planner) Outstanding() int { return len(p.pending) }
-
 // pinnedShare is the divisor that gives the share of a model's servers kept for each pinned version.
 const pinnedShare = 8
 
