front: rename the balancer's package and give its HTTP server settings

The word platform now means the users' platform. The server takes its limits as options, serves probes on a listener of their own where the deployment has one, and holds the watch for callers that leave, which both front ends use.

--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -15,7 +15,7 @@
 	"filbertledge/internal/control"
 	"filbertledge/internal/dispatch"
 	"filbertledge/internal/errs"
-	"filbertledge/internal/platform"
+	"filbertledge/internal/front"
 	"filbertledge/internal/table"
 )
 
@@ -43,7 +43,7 @@
 func (h *Handler) runUnary(r *request) {
 	ctx, cancel := context.WithDeadline(context.Background(), r.deadline)
 	defer cancel()
-	defer watchLeaving(r.http.Conn(), cancel)()
+	defer front.WatchLeaving(r.http.Conn(), cancel)()
 	a, err := h.opts.Dispatcher.DoUnary(ctx, r.work)
 	if err != nil {
 		h.refuse(r, err, r.outcomeOf(err))
@@ -125,7 +125,7 @@
 		h.refuse(r, err, api.OutcomeNotRun)
 		return
 	}
-	platform.WriteJSON(ctx, list)
+	front.WriteJSON(ctx, list)
 	r.writeOutcome(api.OutcomeRan)
 	h.end(r, nil, api.OutcomeRan)
 }
--- a/internal/caller/fakes_test.go
+++ b/internal/caller/fakes_test.go
@@ -23,8 +23,8 @@
 	"filbertledge/internal/control"
 	"filbertledge/internal/dispatch"
 	"filbertledge/internal/errs"
+	"filbertledge/internal/front"
 	"filbertledge/internal/membership"
-	"filbertledge/internal/platform"
 	"filbertledge/internal/table"
 )
 
@@ -133,7 +133,7 @@
 	url      string
 	registry *membership.Registry
 	caller   *Handler
-	server   *platform.Server
+	server   *front.Server
 }
 
 func newVM(t testing.TB, ctl *fakeControl) *vm {
@@ -144,7 +144,7 @@
 	client := backend.New(backend.Options{})
 	d := dispatch.New(dispatch.Options{Domain: "d", Registry: reg, Backend: client, Control: ctl, Seed: 1})
 	h := New(Options{VM: "vm", Incarnation: 1, Control: ctl, Dispatcher: d})
-	s := platform.New(platform.Options{Handlers: []platform.Handler{h.Handle}, InFlight: h.InFlight, LateAccept: time.Second})
+	s := front.New(front.Options{Handlers: []front.Handler{h.Handle}, InFlight: h.InFlight, LateAccept: time.Second})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -16,8 +16,8 @@
 	"filbertledge/internal/dispatch"
 	"filbertledge/internal/errs"
 	"filbertledge/internal/events"
+	"filbertledge/internal/front"
 	"filbertledge/internal/metrics"
-	"filbertledge/internal/platform"
 	"filbertledge/internal/table"
 )
 
@@ -174,7 +174,7 @@
 
 // refuse answers with an error and counts it.
 func (h *Handler) refuse(r *request, err error, outcome api.Outcome) {
-	platform.WriteError(r.http, err)
+	front.WriteError(r.http, err)
 	r.writeOutcome(outcome)
 	if !wasDispatched(err) {
 		r.http.Response.Header.Set(api.HeaderAttempt, string(api.OutcomeNotRun))
--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -12,7 +12,7 @@
 	"filbertledge/internal/api"
 	"filbertledge/internal/backend"
 	"filbertledge/internal/errs"
-	"filbertledge/internal/platform"
+	"filbertledge/internal/front"
 )
 
 const (
@@ -56,7 +56,7 @@
 func (h *Handler) open(r *request) *eventStream {
 	ctx, cancel := context.WithDeadline(context.Background(), r.deadline)
 	s := &eventStream{h: h, r: r, cancel: cancel}
-	s.unwatch = watchLeaving(r.http.Conn(), cancel)
+	s.unwatch = front.WatchLeaving(r.http.Conn(), cancel)
 	s.next, s.stop = iter.Pull(func(yield func(struct{}) bool) { s.run(ctx, yield) })
 	s.next()
 	return s
@@ -81,7 +81,7 @@
 	if s.err == nil {
 		s.buf = append(s.buf, eventDone...)
 	} else if s.begun {
-		s.buf = appendEvent(s.buf, platform.ErrorBody(s.err))
+		s.buf = appendEvent(s.buf, front.ErrorBody(s.err))
 	}
 }
 
--- a/internal/caller/leave.go
+++ b/internal/front/leave.go
@@ -1,4 +1,4 @@
-package caller
+package front
 
 import (
 	"errors"
@@ -22,9 +22,9 @@
 	stopped bool
 }
 
-// watchLeaving calls left once when the caller closes its connection or its sending half. The returned function
+// WatchLeaving calls left once when the caller closes its connection or its sending half. The returned function
 // ends the watch.
-func watchLeaving(conn net.Conn, left func()) (stop func()) {
+func WatchLeaving(conn net.Conn, left func()) (stop func()) {
 	sc, ok := conn.(syscall.Conn)
 	if !ok {
 		return func() {}
--- a/internal/platform/respond.go
+++ b/internal/front/respond.go
@@ -1,6 +1,6 @@
-// Package platform faces the platform's balancer: readiness, liveness and drain. It also holds the HTTP server
+// Package front faces the platform's balancer: readiness, liveness and drain. It also holds the HTTP server
 // of a VM, on which the other packages mount their handlers, and the one form of HTTP errors.
-package platform
+package front
 
 import (
 	"encoding/json"
--- a/internal/platform/server.go
+++ b/internal/front/server.go
@@ -1,7 +1,8 @@
-package platform
+package front
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -28,8 +29,10 @@
 const (
 	MaxBodyBytes   = 4 << 20
 	maxHeaderBytes = 16 << 10
-	readTimeout    = 30 * time.Second
-	idleTimeout    = 75 * time.Second
+	// probeHeaderBytes bounds the header of a probe.
+	probeHeaderBytes = 2 << 10
+	readTimeout      = 30 * time.Second
+	idleTimeout      = 75 * time.Second
 	// writeTimeout is above the longest deadline of a request, since it also covers streams.
 	writeTimeout = 11 * time.Minute
 	// maxConnections bounds the memory that slow callers can hold.
@@ -60,8 +63,26 @@
 	InFlight   func() int
 	LateAccept time.Duration // default LateAccept
 	DrainLimit time.Duration // default DefaultDrainLimit
-	Metrics    *metrics.Metrics
-	Events     *events.Recorder
+	// WithoutProbes leaves the paths of the probes to the handlers; ServeProbes answers them elsewhere.
+	WithoutProbes bool
+	// MaxBodyBytes and MaxHeaderBytes bound a request; ReadTimeout bounds its arrival and IdleTimeout the pause
+	// between two requests. Zero values mean the defaults.
+	MaxBodyBytes   int
+	MaxHeaderBytes int
+	ReadTimeout    time.Duration
+	IdleTimeout    time.Duration
+	Metrics        *metrics.Metrics
+	Events         *events.Recorder
+}
+
+func (o Options) withDefaults() Options {
+	o.LateAccept = cmp.Or(o.LateAccept, LateAccept)
+	o.DrainLimit = cmp.Or(o.DrainLimit, DefaultDrainLimit)
+	o.MaxBodyBytes = cmp.Or(o.MaxBodyBytes, MaxBodyBytes)
+	o.MaxHeaderBytes = cmp.Or(o.MaxHeaderBytes, maxHeaderBytes)
+	o.ReadTimeout = cmp.Or(o.ReadTimeout, readTimeout)
+	o.IdleTimeout = cmp.Or(o.IdleTimeout, idleTimeout)
+	return o
 }
 
 // Server is the HTTP server of a VM towards callers, trainers, backend servers and the balancer.
@@ -73,17 +94,12 @@
 
 // New mounts the handlers into one server.
 func New(opts Options) *Server {
-	if opts.LateAccept == 0 {
-		opts.LateAccept = LateAccept
-	}
-	if opts.DrainLimit == 0 {
-		opts.DrainLimit = DefaultDrainLimit
-	}
+	opts = opts.withDefaults()
 	s := &Server{opts: opts}
 	s.http = &fasthttp.Server{
 		Handler: s.handle, ErrorHandler: s.badRequest, Logger: discard{},
-		ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: MaxBodyBytes, Concurrency: maxConnections,
-		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout,
+		ReadBufferSize: opts.MaxHeaderBytes, MaxRequestBodySize: opts.MaxBodyBytes, Concurrency: maxConnections,
+		ReadTimeout: opts.ReadTimeout, IdleTimeout: opts.IdleTimeout, WriteTimeout: writeTimeout,
 		NoDefaultServerHeader: true, TCPKeepalive: true, SecureErrorLogMessage: true, CloseOnShutdown: true,
 	}
 	return s
@@ -112,12 +128,7 @@
 }
 
 func (s *Server) route(ctx *fasthttp.RequestCtx) {
-	switch string(ctx.Path()) {
-	case PathReady:
-		s.ready(ctx)
-		return
-	case PathLive:
-		ctx.SetBodyString("live\n")
+	if !s.opts.WithoutProbes && s.probe(ctx) {
 		return
 	}
 	for _, h := range s.opts.Handlers {
@@ -128,6 +139,33 @@
 	WriteError(ctx, errs.New(errs.NotFound, "check the path", "path is not served"))
 }
 
+// probe answers the probes of the balancer and reports whether the request is one.
+func (s *Server) probe(ctx *fasthttp.RequestCtx) bool {
+	switch string(ctx.Path()) {
+	case PathReady:
+		s.ready(ctx)
+	case PathLive:
+		ctx.SetBodyString("live\n")
+	default:
+		return false
+	}
+	return true
+}
+
+// ServeProbes answers the probes of the balancer on a listener of their own until it is closed.
+func (s *Server) ServeProbes(ln net.Listener) error {
+	probes := &fasthttp.Server{
+		Handler: func(ctx *fasthttp.RequestCtx) {
+			if !s.probe(ctx) {
+				WriteError(ctx, errs.New(errs.NotFound, "check the path", "path is not served"))
+			}
+		},
+		Logger: discard{}, ReadBufferSize: probeHeaderBytes, ReadTimeout: s.opts.ReadTimeout, IdleTimeout: s.opts.IdleTimeout,
+		NoDefaultServerHeader: true,
+	}
+	return probes.Serve(ln)
+}
+
 // recoverPanic keeps one request's fault from ending the process.
 func (s *Server) recoverPanic(ctx *fasthttp.RequestCtx) {
 	p := recover()
@@ -157,20 +195,20 @@
 
 // badRequest answers a request that could not be read.
 func (s *Server) badRequest(ctx *fasthttp.RequestCtx, err error) {
-	s.refuse(ctx, readError(err), true)
+	s.refuse(ctx, s.readError(err), true)
 	ctx.SetConnectionClose()
 }
 
-func readError(err error) error {
+func (s *Server) readError(err error) error {
 	var small *fasthttp.ErrSmallBuffer
 	var timeout net.Error
 	switch {
 	case errors.As(err, &small):
-		return errs.New(errs.PayloadTooLarge, "send shorter headers", "request header exceeds %d bytes", maxHeaderBytes)
+		return errs.New(errs.PayloadTooLarge, "send shorter headers", "request header exceeds %d bytes", s.opts.MaxHeaderBytes)
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		return errs.New(errs.PayloadTooLarge, "send a shorter body", "request body exceeds %d bytes", MaxBodyBytes)
+		return errs.New(errs.PayloadTooLarge, "send a shorter body", "request body exceeds %d bytes", s.opts.MaxBodyBytes)
 	case errors.As(err, &timeout) && timeout.Timeout():
-		return errs.New(errs.InvalidArgument, "send the whole request faster", "request was not received within %s", readTimeout)
+		return errs.New(errs.InvalidArgument, "send the whole request faster", "request was not received within %s", s.opts.ReadTimeout)
 	}
 	return errs.New(errs.InvalidArgument, "send a well-formed HTTP/1.1 request", "request is malformed")
 }
--- a/internal/platform/server_test.go
+++ b/internal/front/server_test.go
@@ -1,4 +1,4 @@
-package platform
+package front
 
 import (
 	"context"
--- a/internal/server/operator.go
+++ b/internal/server/operator.go
@@ -44,7 +44,7 @@
 
 func (vm *VM) status() operator.Status {
 	s := operator.Status{
-		VM: vm.self, Started: vm.started, Ready: vm.hasTable.Load() && !vm.platform.Draining(), Draining: vm.platform.Draining(),
+		VM: vm.self, Started: vm.started, Ready: vm.hasTable.Load() && !vm.front.Draining(), Draining: vm.front.Draining(),
 		Running: vm.dispatcher.InFlight(), TableFresh: vm.control.Fresh(), TableVersion: vm.control.Table().Version(),
 		VMs: vm.control.VMs(), Certificate: vm.identity.Identity().NotAfter, Traffic: vm.counters.Snapshot(),
 		Servers: vm.usableServers(),
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -21,10 +21,10 @@
 	"filbertledge/internal/dispatch"
 	"filbertledge/internal/errs"
 	"filbertledge/internal/events"
+	"filbertledge/internal/front"
 	"filbertledge/internal/membership"
 	"filbertledge/internal/metrics"
 	"filbertledge/internal/pki"
-	"filbertledge/internal/platform"
 	"filbertledge/internal/trainer"
 	"filbertledge/internal/transport"
 )
@@ -53,7 +53,7 @@
 	dispatcher *dispatch.Dispatcher
 	caller     *caller.Handler
 	trainer    *trainer.Service
-	platform   *platform.Server
+	front      *front.Server
 	replica    *replicaNode // nil without a control replica
 
 	hasTable  atomic.Bool
@@ -175,8 +175,8 @@
 	for _, p := range vm.cfg.Pools {
 		tokens[p.Name] = p.TokenSHA256
 	}
-	vm.platform = platform.New(platform.Options{
-		Handlers: []platform.Handler{
+	vm.front = front.New(front.Options{
+		Handlers: []front.Handler{
 			vm.caller.Handle,
 			vm.trainer.Handler,
 			backend.AnnounceHandler(backend.AnnounceOptions{Registry: vm.registry, TokenDigests: tokens, Events: vm.events}),
@@ -226,7 +226,7 @@
 	var wg sync.WaitGroup
 	vm.startWork(work, &wg, failed)
 	wg.Go(func() { vm.serveMetrics(work, metricsListener) })
-	wg.Go(func() { report(failed, vm.platform.Serve(httpListener)) })
+	wg.Go(func() { report(failed, vm.front.Serve(httpListener)) })
 	vm.events.Record(events.Event{Name: events.VMStarted, Detail: vm.cfg.File})
 
 	err = vm.wait(ctx, failed)
@@ -286,7 +286,7 @@
 		case <-ctx.Done():
 		}
 	}()
-	err := vm.platform.Drain(ctx)
+	err := vm.front.Drain(ctx)
 	bounded, cancelBounded := context.WithTimeout(ctx, trainerDrainTimeout)
 	defer cancelBounded()
 	if drainErr := vm.trainer.Drain(bounded); drainErr != nil {
