replica: let the leader manage the voters and replicas join from seeds

Cause: replacing a voter needed an operator and names in the settings. A deployment that gives three addresses only, and replaces VMs at other addresses, has neither. Change: peers are known by address; the leader replaces voters that are silent or retired by learners that have caught up, in one joint change, and spreads voters over failure domains; a replica that was replaced while it was away joins again with its instance number.

--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -316,3 +316,13 @@
 	}
 	return 0
 }
+
+// LastAnswer returns when the leader sent the newest message that member id has acknowledged, on the leader's
+// clock. It reports false before the first acknowledgement in this leadership.
+func (n *Node) LastAnswer(id uint64) (time.Duration, bool) {
+	p := n.lead.progress[id]
+	if p == nil || p.ackTime < 0 {
+		return 0, false
+	}
+	return p.ackTime, true
+}
--- a/internal/replica/bootstrap.go
+++ b/internal/replica/bootstrap.go
@@ -56,7 +56,7 @@
 func (r *Replica) HandleBootstrap(_ context.Context, q BootstrapRequest) (BootstrapReply, error) {
 	r.bootstrap.mu.Lock()
 	defer r.bootstrap.mu.Unlock()
-	if q.From.Name == r.coordinatorName() {
+	if q.From.Address == r.coordinatorAddress() {
 		r.bootstrap.coordinator = q.From.ID
 	}
 	reply := BootstrapReply{Member: r.self, Initialized: r.started.Load()}
@@ -72,14 +72,19 @@
 	return reply, nil
 }
 
-// coordinatorName returns the first name among the replicas of the settings. Only that replica creates a group,
-// so two replicas cannot create two.
-func (r *Replica) coordinatorName() string {
-	name := r.self.Name
-	for _, p := range r.opts.peers() {
-		name = min(name, p.Name)
-	}
-	return name
+// coordinatorAddress returns the first address among the replicas of the settings. Only that replica creates a
+// group, so two replicas cannot create two. A replica that joins later is not among them.
+func (r *Replica) coordinatorAddress() string {
+	var address string
+	if !r.opts.JoinOnly {
+		address = r.self.Address
+	}
+	for _, p := range r.configuredPeers() {
+		if address == "" || p.Address < address {
+			address = p.Address
+		}
+	}
+	return address
 }
 
 // joinGroup makes an empty replica a member: of a new group if all replicas of the settings are empty, or of
@@ -113,7 +118,7 @@
 		}
 		empty = empty && !reply.Initialized
 	}
-	if !empty || r.started.Load() || len(replies) < len(r.opts.peers()) || r.self.Name != r.coordinatorName() {
+	if !empty || r.opts.JoinOnly || r.started.Load() || len(replies) < len(r.configuredPeers()) || r.self.Address != r.coordinatorAddress() {
 		return false
 	}
 	voters := []raft.Member{r.self}
@@ -130,10 +135,10 @@
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	var replies []BootstrapReply
-	for _, p := range r.opts.peers() {
+	for _, p := range r.knownReplicas() {
 		wg.Go(func() {
 			reply, err := r.opts.Bootstrap(ctx, p.Address, BootstrapRequest{From: r.self})
-			if err != nil || reply.Member.Name != p.Name {
+			if err != nil || p.Name != "" && reply.Member.Name != p.Name {
 				return
 			}
 			mu.Lock()
@@ -145,6 +150,22 @@
 	return replies
 }
 
+// knownReplicas returns the replicas of the settings and, in a managed group, those that the log names: the
+// settings may be out of date.
+func (r *Replica) knownReplicas() []raft.Member {
+	list := r.configuredPeers()
+	if !r.opts.Managed {
+		return list
+	}
+	for _, m := range r.Status().Members {
+		known := func(p raft.Member) bool { return p.Address == m.Address }
+		if m.Address != r.self.Address && !slices.ContainsFunc(list, known) {
+			list = append(list, raft.Member{Address: m.Address})
+		}
+	}
+	return list
+}
+
 // enter takes the place that an existing group has for this replica, or asks for one.
 func (r *Replica) enter(ctx context.Context, reply BootstrapReply) bool {
 	switch {
@@ -164,7 +185,7 @@
 
 // create starts this replica as a voter of the new group that source has told it of.
 func (r *Replica) create(ctx context.Context, voters []raft.Member, source raft.Member) bool {
-	if p, blocked := blockingProblem(voters); blocked {
+	if p, blocked := blockingProblem(voters); blocked && !r.opts.Managed {
 		r.opts.Fatal(errs.New(errs.ConfigInvalid, "change the replicas in the settings", "%s", p.Text))
 		return true
 	}
@@ -189,7 +210,7 @@
 		r.started.Store(true)
 		return true
 	}
-	if c := r.bootstrap.coordinator; c != 0 && source.Name == r.coordinatorName() && source.ID != c {
+	if c := r.bootstrap.coordinator; c != 0 && source.Address == r.coordinatorAddress() && source.ID != c {
 		return false
 	}
 	if err := r.store.SaveInitial(*state); err != nil {
@@ -257,7 +278,7 @@
 		return JoinReply{}, err
 	}
 	l.Replaces = old.ID
-	if err := checkReplacement(s.Configuration.Voters, old, q.Member); err != nil {
+	if err := checkReplacement(s.Configuration.Voters, old, q.Member); err != nil && !r.opts.Managed {
 		return JoinReply{}, err
 	}
 	if err := r.loop.node.AddLearner(l); err != nil {
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -75,11 +75,15 @@
 	node      *raft.Node
 	applied   uint64
 	snapshot  uint64 // index of the newest snapshot
-	encoding  bool   // a snapshot is being encoded
-	waiters   map[uint64]*proposal
-	queued    []*readRequest
-	inFlight  *readBatch
-	confirmed []confirmedRead
+	logBytes  int    // of the commands applied since the newest snapshot
+	managedAt time.Duration
+	// leadingSince is when this replica last became the leader.
+	leadingSince time.Duration
+	encoding     bool // a snapshot is being encoded
+	waiters      map[uint64]*proposal
+	queued       []*readRequest
+	inFlight     *readBatch
+	confirmed    []confirmedRead
 	// readPrefix tells the reads of this process from those of an earlier one, whose answers may still arrive.
 	readPrefix uint64
 	readCount  uint64
@@ -114,6 +118,9 @@
 	if !r.Status().Joined {
 		go r.joinGroup(ctx)
 	}
+	if r.opts.Managed {
+		go r.watchMembership(ctx)
+	}
 	ticker := time.NewTicker(r.opts.HeartbeatInterval / tickDivisor)
 	defer ticker.Stop()
 	for r.loop.failed == nil {
@@ -148,6 +155,7 @@
 		f()
 	case <-tick:
 		r.expire()
+		r.manage()
 	}
 }
 
@@ -315,6 +323,7 @@
 	var result []byte
 	if len(e.Data) > 0 {
 		result = r.opts.StateMachine.Apply(e.Index, e.Data)
+		r.loop.logBytes += len(e.Data)
 	}
 	r.loop.applied = e.Index
 	p := r.loop.waiters[e.Index]
@@ -393,6 +402,9 @@
 		r.addresses.learnConfigured(m.Member)
 	}
 	role := r.loop.node.Status().Role
+	if r.loop.role != raft.Leader && role == raft.Leader {
+		r.loop.leadingSince = r.opts.Clock()
+	}
 	if r.loop.role == raft.Leader && role != raft.Leader {
 		r.record(events.LeaderLost, r.self.Name, "this replica no longer leads")
 	}
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -39,6 +39,16 @@
 	Peers []raft.Member
 	// Replace names the voter that this VM takes the place of, if it has not the same name.
 	Replace string
+	// JoinOnly forbids creating a group: this VM only joins one that exists.
+	JoinOnly bool
+	// Managed lets the leader choose the voters: it replaces those that are silent or retired by learners and
+	// spreads them over failure domains. Peers are then known by their addresses alone.
+	Managed bool
+	// FaultBudget is the number of replicas that may be lost at once in a managed group; the leader keeps
+	// 2*FaultBudget+1 voters where there are enough VMs.
+	FaultBudget int
+	// Retired reports the names of the VMs that are to hold no state any longer. It may be nil.
+	Retired func() map[string]bool
 
 	StateMachine StateMachine
 	Sender       Sender
@@ -59,7 +69,9 @@
 	Commit func(*bbolt.Tx) error
 
 	// SnapshotEntries is the number of applied entries between snapshots.
-	SnapshotEntries   uint64
+	SnapshotEntries uint64
+	// SnapshotBytes is the size of the commands applied between snapshots; zero means no such limit.
+	SnapshotBytes     int
 	ElectionTimeout   time.Duration
 	HeartbeatInterval time.Duration
 	LeaderLease       time.Duration
@@ -120,7 +132,7 @@
 func (o Options) peers() []raft.Member {
 	list := make([]raft.Member, 0, len(o.Peers))
 	for _, p := range o.Peers {
-		if p.Name != o.Self.Name {
+		if p.Address != o.Self.Address && (p.Name == "" || p.Name != o.Self.Name) {
 			list = append(list, p)
 		}
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -37,9 +37,10 @@
 
 // Replica is one member of the group. Its methods are safe for concurrent use.
 type Replica struct {
-	opts  Options
-	store *storage.Store
-	self  raft.Member
+	opts    Options
+	peersMu sync.Mutex // guards opts.Peers
+	store   *storage.Store
+	self    raft.Member
 
 	inbox     chan []byte
 	proposals chan *proposal
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -21,10 +21,12 @@
 
 // maybeSnapshot takes a snapshot and compacts the log after enough applied entries.
 func (r *Replica) maybeSnapshot() {
-	if r.loop.failed != nil || r.loop.encoding || r.loop.applied < r.loop.snapshot+r.opts.SnapshotEntries {
+	full := r.opts.SnapshotBytes > 0 && r.loop.logBytes >= r.opts.SnapshotBytes
+	if r.loop.failed != nil || r.loop.encoding || !full && r.loop.applied < r.loop.snapshot+r.opts.SnapshotEntries {
 		return
 	}
 	index := r.loop.applied
+	r.loop.logBytes = 0
 	capturer, ok := r.opts.StateMachine.(Capturer)
 	if !ok {
 		data, err := r.opts.StateMachine.Snapshot()
@@ -55,7 +57,9 @@
 		r.fail(errs.Wrap(err, errs.Internal, "report this fault", "the state machine cannot write a snapshot"))
 		return
 	}
-	s, compacted := r.loop.node.CreateSnapshot(index, index-min(index, r.opts.SnapshotEntries/keptEntriesDivisor), data)
+	// The log also gets shorter when the size and not the number of entries asked for the snapshot.
+	kept := min(r.opts.SnapshotEntries, index-r.loop.snapshot) / keptEntriesDivisor
+	s, compacted := r.loop.node.CreateSnapshot(index, index-min(index, kept), data)
 	// The last dropped entry stays on the disk, because its term is needed after a restart.
 	if err := r.store.SaveSnapshot(s, max(compacted, 1)-1); err != nil {
 		r.fail(err)
