backend: open calls with headers of the caller's choice

The client's connections, framing and classification of failures serve every kind of server; only the product's own headers were fixed. Bodies that end with the connection are accepted where the options allow it.

--- a/internal/backend/announce.go
+++ b/internal/backend/announce.go
@@ -11,8 +11,8 @@
 	"filbertledge/internal/api"
 	"filbertledge/internal/errs"
 	"filbertledge/internal/events"
+	"filbertledge/internal/front"
 	"filbertledge/internal/pki"
-	"filbertledge/internal/platform"
 )
 
 // AnnouncePath is the path at which backend servers announce themselves.
@@ -46,7 +46,7 @@
 			return false
 		}
 		if err := o.announce(ctx); err != nil {
-			platform.WriteError(ctx, err)
+			front.WriteError(ctx, err)
 		}
 		return true
 	}
@@ -67,7 +67,7 @@
 		return err
 	}
 	o.Registry.Announce(a)
-	platform.WriteJSON(ctx, announceAnswer{VMs: o.Registry.Addresses(a.Domain, maxVMAddresses)})
+	front.WriteJSON(ctx, announceAnswer{VMs: o.Registry.Addresses(a.Domain, maxVMAddresses)})
 	return nil
 }
 
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -35,6 +35,8 @@
 type Options struct {
 	DialTimeout time.Duration // default 1 s
 	IdleTimeout time.Duration // idle connections are closed after it; default 5 s
+	// EndsWithConnection accepts bodies without a length whose end is the orderly end of the connection.
+	EndsWithConnection bool
 }
 
 // Client runs exchanges with backend servers. It is safe for concurrent use.
@@ -157,6 +159,7 @@
 	client *Client
 	ctx    context.Context
 	conn   *conn
+	method string
 	stop   func() bool
 	// detached is true once the end of ctx no longer closes the connection.
 	detached bool
@@ -167,34 +170,42 @@
 // begin connects, writes the request and reads the header of the answer. When ctx ends, the connection is
 // closed, which cancels the work on the server.
 func (c *Client) begin(ctx context.Context, req *Request) (*exchange, error) {
-	cn, err := c.connect(ctx, req)
+	r := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(r)
+	req.fill(ctx, r)
+	return c.start(ctx, req.Address, req.Fresh, r)
+}
+
+// start writes r on a connection to addr and reads the header of the answer.
+func (c *Client) start(ctx context.Context, addr string, fresh bool, r *fasthttp.Request) (*exchange, error) {
+	cn, err := c.connect(ctx, addr, fresh)
 	if err != nil {
 		return nil, err
 	}
-	ex := &exchange{client: c, ctx: ctx, conn: cn}
+	ex := &exchange{client: c, ctx: ctx, conn: cn, method: string(r.Header.Method())}
 	ex.stop = context.AfterFunc(ctx, func() { cn.Close() })
-	if err := ex.write(req); err != nil {
+	if err := ex.write(r); err != nil {
 		ex.end(false)
 		return nil, ex.failure(err)
 	}
-	if err := ex.readHeader(req.Method); err != nil {
+	if err := ex.readHeader(); err != nil {
 		ex.end(false)
 		return nil, ex.failure(err)
 	}
 	return ex, nil
 }
 
-func (c *Client) connect(ctx context.Context, req *Request) (*conn, error) {
-	if !req.Fresh {
-		if cn := c.pool.get(req.Address, c.opts.IdleTimeout); cn != nil {
+func (c *Client) connect(ctx context.Context, addr string, fresh bool) (*conn, error) {
+	if !fresh {
+		if cn := c.pool.get(addr, c.opts.IdleTimeout); cn != nil {
 			return cn, nil
 		}
 	}
-	nc, err := c.dialer.DialContext(ctx, "tcp", req.Address)
+	nc, err := c.dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, dialFailure(ctx, err)
 	}
-	return newConn(nc, req.Address), nil
+	return newConn(nc, addr), nil
 }
 
 func dialFailure(ctx context.Context, err error) error {
@@ -212,9 +223,8 @@
 	return errs.New(errs.Canceled, "resend the request if it is still wanted", "request was canceled")
 }
 
-func (ex *exchange) write(req *Request) error {
-	r := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(r)
+// fill writes the product's own headers and the body into r.
+func (req *Request) fill(ctx context.Context, r *fasthttp.Request) {
 	r.Header.SetMethod(req.Method)
 	r.Header.DisableNormalizing()
 	r.SetRequestURI(req.Path)
@@ -231,10 +241,13 @@
 	if req.IdempotencyKey != "" {
 		r.Header.Set(api.HeaderIdempotencyKey, req.IdempotencyKey)
 	}
-	if deadline, ok := ex.ctx.Deadline(); ok {
+	if deadline, ok := ctx.Deadline(); ok {
 		r.Header.Set(api.HeaderDeadline, strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
 	}
 	r.SetBodyRaw(req.Body)
+}
+
+func (ex *exchange) write(r *fasthttp.Request) error {
 	if err := r.Write(ex.conn.bw); err != nil {
 		return err
 	}
@@ -242,7 +255,7 @@
 }
 
 // readHeader reads the header of the answer and skips interim answers.
-func (ex *exchange) readHeader(method string) error {
+func (ex *exchange) readHeader() error {
 	for {
 		ex.header.Reset()
 		if err := ex.header.Read(ex.conn.br); err != nil {
@@ -252,7 +265,7 @@
 			break
 		}
 	}
-	ex.body = bodyReader(method, &ex.header, ex.conn.br)
+	ex.body = bodyReader(ex.method, &ex.header, ex.conn.br, ex.client.opts.EndsWithConnection)
 	return nil
 }
 
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -24,6 +24,7 @@
 	bw        *bufio.Writer
 	sent      atomic.Int64 // since the start of the exchange
 	idleSince time.Time
+	idleLimit time.Duration // after which the server closes it; zero if the server does not tell
 }
 
 func newConn(nc net.Conn, addr string) *conn {
@@ -75,7 +76,11 @@
 		if c == nil {
 			return nil
 		}
-		if time.Since(c.idleSince) < idleTimeout && c.alive() {
+		limit := idleTimeout
+		if c.idleLimit > 0 {
+			limit = min(limit, c.idleLimit)
+		}
+		if time.Since(c.idleSince) < limit && c.alive() {
 			c.sent.Store(0)
 			return c
 		}
@@ -124,7 +129,7 @@
 }
 
 // bodyReader returns a reader that ends with io.EOF only at the end mark of the body.
-func bodyReader(method string, h *fasthttp.ResponseHeader, br *bufio.Reader) io.Reader {
+func bodyReader(method string, h *fasthttp.ResponseHeader, br *bufio.Reader, endsWithConnection bool) io.Reader {
 	status := h.StatusCode()
 	n := h.ContentLength()
 	switch {
@@ -134,6 +139,8 @@
 		return &lengthReader{r: br, left: n}
 	case n == chunkedLength:
 		return &chunkedReader{br: br, r: httputil.NewChunkedReader(br)}
+	case endsWithConnection:
+		return br // the orderly end of the connection is the end of the body; a reset is an error
 	default:
 		return unmarkedReader{}
 	}
