--- a/cmd/filbertledge/main.go
+++ b/cmd/filbertledge/main.go
@@ -7,11 +7,12 @@
 
 	"filbertledge/internal/cli"
 	"filbertledge/internal/server"
+	"filbertledge/platform"
 )
 
 // version is set by the linker for releases.
 var version string
 
 func main() {
-	os.Exit(cli.Main(cli.Options{Version: version, Serve: server.Serve}))
+	os.Exit(cli.Main(cli.Options{Version: version, Serve: server.Serve, Commands: platform.Commands()}))
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -22,6 +22,8 @@
 type Options struct {
 	// Serve runs a VM until ctx ends and its graceful shutdown is complete.
 	Serve func(ctx context.Context, c *config.Config) error
+	// Commands are further commands, such as those that run on a platform.
+	Commands []*cobra.Command
 	// Version of the build, for the version command.
 	Version string
 	Stdin   io.Reader
@@ -99,6 +101,7 @@
 	root.AddCommand(a.serveCommand(), a.configCommand(), a.keysCommand(), a.tableCommand(), a.statusCommand(),
 		a.serversCommand(), a.requestsCommand(), a.samplesCommand(), a.timelineCommand(), a.drainCommand(),
 		a.versionCommand(), exitCodesTopic(), connectionTopic())
+	root.AddCommand(a.Commands...)
 	return root
 }
 
--- /dev/null
+++ b/internal/coordinator/calls.go
@@ -0,0 +1,342 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"filbertledge/internal/boottime"
+	"filbertledge/internal/errs"
+	"filbertledge/internal/events"
+	"filbertledge/internal/fleet"
+	"filbertledge/internal/link"
+	"filbertledge/internal/replica"
+	"filbertledge/internal/rollout"
+	"filbertledge/internal/routes"
+)
+
+// handle registers the methods of the link.
+func (n *Node) handle() {
+	n.server.HandleOneWay(methodRaft, n.replica.Receive)
+	link.Handle(n.server, methodBootstrap, n.replica.HandleBootstrap)
+	link.Handle(n.server, methodJoin, n.replica.HandleJoin)
+	link.Handle(n.server, methodLeader, n.handleLeader)
+	onLeader(n, MethodFollow, (*session).follow)
+	onLeader(n, MethodSubmit, (*session).submit)
+	onLeader(n, MethodRead, (*session).read)
+	onLeader(n, MethodBody, (*session).body)
+	onLeader(n, MethodEnd, (*session).end)
+	onLeader(n, methodAnnounce, (*session).announce)
+	onLeader(n, methodDepart, (*session).depart)
+	onLeader(n, methodConfigure, (*session).configure)
+	onLeader(n, methodConfig, (*session).configuration)
+	onLeader(n, methodPublish, (*session).publish)
+	onLeader(n, methodRetire, (*session).retire)
+	onLeader(n, methodRetired, (*session).retired)
+}
+
+// onLeader registers a method that only the leader runs.
+func onLeader[Q, R any](n *Node, method string, run func(*session, context.Context, Q) (R, error)) {
+	link.Handle(n.server, method, func(ctx context.Context, q Q) (R, error) {
+		s, err := n.current()
+		if err != nil {
+			var none R
+			return none, err
+		}
+		return run(s, ctx, q)
+	})
+}
+
+func (n *Node) handleLeader(context.Context, Done) (LeaderReply, error) {
+	return LeaderReply{Leader: n.replica.Status().LeaderAddress, Replicas: n.replicas()}, nil
+}
+
+// byLeader runs a call here if this VM leads, or passes it on to the leader once.
+func byLeader[Q, R any](ctx context.Context, n *Node, method string, run func(*session, context.Context, Q) (R, error), q Q) (R, error) {
+	if s, err := n.current(); err == nil {
+		return run(s, ctx, q)
+	}
+	leader := n.replica.Status().LeaderAddress
+	if leader == "" || leader == n.opts.Address {
+		var none R
+		return none, errs.New(errs.Unavailable, "call again in a second", "no leader is known at %s", n.opts.Name)
+	}
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	return link.Call[Q, R](ctx, n.client, leader, method, q)
+}
+
+// Announce takes the announcement of a server and returns the leader's link address.
+func (n *Node) Announce(ctx context.Context, s fleet.Server) (string, error) {
+	r, err := byLeader(ctx, n, methodAnnounce, (*session).announce, s)
+	return r.Leader, err
+}
+
+// Depart takes the notice that a server leaves or has left.
+func (n *Node) Depart(ctx context.Context, server string) error {
+	_, err := byLeader(ctx, n, methodDepart, (*session).depart, DepartRequest{Server: server})
+	return err
+}
+
+// Configure makes a configuration durable. A version that is not higher than the one in force changes nothing.
+func (n *Node) Configure(ctx context.Context, c *routes.Configuration) error {
+	_, err := byLeader(ctx, n, methodConfigure, (*session).configure, c)
+	return err
+}
+
+// NewestConfiguration returns the newest configuration, confirmed by the leader. The error is of the kind
+// errs.NotFound if there is none.
+func (n *Node) NewestConfiguration(ctx context.Context) (ConfigReply, error) {
+	return byLeader(ctx, n, methodConfig, (*session).configuration, Done{})
+}
+
+// Publish names a new version of a model's weights.
+func (n *Node) Publish(ctx context.Context, v rollout.Version) error {
+	_, err := byLeader(ctx, n, methodPublish, (*session).publish, v)
+	return err
+}
+
+// Retire asks for a VM to be emptied. Errors are of the kinds errs.NotFound and errs.Conflict.
+func (n *Node) Retire(ctx context.Context, vm string) error {
+	_, err := byLeader(ctx, n, methodRetire, (*session).retire, RetireRequest{VM: vm})
+	return err
+}
+
+// Retired reports whether a VM holds no state that others lack.
+func (n *Node) Retired(ctx context.Context, vm string) (bool, error) {
+	r, err := byLeader(ctx, n, methodRetired, (*session).retired, RetireRequest{VM: vm})
+	return r.Done, err
+}
+
+// stillLeads turns an answer into an error if this VM stopped leading while it was made.
+func (s *session) stillLeads() error {
+	if s.node.leads(s.term) {
+		return nil
+	}
+	return errs.New(errs.NotLeader, "call the leader", "%s lost its lease during the call", s.node.opts.Name)
+}
+
+func (s *session) follow(ctx context.Context, q FollowRequest) (FollowReply, error) {
+	timeout := time.NewTimer(FollowWait)
+	defer timeout.Stop()
+	for waiting := true; ; {
+		configured, servers := s.node.state.Changed(), s.serversChanged()
+		r := FollowReply{Term: s.term, Revision: s.node.registry.Revision()}
+		c := s.node.state.Configuration()
+		if c != nil {
+			r.Configured = true
+			if c.Version > q.Configuration {
+				r.Configuration = c
+			}
+		}
+		if q.Term != s.term || q.Revision != r.Revision {
+			r.ServersSent, r.Servers = true, s.servers()
+		}
+		if r.Configuration != nil || r.ServersSent || !waiting {
+			r.Replicas = s.node.replicas()
+			return r, s.stillLeads()
+		}
+		select {
+		case <-configured:
+		case <-servers:
+		case <-timeout.C:
+			waiting = false
+		case <-ctx.Done():
+			return r, errs.Wrap(ctx.Err(), errs.Unavailable, "call again", "the caller of follow gave up")
+		case <-s.ctx.Done():
+			return r, s.stillLeads()
+		}
+	}
+}
+
+// servers returns all servers without what only the leader needs.
+func (s *session) servers() []fleet.Server {
+	list := s.node.registry.List("", boottime.Now())
+	for i := range list {
+		list[i].Models = nil
+	}
+	return list
+}
+
+func (s *session) submit(ctx context.Context, b *rollout.Batch) (Done, error) {
+	b.Submitted = time.Now().UnixMilli()
+	o, err := s.node.propose(ctx, rollout.Command{Accept: b})
+	if err != nil {
+		return Done{}, err
+	}
+	s.record(events.Event{Name: events.BatchAccepted, Request: b.ID, Detail: describeBatch(b, o.Changed)})
+	return Done{}, nil
+}
+
+func (s *session) read(ctx context.Context, q ReadRequest) (ReadReply, error) {
+	timeout := time.NewTimer(q.Wait)
+	defer timeout.Stop()
+	for waiting := q.Wait > 0; ; {
+		changed := s.node.state.Changed()
+		page, found := s.node.state.Read(q.Batch, q.After, q.Bytes)
+		if !found || !waiting || len(page.Results) > 0 || page.Next >= page.Total || page.Ended {
+			return ReadReply{Found: found, Page: page}, s.stillLeads()
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			waiting = false
+		case <-ctx.Done():
+			waiting = false
+		case <-s.ctx.Done():
+			return ReadReply{}, s.stillLeads()
+		}
+	}
+}
+
+func (s *session) body(_ context.Context, q BodyRequest) (BodyReply, error) {
+	body, found, _ := s.node.state.Body(q.Batch, q.Item)
+	return BodyReply{Found: found, Body: body}, s.stillLeads()
+}
+
+func (s *session) end(ctx context.Context, q EndRequest) (Done, error) {
+	o, err := s.node.propose(ctx, rollout.Command{End: q.Batch})
+	if err != nil {
+		return Done{}, err
+	}
+	if !o.Found {
+		return Done{}, errs.New(errs.NotFound, "check the batch's ID", "batch %s does not exist", q.Batch)
+	}
+	s.record(events.Event{Name: events.BatchEnded, Request: q.Batch})
+	return Done{}, nil
+}
+
+func (s *session) announce(ctx context.Context, v fleet.Server) (AnnounceReply, error) {
+	reply := AnnounceReply{Leader: s.node.opts.Address}
+	known, _ := s.node.registry.Get(v.ID)
+	if v.Leaving && !(known.Leaving && known.Born == v.Born) && known.Born <= v.Born {
+		if _, err := s.node.propose(ctx, rollout.Command{Depart: &rollout.Departure{Server: v.ID, Born: v.Born}}); err != nil {
+			return reply, err
+		}
+	}
+	for _, d := range s.node.state.Departures() {
+		if d.Server == v.ID && d.Born >= v.Born {
+			v.Leaving = true
+		}
+	}
+	change := s.node.registry.Announce(v, boottime.Now())
+	s.noteAnnounced(v, change)
+	return reply, s.stillLeads()
+}
+
+// noteAnnounced wakes whoever waits for servers.
+func (s *session) noteAnnounced(v fleet.Server, change fleet.Change) {
+	switch change {
+	case fleet.Appeared:
+		s.record(events.Event{Name: events.ServerAnnounced, Server: serverID(v), Detail: v.Service + " at " + v.Address + " in " + v.Zone})
+	case fleet.Left:
+		s.record(events.Event{Name: events.ServerLeaving, Server: serverID(v), Detail: "announced"})
+	case fleet.Stale:
+		s.record(events.Event{Name: events.AnnouncementStale, Server: serverID(v), Detail: "older than what is known"})
+		return
+	case fleet.None:
+	}
+	if change != fleet.None {
+		s.signalServers()
+	}
+	s.heard(v)
+}
+
+func (s *session) depart(ctx context.Context, q DepartRequest) (Done, error) {
+	known, found := s.node.registry.Get(q.Server)
+	if !found {
+		// The server may be known to nobody since the leader changed; its announcements are refused from now on.
+		known.Born = time.Now().UnixMilli()
+	}
+	if _, err := s.node.propose(ctx, rollout.Command{Depart: &rollout.Departure{Server: q.Server, Born: known.Born}}); err != nil {
+		return Done{}, err
+	}
+	known.ID = q.Server
+	s.record(events.Event{Name: events.ServerLeaving, Server: serverID(known), Detail: "deregistered"})
+	s.signalServers()
+	return Done{}, nil
+}
+
+func (s *session) configure(ctx context.Context, c *routes.Configuration) (Done, error) {
+	if err := c.Validate(); err != nil {
+		return Done{}, err
+	}
+	if held := s.node.state.Configuration(); held != nil && c.Version <= held.Version {
+		s.record(events.Event{Name: events.ConfigurationIgnored, Detail: describeVersions(c.Version, held.Version)})
+		return Done{}, s.stillLeads()
+	}
+	if _, err := s.node.propose(ctx, rollout.Command{Configure: c}); err != nil {
+		return Done{}, err
+	}
+	s.record(events.Event{Name: events.ConfigurationAccepted, Detail: describeVersions(c.Version, 0)})
+	return Done{}, nil
+}
+
+func (s *session) configuration(context.Context, Done) (ConfigReply, error) {
+	c := s.node.state.Configuration()
+	if err := s.stillLeads(); err != nil {
+		return ConfigReply{}, err
+	}
+	if c == nil {
+		return ConfigReply{}, errs.New(errs.NotFound, "send a configuration", "there is no configuration yet")
+	}
+	return ConfigReply{Version: c.Version, Document: c.Document}, nil
+}
+
+func (s *session) publish(ctx context.Context, v rollout.Version) (Done, error) {
+	if held := s.node.state.Versions()[v.Model]; v.Version <= held {
+		return Done{}, s.stillLeads()
+	}
+	if _, err := s.node.propose(ctx, rollout.Command{Publish: &v}); err != nil {
+		return Done{}, err
+	}
+	s.record(events.Event{Name: events.WeightsPublished, Detail: describeModel(v)})
+	return Done{}, nil
+}
+
+func (s *session) retire(ctx context.Context, q RetireRequest) (Done, error) {
+	status := s.node.replica.Status()
+	retired := s.node.state.Retired()
+	left, known := 0, false
+	for _, m := range status.Members {
+		known = known || m.Name == q.VM
+		if m.Name != q.VM && !retired[m.Name] && (m.Voter || m.Learner) {
+			left++
+		}
+	}
+	if retired[q.VM] {
+		return Done{}, s.stillLeads()
+	}
+	if !known {
+		return Done{}, errs.New(errs.NotFound, "check the VM's name", "VM %q holds no state", q.VM)
+	}
+	if left < 2*s.node.opts.FaultBudget+1 {
+		return Done{}, errs.New(errs.Conflict, "add a VM first", "only %d VMs with state would be left", left)
+	}
+	if _, err := s.node.propose(ctx, rollout.Command{Retire: &rollout.Retirement{VM: q.VM}}); err != nil {
+		return Done{}, err
+	}
+	s.record(events.Event{Name: events.RetirementStarted, Detail: q.VM})
+	return Done{}, nil
+}
+
+// retired reports whether a VM is out of the membership, so that nothing depends on its disk.
+func (s *session) retired(_ context.Context, q RetireRequest) (RetireReply, error) {
+	status := s.node.replica.Status()
+	for _, m := range status.Members {
+		if m.Name == q.VM {
+			return RetireReply{}, s.stillLeads()
+		}
+	}
+	if !s.node.state.Retired()[q.VM] {
+		return RetireReply{}, errs.New(errs.NotFound, "start the emptying first", "VM %q is not being emptied", q.VM)
+	}
+	return RetireReply{Done: true}, s.stillLeads()
+}
+
+// Status returns the state of the replica.
+func (n *Node) Status() replica.Status { return n.replica.Status() }
+
+// AskForLeader asks the VM at address who leads.
+func AskForLeader(ctx context.Context, c *link.Client, address string) (LeaderReply, error) {
+	return link.Call[Done, LeaderReply](ctx, c, address, methodLeader, Done{})
+}
--- /dev/null
+++ b/internal/coordinator/run.go
@@ -0,0 +1,406 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"filbertledge/internal/api"
+	"filbertledge/internal/boottime"
+	"filbertledge/internal/errs"
+	"filbertledge/internal/events"
+	"filbertledge/internal/fleet"
+	"filbertledge/internal/rollout"
+	"filbertledge/internal/routes"
+	"filbertledge/internal/scheduling"
+)
+
+const (
+	// scheduleInterval is the time between looks at running items.
+	scheduleInterval = 100 * time.Millisecond
+	// firstEventStall and eventStall end a run without progress. Engines answer the first event in some tens of
+	// milliseconds and later ones every 50 ms; a slowed one takes ten times as long.
+	firstEventStall = 1500 * time.Millisecond
+	eventStall      = 1200 * time.Millisecond
+	// moveGain is the least time that moving an item to a faster engine must be expected to save.
+	moveGain = 500 * time.Millisecond
+	// moveAfter is how long a run must have lasted before it may move.
+	moveAfter = 400 * time.Millisecond
+	// expectedEvents is how many more events a run of unknown length is expected to have.
+	expectedEvents = 8
+	// avoidFor keeps an item away from an engine that it failed on.
+	avoidFor = 2 * time.Second
+	// busyPause keeps work away from an engine that just refused it; failurePause doubles with each failure in a
+	// row up to longestPause.
+	busyPause    = 60 * time.Millisecond
+	failurePause = 200 * time.Millisecond
+	longestPause = 1600 * time.Millisecond
+	// paceWeight is the weight of a new measurement in the average time between events.
+	paceWeight = 0.12
+	// recordLinger lets results share a commit.
+	recordLinger = 4 * time.Millisecond
+	// recordBytes bounds one command with results.
+	recordBytes = 256 << 10
+)
+
+func (s *session) scheduleLoop() {
+	ticker := time.NewTicker(scheduleInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-s.wake:
+		case <-ticker.C:
+			s.inspect()
+		}
+		s.pump()
+	}
+}
+
+// pump starts waiting items while engines have room.
+func (s *session) pump() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.node.state.Configuration()
+	if c == nil {
+		return
+	}
+	now := boottime.Now()
+	servers := map[string][]fleet.Server{}
+	full := map[string]bool{} // batch and service without a free engine
+	for _, w := range s.waitingItems(now) {
+		t := s.order[w.Batch].tasks[w.Item]
+		route := c.Match(t.batch.Host, t.batch.Path)
+		if route == nil || route.Kind != routes.Rollout {
+			continue
+		}
+		service := route.Pick(draw(t.batch.Items[t.item].ID))
+		key := t.batch.ID + "/" + service
+		if full[key] {
+			continue
+		}
+		if servers[service] == nil {
+			servers[service] = s.node.registry.List(service, now)
+		}
+		engines, of := s.candidates(t, servers[service], now)
+		i := scheduling.Choose(engines)
+		if i < 0 {
+			full[key] = true
+			continue
+		}
+		s.begin(t, of[i], route, now)
+	}
+}
+
+// draw returns a number in [0, 1) that depends on id only, so that an item keeps its service.
+func draw(id string) float64 { return float64(xxhash.Sum64String(id)>>11) / (1 << 53) }
+
+// waitingItems returns the items that may start now, in the order in which they should.
+func (s *session) waitingItems(now time.Duration) []scheduling.Waiting {
+	var list []scheduling.Waiting
+	for i, b := range s.order {
+		for _, t := range b.tasks {
+			if t.state == waiting && t.notBefore <= now {
+				list = append(list, scheduling.Waiting{
+					Batch: i, Carried: t.group.carried, Group: t.group.index, Missing: t.group.missing,
+					Length: b.Items[t.item].LengthHint, Item: t.item,
+				})
+			}
+		}
+	}
+	scheduling.Order(list)
+	return list
+}
+
+// begin sends an item to an engine. The caller holds the mutex.
+func (s *session) begin(t *task, v *fleet.Server, route *routes.Route, now time.Duration) {
+	ctx, cancel := context.WithCancel(s.ctx)
+	item := &t.batch.Items[t.item]
+	t.state, t.engine, t.cancel, t.startedAt, t.eventAt, t.moved = running, v.ID, cancel, now, 0, false
+	s.engineOf(v).running++
+	s.homes[s.homeKey(t)] = v.ID
+	name := events.ItemPlaced
+	if t.events > 0 {
+		name = events.ItemResumed
+	}
+	s.record(events.Event{
+		Name: name, Request: item.ID, Server: api.ServerID(v.ID),
+		Detail: fmt.Sprintf("batch %s, after event %d", t.batch.ID, t.events),
+	})
+	g := Generation{
+		ID: item.ID, Host: t.batch.Host, Path: item.Path, Headers: item.Headers, Body: item.Body,
+		After: t.events, TimeLeft: time.Until(t.batch.deadline),
+	}
+	go s.run(ctx, t, *v, g, route)
+}
+
+// errLabel ends a run whose weights the batch does not allow.
+type errLabel struct{ version uint64 }
+
+// Error names the version.
+func (e errLabel) Error() string {
+	return fmt.Sprintf("weights of version %d are not allowed", e.version)
+}
+
+// run takes one item through one engine.
+func (s *session) run(ctx context.Context, t *task, v fleet.Server, g Generation, route *routes.Route) {
+	defer t.cancel()
+	err := s.generate(ctx, t, v, g, route)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.engineOf(&v)
+	e.running = max(e.running-1, 0)
+	if t.state != running {
+		return // the batch has ended
+	}
+	if err == nil {
+		e.failures = 0
+		s.finish(t, rollout.Result{Item: t.item, Completed: true, Text: t.text, Versions: t.versions})
+		return
+	}
+	t.state = waiting
+	s.afterFailure(t, &v, e, err, route)
+	s.poke()
+}
+
+// generate reads a stream into the task.
+func (s *session) generate(ctx context.Context, t *task, v fleet.Server, g Generation, route *routes.Route) error {
+	stream, err := s.node.opts.Engines.Start(ctx, v, g)
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	if first := stream.Version(); first != 0 && first < t.batch.MinVersion {
+		return errLabel{first}
+	}
+	var last time.Duration
+	for {
+		ev, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if ev.Version < t.batch.MinVersion {
+			return errLabel{ev.Version}
+		}
+		if route.SingleVersion && len(t.versions) > 0 && t.versions[0] != ev.Version {
+			t.text, t.events, t.versions = nil, 0, nil
+			return errLabel{ev.Version}
+		}
+		if ev.Number != t.events+1 {
+			return &RunError{Refusal: Broken, Err: errs.New(errs.BackendFailed, "run the item again", "event %d follows event %d", ev.Number, t.events)}
+		}
+		last = s.take(t, v, ev, last)
+	}
+}
+
+// take adds an event to the text and measures the engine's pace.
+func (s *session) take(t *task, v fleet.Server, ev Event, last time.Duration) time.Duration {
+	if t.events > 0 {
+		t.text = append(t.text, '\n')
+	}
+	t.text = append(t.text, ev.Data...)
+	if i, found := slices.BinarySearch(t.versions, ev.Version); !found {
+		t.versions = slices.Insert(t.versions, i, ev.Version)
+	}
+	now := boottime.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t.events++
+	t.eventAt = now
+	e := s.engineOf(&v)
+	e.failures = 0
+	e.versions[t.batch.Model] = ev.Version
+	if last > 0 {
+		gap := float64((now - last).Microseconds()) / 1000
+		if e.pace == 0 {
+			e.pace = gap
+		}
+		e.pace += paceWeight * (gap - e.pace)
+	}
+	return now
+}
+
+// afterFailure decides when and where the item goes on. The caller holds the mutex.
+func (s *session) afterFailure(t *task, v *fleet.Server, e *engine, err error, route *routes.Route) {
+	now := boottime.Now()
+	item := t.batch.Items[t.item].ID
+	var label errLabel
+	if errors.As(err, &label) {
+		e.versions[t.batch.Model] = label.version
+		s.record(events.Event{Name: events.LabelRefused, Request: item, Server: serverID(*v), Detail: fmt.Sprintf("%v, at least %d", err, t.batch.MinVersion)})
+		return
+	}
+	var run *RunError
+	if !errors.As(err, &run) {
+		run = &RunError{Refusal: Broken, Err: err}
+	}
+	if !t.moved {
+		s.record(events.Event{Name: events.ItemRefused, Request: item, Server: serverID(*v), Detail: run.Error()})
+	}
+	switch run.Refusal {
+	case Busy:
+		e.blocked = now + busyPause
+	case Replaced:
+		e.blocked = now + longestPause
+	case Failed:
+		t.failures++
+		t.avoid[v.ID] = now + avoidFor
+		if t.failures >= max(route.MaxAttempts, 1) {
+			s.finish(t, rollout.Result{Item: t.item})
+		}
+	case Impossible:
+		s.finish(t, rollout.Result{Item: t.item})
+	case Unreachable, Broken:
+		t.avoid[v.ID] = now + avoidFor
+		if t.moved {
+			return
+		}
+		e.failures++
+		pause := min(failurePause<<min(e.failures-1, 8), longestPause)
+		e.blocked = now + pause
+		s.record(events.Event{Name: events.ServerBlocked, Server: serverID(*v), Detail: fmt.Sprintf("%d failures in a row, for %s", e.failures, pause)})
+	}
+}
+
+// finish lists the result of an item. The caller holds the mutex.
+func (s *session) finish(t *task, r rollout.Result) {
+	t.state = finished
+	t.group.missing--
+	s.record(events.Event{
+		Name: events.ItemListed, Request: t.batch.Items[t.item].ID,
+		Detail: fmt.Sprintf("batch %s, completed %t, %d events, versions %v, group misses %d", t.batch.ID, r.Completed, t.events, r.Versions, t.group.missing),
+	})
+	select {
+	case s.records <- rollout.Record{Batch: t.batch.ID, Result: r}:
+	default:
+		// The queue holds more results than all engines produce in a second; without room the item runs again.
+		t.state = waiting
+		t.group.missing++
+	}
+}
+
+// inspect ends runs that stall or that an engine much slower than the others holds, and gives up items whose time
+// has passed.
+func (s *session) inspect() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now, clock := boottime.Now(), time.Now()
+	median := s.medianPace()
+	for _, b := range s.order {
+		late := clock.After(b.deadline)
+		for _, t := range b.tasks {
+			switch {
+			case late && t.state == waiting:
+				s.finish(t, rollout.Result{Item: t.item})
+			case late && t.state == running:
+				t.cancel()
+			case t.state == running && !t.moved:
+				s.inspectRun(t, now, median)
+			}
+		}
+	}
+}
+
+func (s *session) inspectRun(t *task, now time.Duration, median float64) {
+	e := s.engines[t.engine]
+	if e == nil {
+		return
+	}
+	quiet, limit := now-t.startedAt, firstEventStall
+	if t.eventAt > 0 {
+		quiet, limit = now-t.eventAt, eventStall
+	}
+	reason := ""
+	switch {
+	case quiet > limit:
+		reason = fmt.Sprintf("no event for %s", quiet.Round(time.Millisecond))
+		e.blocked = now + failurePause
+	case median > 0 && e.pace > scheduling.MoveRatio*median && now-t.startedAt > moveAfter && s.roomElsewhere(t, median, now):
+		if saved := time.Duration(expectedEvents * (e.pace - median) * float64(time.Millisecond)); saved > moveGain {
+			reason = fmt.Sprintf("%.0f ms between events against %.0f ms elsewhere", e.pace, median)
+		}
+	}
+	if reason == "" {
+		return
+	}
+	t.moved = true
+	t.avoid[t.engine] = now + avoidFor
+	s.record(events.Event{Name: events.ItemMoved, Request: t.batch.Items[t.item].ID, Server: api.ServerID(t.engine), Detail: reason})
+	t.cancel()
+}
+
+// roomElsewhere reports whether an engine of ordinary pace with the needed weights has a free slot.
+func (s *session) roomElsewhere(t *task, median float64, now time.Duration) bool {
+	for id, e := range s.engines {
+		v, ok := s.node.registry.Get(id)
+		if !ok || id == t.engine || v.Leaving || e.blocked > now || e.loading == t.batch.Model && e.loading != "" {
+			continue
+		}
+		if e.running < v.Slots && e.versions[t.batch.Model] >= t.batch.MinVersion && e.pace < scheduling.MoveRatio*median {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *session) medianPace() float64 {
+	list := make([]scheduling.Engine, 0, len(s.engines))
+	for _, e := range s.engines {
+		list = append(list, scheduling.Engine{Pace: e.pace})
+	}
+	return scheduling.MedianPace(list)
+}
+
+// recordLoop commits results, several at a time.
+func (s *session) recordLoop() {
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case first := <-s.records:
+			s.commit(s.gather(first))
+		}
+	}
+}
+
+// gather waits a little for more results that share the commit.
+func (s *session) gather(first rollout.Record) []rollout.Record {
+	list := []rollout.Record{first}
+	size := len(first.Result.Text)
+	timer := time.NewTimer(recordLinger)
+	defer timer.Stop()
+	for size < recordBytes {
+		select {
+		case r := <-s.records:
+			list = append(list, r)
+			size += len(r.Result.Text)
+		case <-timer.C:
+			return list
+		}
+	}
+	return list
+}
+
+// commit repeats the proposal until it is committed or the leadership ends: a result that is listed already keeps
+// its position.
+func (s *session) commit(list []rollout.Record) {
+	for s.ctx.Err() == nil {
+		ctx, cancel := context.WithTimeout(s.ctx, proposeTimeout)
+		_, err := s.node.propose(ctx, rollout.Command{Records: list})
+		cancel()
+		if err == nil {
+			return
+		}
+		s.node.opts.Events.Log().WithError(err).WithField("results", len(list)).Warn("results are not committed yet")
+		sleep(s.ctx, heartbeatInterval)
+	}
+}
--- /dev/null
+++ b/internal/coordinator/session.go
@@ -0,0 +1,316 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"filbertledge/internal/api"
+	"filbertledge/internal/boottime"
+	"filbertledge/internal/events"
+	"filbertledge/internal/fleet"
+	"filbertledge/internal/rollout"
+	"filbertledge/internal/scheduling"
+)
+
+// session is the work of one leadership. It ends with the lease.
+type session struct {
+	node  *Node
+	ctx   context.Context // ends with the leadership
+	term  uint64
+	began time.Duration
+
+	mu      sync.Mutex
+	batches map[string]*batch
+	order   []*batch        // oldest first
+	seen    map[string]bool // groups of earlier batches
+	engines map[string]*engine
+	signal  chan struct{} // closed when the servers change
+	records chan rollout.Record
+	wake    chan struct{}     // asks for a look at the waiting items
+	orders  chan struct{}     // asks for a look at the weights
+	homes   map[string]string // prompt group to the engine that has read it
+}
+
+// batch is an open batch.
+type batch struct {
+	rollout.Batch
+	tasks    []*task
+	groups   map[string]*group
+	deadline time.Time // when the items may be given up
+}
+
+// group counts the items of a group.
+type group struct {
+	index   int
+	missing int
+	carried bool
+}
+
+// states of a task.
+type taskState int
+
+const (
+	waiting taskState = iota
+	running
+	finished
+)
+
+// task is one item on its way to a result.
+type task struct {
+	batch *batch
+	item  int
+	group *group
+	state taskState
+
+	engine    string // while it runs
+	cancel    context.CancelFunc
+	startedAt time.Duration
+	eventAt   time.Duration // of the last event of the present run
+	notBefore time.Duration
+	failures  int                      // runs that the server failed itself
+	avoid     map[string]time.Duration // engines to avoid, until when
+	moved     bool                     // the present run is being ended to go on elsewhere
+
+	text     []byte
+	events   int
+	versions []uint64
+}
+
+// engine is what the leader knows of an engine besides its announcements.
+type engine struct {
+	born          int64
+	running       int
+	versions      map[string]uint64
+	pace          float64       // moving average of the time between events, ms
+	blocked       time.Duration // nothing is sent until then
+	failures      int           // in a row
+	model         string        // that it is assigned to
+	loading       string        // model that an order is being carried out for
+	sequence      uint64
+	known         bool          // sequence is known
+	orderAt       time.Duration // the next order goes out no earlier
+	orderFailures int
+}
+
+// recordQueue bounds the results that wait to be committed.
+const recordQueue = 4096
+
+func newSession(n *Node, ctx context.Context, term uint64) *session {
+	return &session{
+		node: n, ctx: ctx, term: term, began: boottime.Now(),
+		batches: map[string]*batch{}, seen: map[string]bool{}, engines: map[string]*engine{}, homes: map[string]string{},
+		signal: make(chan struct{}), records: make(chan rollout.Record, recordQueue),
+		wake: make(chan struct{}, 1), orders: make(chan struct{}, 1),
+	}
+}
+
+func (s *session) describe() string { return fmt.Sprintf("term %d", s.term) }
+
+func (s *session) record(e events.Event) { s.node.opts.Events.Record(e) }
+
+func serverID(v fleet.Server) api.ServerID { return api.ServerID(v.ID) }
+
+// start loads the open batches and begins to work.
+func (s *session) start() {
+	for _, d := range s.node.state.Departures() {
+		s.node.registry.Leave(d.Server, d.Born)
+	}
+	for _, open := range s.node.state.OpenBatches() {
+		s.add(open)
+	}
+	go s.scheduleLoop()
+	go s.recordLoop()
+	go s.weightsLoop()
+}
+
+// add takes a batch up, unless it is known.
+func (s *session) add(open rollout.Open) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.batches[open.Batch.ID] != nil {
+		return
+	}
+	b := &batch{Batch: open.Batch, groups: map[string]*group{}}
+	lifetime := defaultItemLifetime
+	if c := s.node.state.Configuration(); c != nil {
+		if r := c.Match(b.Host, b.Path); r != nil && r.ItemLifetime > 0 {
+			lifetime = r.ItemLifetime
+		}
+	}
+	b.deadline = time.UnixMilli(b.Submitted).Add(lifetime)
+	for i, item := range b.Items {
+		g := b.groups[item.Group]
+		if g == nil {
+			g = &group{index: len(b.groups), carried: item.Group != "" && s.seen[item.Group]}
+			b.groups[item.Group] = g
+		}
+		t := &task{batch: b, item: i, group: g, avoid: map[string]time.Duration{}}
+		if open.Listed[i] {
+			t.state = finished
+		} else {
+			g.missing++
+		}
+		b.tasks = append(b.tasks, t)
+	}
+	for name := range b.groups {
+		if name != "" {
+			s.seen[name] = true
+		}
+	}
+	s.batches[b.ID] = b
+	s.order = append(s.order, b)
+	s.poke()
+}
+
+// defaultItemLifetime applies to items whose route is gone.
+const defaultItemLifetime = 40 * time.Second
+
+// applied takes note of a committed command.
+func (s *session) applied(c rollout.Command) {
+	switch {
+	case c.Accept != nil:
+		s.add(rollout.Open{Batch: *c.Accept, Listed: make([]bool, len(c.Accept.Items))})
+	case c.End != "":
+		s.drop(c.End)
+	case c.Publish != nil, c.Configure != nil:
+		s.poke()
+		s.pokeOrders()
+	case c.Depart != nil:
+		s.signalServers()
+	}
+}
+
+// drop ends the work on a batch.
+func (s *session) drop(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.batches[id]
+	if b == nil {
+		return
+	}
+	delete(s.batches, id)
+	for i, other := range s.order {
+		if other == b {
+			s.order = append(s.order[:i:i], s.order[i+1:]...)
+			break
+		}
+	}
+	for _, t := range b.tasks {
+		if t.state == running {
+			t.cancel()
+		}
+		t.state = finished
+	}
+	s.poke()
+}
+
+// poke asks for a look at the waiting items.
+func (s *session) poke() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (s *session) pokeOrders() {
+	select {
+	case s.orders <- struct{}{}:
+	default:
+	}
+}
+
+func (s *session) serversChanged() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.signal
+}
+
+func (s *session) signalServers() {
+	s.mu.Lock()
+	close(s.signal)
+	s.signal = make(chan struct{})
+	s.mu.Unlock()
+	s.poke()
+}
+
+// expire looks for silent servers and for batches past their retention.
+func (s *session) expire(now, sinceLast time.Duration) {
+	before := s.node.registry.Revision()
+	for _, id := range s.node.registry.Expire(now, sinceLast) {
+		s.record(events.Event{Name: events.ServerExpired, Server: api.ServerID(id), Detail: "not heard of for long"})
+	}
+	if s.node.registry.Revision() != before {
+		s.signalServers()
+	}
+	if old := s.node.state.Expired(time.Now().Add(-s.node.opts.Retention)); len(old) > 0 {
+		go func() {
+			ctx, cancel := context.WithTimeout(s.ctx, proposeTimeout)
+			defer cancel()
+			if _, err := s.node.propose(ctx, rollout.Command{Forget: old}); err != nil {
+				s.node.opts.Events.Log().WithError(err).Info("batches past their retention are forgotten at the next look")
+			}
+		}()
+	}
+}
+
+// engineOf returns what is known of a server's engine. The caller holds the mutex.
+func (s *session) engineOf(v *fleet.Server) *engine {
+	e := s.engines[v.ID]
+	if e == nil || e.born != v.Born {
+		e = &engine{born: v.Born, versions: map[string]uint64{}}
+		s.engines[v.ID] = e
+	}
+	for _, m := range v.Models {
+		e.versions[m.Name] = max(e.versions[m.Name], m.Version)
+	}
+	return e
+}
+
+// heard takes the versions that a server announces.
+func (s *session) heard(v fleet.Server) {
+	s.mu.Lock()
+	s.engineOf(&v)
+	s.mu.Unlock()
+	s.poke()
+}
+
+func describeBatch(b *rollout.Batch, fresh bool) string {
+	return fmt.Sprintf("step %d of %s, %d items, at least version %d, new %t", b.Step, b.Model, len(b.Items), b.MinVersion, fresh)
+}
+
+func describeVersions(sent, held uint64) string {
+	return fmt.Sprintf("version %d, held %d", sent, held)
+}
+
+func describeModel(v rollout.Version) string { return fmt.Sprintf("%s version %d", v.Model, v.Version) }
+
+// candidates returns the engines that may run an item, and their servers in the same order. The caller holds the
+// mutex.
+func (s *session) candidates(t *task, servers []fleet.Server, now time.Duration) ([]scheduling.Engine, []*fleet.Server) {
+	var list []scheduling.Engine
+	var of []*fleet.Server
+	home := s.homes[s.homeKey(t)]
+	for i := range servers {
+		v := &servers[i]
+		e := s.engineOf(v)
+		if v.Leaving || e.blocked > now || e.loading != "" && e.loading == t.batch.Model {
+			continue
+		}
+		if t.batch.MinVersion > 0 && e.versions[t.batch.Model] < t.batch.MinVersion {
+			continue
+		}
+		list = append(list, scheduling.Engine{
+			ID: v.ID, Slots: max(v.Slots, 1), Running: e.running, Pace: e.pace,
+			Home: home == v.ID, Avoid: v.Silent || t.avoid[v.ID] > now || e.failures > 0,
+		})
+		of = append(of, v)
+	}
+	return list, of
+}
+
+// homeKey names the prompt of a task's group.
+func (s *session) homeKey(t *task) string {
+	return t.batch.ID + "/" + t.batch.Items[t.item].Group
+}
--- /dev/null
+++ b/internal/coordinator/weights.go
@@ -0,0 +1,260 @@
+package coordinator
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"filbertledge/internal/api"
+	"filbertledge/internal/boottime"
+	"filbertledge/internal/events"
+	"filbertledge/internal/fleet"
+	"filbertledge/internal/rollout"
+	"filbertledge/internal/routes"
+	"filbertledge/internal/scheduling"
+)
+
+const (
+	// weightsInterval is the time between looks at the versions of the engines.
+	weightsInterval = 100 * time.Millisecond
+	// loadShare is the part of the engines of a service that load at once: more of them slow each other down.
+	loadShare    = 0.2
+	leastLoads   = 2
+	orderTimeout = 800 * time.Millisecond
+	// loadTime is about how long an engine takes to load; its report is asked for from then on.
+	loadTime     = 850 * time.Millisecond
+	reportPause  = 150 * time.Millisecond
+	loadDeadline = 5 * time.Second
+	// orderPause is the time before an engine that did not answer an order gets another one.
+	orderPause   = 1200 * time.Millisecond
+	longestOrder = 5 * time.Second
+)
+
+// weightsLoop brings the engines to the named versions.
+func (s *session) weightsLoop() {
+	// Orders of the leader before may still arrive. Engines must not see two holders take turns.
+	sleep(s.ctx, s.node.opts.OrderHandover)
+	ticker := time.NewTicker(weightsInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-s.orders:
+		case <-ticker.C:
+		}
+		s.startLoads()
+	}
+}
+
+// startLoads orders as many engines to load as may load at once.
+func (s *session) startLoads() {
+	c := s.node.state.Configuration()
+	versions := s.node.state.Versions()
+	if c == nil || len(versions) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := boottime.Now()
+	for i := range c.Services {
+		if service := &c.Services[i]; len(service.Models) > 0 {
+			s.startServiceLoads(service, versions, now)
+		}
+	}
+}
+
+// load is an engine that lacks a version.
+type load struct {
+	server  fleet.Server
+	engine  *engine
+	model   string
+	version uint64
+	behind  uint64
+}
+
+func (s *session) startServiceLoads(service *routes.Service, versions map[string]uint64, now time.Duration) {
+	servers := slices.DeleteFunc(s.node.registry.List(service.Name, now), func(v fleet.Server) bool { return v.Leaving })
+	loading := 0
+	for i := range servers {
+		if s.engineOf(&servers[i]).loading != "" {
+			loading++
+		}
+	}
+	most := max(leastLoads, int(loadShare*float64(len(servers))))
+	for _, l := range s.wantedLoads(service, servers, versions, now) {
+		if loading >= most {
+			return
+		}
+		if l.engine.loading != "" {
+			continue
+		}
+		loading++
+		l.engine.loading = l.model
+		go s.load(l, service)
+	}
+}
+
+// wantedLoads returns the loads that are due, those of the oldest versions first: they can serve no new step.
+func (s *session) wantedLoads(service *routes.Service, servers []fleet.Server, versions map[string]uint64, now time.Duration) []load {
+	s.assign(service, servers)
+	var out []load
+	for i := range servers {
+		e := s.engineOf(&servers[i])
+		if servers[i].Silent || e.loading != "" || e.orderAt > now {
+			continue
+		}
+		for _, model := range service.Models {
+			if want := versions[model]; (e.model == "" || e.model == model) && e.versions[model] < want {
+				out = append(out, load{server: servers[i], engine: e, model: model, version: want, behind: want - e.versions[model]})
+			}
+		}
+	}
+	slices.SortStableFunc(out, func(a, b load) int {
+		return cmp.Or(cmp.Compare(b.behind, a.behind), cmp.Compare(a.engine.running, b.engine.running))
+	})
+	return out
+}
+
+// assign divides the engines among the models of a service.
+func (s *session) assign(service *routes.Service, servers []fleet.Server) {
+	var usable []scheduling.Loadable
+	var engines []*engine
+	for i := range servers {
+		e := s.engineOf(&servers[i])
+		if !servers[i].Silent {
+			usable = append(usable, scheduling.Loadable{ID: servers[i].ID, Model: e.model})
+			engines = append(engines, e)
+		}
+	}
+	models := scheduling.Assign(usable, service.Models)
+	for i, e := range engines {
+		e.model = ""
+		if models != nil {
+			e.model = models[i]
+		}
+	}
+}
+
+// load sends one order and follows it to its end.
+func (s *session) load(l load, service *routes.Service) {
+	done := s.runOrder(l, service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l.engine.loading = ""
+	if done {
+		l.engine.orderFailures = 0
+		l.engine.versions[l.model] = max(l.engine.versions[l.model], l.version)
+	} else {
+		l.engine.orderFailures++
+		l.engine.orderAt = boottime.Now() + min(orderPause*time.Duration(l.engine.orderFailures), longestOrder)
+	}
+	s.poke()
+	s.pokeOrders()
+}
+
+// runOrder reports whether the engine has the version at the end.
+func (s *session) runOrder(l load, service *routes.Service) bool {
+	ctx, cancel := context.WithTimeout(s.ctx, loadDeadline)
+	defer cancel()
+	engines := s.node.opts.Engines
+	s.mu.Lock()
+	known, sequence := l.engine.known, l.engine.sequence
+	s.mu.Unlock()
+	if !known {
+		r, err := s.report(ctx, l.server)
+		if err != nil || r.Loading {
+			s.orderEvent(events.OrderUnanswered, l, fmt.Sprintf("report before the order: loading %t, %v", r.Loading, err))
+			return false
+		}
+		if version(r, l.model) >= l.version {
+			return true
+		}
+		sequence = r.Sequence
+	}
+	if s.stillLeads() != nil {
+		return false
+	}
+	orderCtx, cancelOrder := context.WithTimeout(ctx, orderTimeout)
+	result, err := engines.Load(orderCtx, l.server, LoadOrder{
+		Model: l.model, Version: l.version, Holder: s.node.opts.Name, Token: s.term, Expected: sequence,
+		FinishFirst: s.finishFirst(service.Name),
+	})
+	cancelOrder()
+	s.mu.Lock()
+	l.engine.known, l.engine.sequence = err == nil && result == OrderTaken, sequence+1
+	s.mu.Unlock()
+	if err != nil {
+		s.orderEvent(events.OrderUnanswered, l, err.Error())
+		return s.followLoad(ctx, l)
+	}
+	switch result {
+	case OrderHolds:
+		return true
+	case OrderTaken:
+		s.orderEvent(events.OrderSent, l, fmt.Sprintf("token %d, sequence %d", s.term, sequence))
+		return s.followLoad(ctx, l)
+	case OrderConflict, OrderFenced, OrderRefused:
+		s.orderEvent(events.OrderRefused, l, fmt.Sprintf("result %d with token %d, sequence %d", result, s.term, sequence))
+	}
+	return false
+}
+
+// finishFirst reports whether a route to the service forbids texts of several versions.
+func (s *session) finishFirst(service string) bool {
+	c := s.node.state.Configuration()
+	return c != nil && slices.ContainsFunc(c.Routes, func(r routes.Route) bool { return r.SingleVersion && r.Allows(service) })
+}
+
+// followLoad asks for the engine's report until it has the version.
+func (s *session) followLoad(ctx context.Context, l load) bool {
+	sleep(ctx, loadTime)
+	for ctx.Err() == nil {
+		if s.announcedVersion(l) {
+			return true
+		}
+		r, err := s.report(ctx, l.server)
+		if err == nil && version(r, l.model) >= l.version {
+			s.orderEvent(events.OrderVerified, l, "")
+			return true
+		}
+		if err == nil && !r.Loading {
+			s.mu.Lock()
+			taken := l.engine.known
+			s.mu.Unlock()
+			if !taken {
+				return false // the order was not taken, or not yet
+			}
+		}
+		sleep(ctx, reportPause)
+	}
+	s.orderEvent(events.SwapFailed, l, "the version did not come")
+	return false
+}
+
+// announcedVersion reports whether an event or an announcement has shown the version meanwhile.
+func (s *session) announcedVersion(l load) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return l.engine.versions[l.model] >= l.version
+}
+
+func (s *session) report(ctx context.Context, v fleet.Server) (Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	return s.node.opts.Engines.Report(ctx, v)
+}
+
+func version(r Report, model string) uint64 {
+	v := fleet.Server{Models: r.Models}
+	return v.Version(model)
+}
+
+func (s *session) orderEvent(name events.Name, l load, detail string) {
+	s.record(events.Event{
+		Name: name, Server: api.ServerID(l.server.ID),
+		Detail: describeModel(rollout.Version{Model: l.model, Version: l.version}) + " " + detail,
+	})
+}
--- /dev/null
+++ b/internal/coordinator/wire.go
@@ -0,0 +1,118 @@
+package coordinator
+
+import (
+	"time"
+
+	"filbertledge/internal/fleet"
+	"filbertledge/internal/rollout"
+	"filbertledge/internal/routes"
+)
+
+// Methods of the link between VMs.
+const (
+	MethodFollow    = "follow"
+	MethodSubmit    = "batch.submit"
+	MethodRead      = "batch.read"
+	MethodBody      = "batch.body"
+	MethodEnd       = "batch.end"
+	methodRaft      = "raft"
+	methodBootstrap = "raft.bootstrap"
+	methodJoin      = "raft.join"
+	methodAnnounce  = "server.announce"
+	methodDepart    = "server.depart"
+	methodConfigure = "config.set"
+	methodConfig    = "config.get"
+	methodPublish   = "weights.publish"
+	methodRetire    = "vm.retire"
+	methodRetired   = "vm.retired"
+	methodLeader    = "leader"
+)
+
+// FollowRequest asks the leader for what has changed. It is answered at the next change or after FollowWait.
+type FollowRequest struct {
+	VM            string `cbor:"1,keyasint"`
+	Term          uint64 `cbor:"2,keyasint,omitempty"`
+	Configuration uint64 `cbor:"3,keyasint,omitempty"` // version that the VM holds
+	Revision      uint64 `cbor:"4,keyasint,omitempty"` // of the servers in that term
+}
+
+// FollowReply confirms that its sender led when it was sent.
+type FollowReply struct {
+	Term          uint64                `cbor:"1,keyasint"`
+	Configuration *routes.Configuration `cbor:"2,keyasint,omitempty"` // nil if the VM holds the newest
+	Configured    bool                  `cbor:"3,keyasint,omitempty"` // a configuration exists
+	ServersSent   bool                  `cbor:"4,keyasint,omitempty"`
+	Servers       []fleet.Server        `cbor:"5,keyasint,omitempty"`
+	Revision      uint64                `cbor:"6,keyasint,omitempty"`
+	Replicas      []string              `cbor:"7,keyasint,omitempty"` // link addresses
+}
+
+// FollowWait is how long the leader holds a follow request without a change. Two of them fit into the time within
+// which a VM must notice that its leader is gone.
+const FollowWait = time.Second
+
+// ReadRequest asks for results of a batch.
+type ReadRequest struct {
+	Batch string        `cbor:"1,keyasint"`
+	After int           `cbor:"2,keyasint,omitempty"`
+	Wait  time.Duration `cbor:"3,keyasint,omitempty"` // until a result exists
+	Bytes int           `cbor:"4,keyasint,omitempty"` // limit of the answer
+}
+
+// ReadReply is a page of results, or Found is false.
+type ReadReply struct {
+	Found bool         `cbor:"1,keyasint,omitempty"`
+	Page  rollout.Page `cbor:"2,keyasint,omitempty"`
+}
+
+// BodyRequest asks for the body of an item.
+type BodyRequest struct {
+	Batch string `cbor:"1,keyasint"`
+	Item  string `cbor:"2,keyasint"`
+}
+
+// BodyReply holds the body if Found.
+type BodyReply struct {
+	Found bool   `cbor:"1,keyasint,omitempty"`
+	Body  []byte `cbor:"2,keyasint,omitempty"`
+}
+
+// EndRequest ends a batch.
+type EndRequest struct {
+	Batch string `cbor:"1,keyasint"`
+}
+
+// AnnounceReply names the leader, to which a server may announce itself directly.
+type AnnounceReply struct {
+	Leader string `cbor:"1,keyasint,omitempty"` // link address
+}
+
+// DepartRequest says that a server leaves.
+type DepartRequest struct {
+	Server string `cbor:"1,keyasint"`
+}
+
+// ConfigReply is the newest configuration as it was sent.
+type ConfigReply struct {
+	Version  uint64 `cbor:"1,keyasint"`
+	Document []byte `cbor:"2,keyasint"`
+}
+
+// RetireRequest names a VM to be emptied, or asks whether it is.
+type RetireRequest struct {
+	VM string `cbor:"1,keyasint"`
+}
+
+// RetireReply tells how far the emptying is.
+type RetireReply struct {
+	Done bool `cbor:"1,keyasint,omitempty"`
+}
+
+// LeaderReply names the leader as a VM knows it.
+type LeaderReply struct {
+	Leader   string   `cbor:"1,keyasint,omitempty"`
+	Replicas []string `cbor:"2,keyasint,omitempty"`
+}
+
+// Done is an empty reply.
+type Done struct{}
--- /dev/null
+++ b/internal/gateway/batches.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"filbertledge/internal/coordinator"
+	"filbertledge/internal/errs"
+	"filbertledge/internal/events"
+	"filbertledge/internal/link"
+	"filbertledge/internal/rollout"
+)
+
+const (
+	// callTimeout bounds a call of a batch at the leader beyond the wait that the caller asks for.
+	callTimeout = 1500 * time.Millisecond
+	// PageBytes bounds the texts of one answer.
+	PageBytes = 900 << 10
+)
+
+// Submit hands a batch to the leader. It returns nil once the batch is durable. An error of the kind
+// errs.Unavailable or errs.NotLeader promises that the batch was not accepted by this call.
+func (g *Gateway) Submit(ctx context.Context, b *rollout.Batch) error {
+	_, err := callLeader[*rollout.Batch, coordinator.Done](ctx, g, coordinator.MethodSubmit, b, callTimeout)
+	g.noteBatch(events.BatchAccepted, b.ID, err)
+	return err
+}
+
+// Read returns results of a batch.
+func (g *Gateway) Read(ctx context.Context, batch string, after int, wait time.Duration) (coordinator.ReadReply, error) {
+	q := coordinator.ReadRequest{Batch: batch, After: after, Wait: wait, Bytes: PageBytes}
+	r, err := callLeader[coordinator.ReadRequest, coordinator.ReadReply](ctx, g, coordinator.MethodRead, q, wait+callTimeout)
+	if err != nil {
+		g.noteBatch(events.RequestFailed, batch, err)
+	}
+	return r, err
+}
+
+// Body returns the body of an item that is not listed yet.
+func (g *Gateway) Body(ctx context.Context, batch, item string) (coordinator.BodyReply, error) {
+	q := coordinator.BodyRequest{Batch: batch, Item: item}
+	r, err := callLeader[coordinator.BodyRequest, coordinator.BodyReply](ctx, g, coordinator.MethodBody, q, callTimeout)
+	if err != nil {
+		g.noteBatch(events.RequestFailed, item, err)
+	}
+	return r, err
+}
+
+// End ends a batch. The error is of the kind errs.NotFound if it does not exist.
+func (g *Gateway) End(ctx context.Context, batch string) error {
+	_, err := callLeader[coordinator.EndRequest, coordinator.Done](ctx, g, coordinator.MethodEnd, coordinator.EndRequest{Batch: batch}, callTimeout)
+	g.noteBatch(events.BatchEnded, batch, err)
+	return err
+}
+
+func (g *Gateway) noteBatch(name events.Name, batch string, err error) {
+	e := events.Event{Name: name, Request: batch, Detail: "leader at " + g.currentLeader()}
+	if err != nil {
+		e.Name, e.Detail = events.RequestFailed, err.Error()
+	}
+	g.opts.Events.Record(e)
+}
+
+// callLeader makes one call. A call that certainly did not run is made once more at the new leader.
+func callLeader[Q, R any](ctx context.Context, g *Gateway, method string, q Q, timeout time.Duration) (R, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var none R
+	for first := true; ; first = false {
+		leader, err := g.waitLeader(ctx)
+		if err != nil {
+			return none, err
+		}
+		r, err := link.Call[Q, R](ctx, g.client, leader, method, q)
+		notRun := errs.Is(err, errs.NotLeader) || errs.Is(err, errs.Unavailable)
+		if !notRun || !first {
+			return r, err
+		}
+		sleep(ctx, retryPause)
+	}
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,241 @@
+// Package gateway runs an entry VM: it forwards plain requests to backend servers and passes the calls of batches on
+// to the VM that leads.
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"filbertledge/internal/boottime"
+	"filbertledge/internal/coordinator"
+	"filbertledge/internal/errs"
+	"filbertledge/internal/events"
+	"filbertledge/internal/fleet"
+	"filbertledge/internal/link"
+	"filbertledge/internal/routes"
+)
+
+const (
+	// followMargin is how long an answer of the leader may take beyond the wait that it was asked for.
+	followMargin = 500 * time.Millisecond
+	// retryPause is the time between attempts to find a leader.
+	retryPause = 100 * time.Millisecond
+	// confirmedFor is how long an entry VM may say "no such route" after the leader confirmed its configuration. It
+	// is shorter than the time within which a configuration must be in force.
+	confirmedFor = 1800 * time.Millisecond
+	// leaderWait is how long a call of a batch waits for a leader to be found.
+	leaderWait = 1500 * time.Millisecond
+)
+
+// Options configure a Gateway.
+type Options struct {
+	Name          string
+	FailureDomain string
+	Seeds         []string // link addresses, possibly out of date
+	// AnnounceInterval is the time between announcements of a server.
+	AnnounceInterval time.Duration
+	Exchanger        Exchanger
+	Events           *events.Recorder
+}
+
+// Gateway is an entry VM. Its methods are safe for concurrent use.
+type Gateway struct {
+	opts     Options
+	client   *link.Client
+	registry *fleet.Registry
+	health   *health
+
+	configuration atomic.Pointer[routes.Configuration]
+	confirmed     atomic.Int64 // boot time of the leader's last answer, in nanoseconds
+	inFlight      atomic.Int64
+
+	mu       sync.Mutex
+	seeds    []string
+	replicas []string // as the last leader named them
+	leader   string
+	found    chan struct{} // closed when a leader is found
+}
+
+// New returns a gateway that knows no configuration yet.
+func New(o Options) *Gateway {
+	return &Gateway{
+		opts: o, client: link.NewClient(), registry: fleet.NewRegistry(o.AnnounceInterval), health: newHealth(),
+		seeds: o.Seeds, found: make(chan struct{}),
+	}
+}
+
+// SetSeeds replaces the addresses of the VMs that hold the state, after the settings changed.
+func (g *Gateway) SetSeeds(addresses []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.seeds = addresses
+}
+
+// Ready reports whether requests can be served.
+func (g *Gateway) Ready() bool { return g.configuration.Load() != nil }
+
+// InFlight returns the number of requests that are not answered yet.
+func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
+
+// Configuration returns the configuration in force here, or nil.
+func (g *Gateway) Configuration() *routes.Configuration { return g.configuration.Load() }
+
+// Confirmed reports whether the leader has just confirmed that the configuration is the newest.
+func (g *Gateway) Confirmed() bool {
+	return boottime.Now()-time.Duration(g.confirmed.Load()) < confirmedFor
+}
+
+// Run follows the leader until ctx ends.
+func (g *Gateway) Run(ctx context.Context) {
+	q := coordinator.FollowRequest{VM: g.opts.Name}
+	lostAt := time.Now()
+	next := 0
+	for ctx.Err() == nil {
+		leader := g.currentLeader()
+		if leader == "" {
+			leader = g.candidate(next)
+			next++
+		}
+		sentAt := boottime.Now()
+		reply, err := g.follow(ctx, leader, q)
+		if err != nil {
+			if g.loseLeader(leader) {
+				lostAt = time.Now()
+				g.opts.Events.Record(events.Event{Name: events.DependencyLost, Detail: "leader at " + leader + ": " + err.Error()})
+			}
+			g.askForLeader(ctx, leader)
+			sleep(ctx, retryPause)
+			continue
+		}
+		g.confirmed.Store(int64(sentAt))
+		q.Term, q.Revision = reply.Term, reply.Revision
+		g.take(reply, &q)
+		if g.setLeader(leader, reply.Replicas) {
+			g.opts.Events.Record(events.Event{Name: events.DependencyRegained, Detail: "leader at " + leader + " after " + time.Since(lostAt).Round(time.Millisecond).String()})
+		}
+	}
+	g.client.Close()
+}
+
+func (g *Gateway) follow(ctx context.Context, leader string, q coordinator.FollowRequest) (coordinator.FollowReply, error) {
+	if leader == "" {
+		return coordinator.FollowReply{}, errs.New(errs.Unavailable, "give seeds in the settings", "no VM with the state is known")
+	}
+	ctx, cancel := context.WithTimeout(ctx, coordinator.FollowWait+followMargin)
+	defer cancel()
+	return link.Call[coordinator.FollowRequest, coordinator.FollowReply](ctx, g.client, leader, coordinator.MethodFollow, q)
+}
+
+// take puts what the leader sent in force.
+func (g *Gateway) take(r coordinator.FollowReply, q *coordinator.FollowRequest) {
+	if r.ServersSent {
+		g.registry.Replace(r.Servers, boottime.Now())
+	}
+	if c := r.Configuration; c != nil && c.Version > q.Configuration {
+		c.Document = nil // only the leader reads it back
+		g.configuration.Store(c)
+		q.Configuration = c.Version
+		g.opts.Events.Record(events.Event{Name: events.ConfigurationInForce, Detail: versionText(c.Version, r.Term)})
+	}
+}
+
+func (g *Gateway) currentLeader() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.leader
+}
+
+// candidate returns the n-th address to try.
+func (g *Gateway) candidate(n int) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	list := slices.Concat(g.replicas, g.seeds)
+	slices.Sort(list)
+	list = slices.Compact(list)
+	if len(list) == 0 {
+		return ""
+	}
+	return list[n%len(list)]
+}
+
+// askForLeader asks the VM that does not lead who does.
+func (g *Gateway) askForLeader(ctx context.Context, address string) {
+	if address == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, followMargin)
+	defer cancel()
+	r, err := coordinator.AskForLeader(ctx, g.client, address)
+	if err != nil {
+		return // the next candidate is asked
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, a := range r.Replicas {
+		if !slices.Contains(g.replicas, a) {
+			g.replicas = append(g.replicas, a)
+		}
+	}
+	if r.Leader != "" && r.Leader != address && g.leader == "" {
+		g.leader = r.Leader
+	}
+}
+
+// loseLeader forgets the leader and reports whether it was followed.
+func (g *Gateway) loseLeader(address string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.leader = ""
+	select {
+	case <-g.found:
+		g.found = make(chan struct{})
+		return true
+	default:
+		return false
+	}
+}
+
+// setLeader notes who leads and reports whether none was known before.
+func (g *Gateway) setLeader(address string, replicas []string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.leader = address
+	if len(replicas) > 0 {
+		g.replicas = replicas
+	}
+	select {
+	case <-g.found:
+		return false
+	default:
+		close(g.found)
+		return true
+	}
+}
+
+// waitLeader returns the address of the leader, waiting a little for one to be found.
+func (g *Gateway) waitLeader(ctx context.Context) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, leaderWait)
+	defer cancel()
+	g.mu.Lock()
+	found := g.found
+	g.mu.Unlock()
+	select {
+	case <-found:
+		return g.currentLeader(), nil
+	case <-ctx.Done():
+		return "", errs.New(errs.Unavailable, "call again in a second", "no leader was found within %s", leaderWait)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	// Entry VMs must not all ask at once after the leader was lost.
+	jitter := time.Duration(rand.Int64N(int64(d)/2 + 1))
+	select {
+	case <-ctx.Done():
+	case <-time.After(d/2 + jitter):
+	}
+}
--- /dev/null
+++ b/internal/rollout/state.go
@@ -0,0 +1,400 @@
+package rollout
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"filbertledge/internal/errs"
+	"filbertledge/internal/routes"
+)
+
+// keptDepartures bounds the record of servers that left. A departed incarnation is not announced again.
+const keptDepartures = 2048
+
+// job is a batch and what has become of it.
+type job struct {
+	Batch   Batch    `cbor:"1,keyasint"`
+	Results []Result `cbor:"2,keyasint,omitempty"`
+	Ended   bool     `cbor:"3,keyasint,omitempty"`
+
+	listed []bool
+	index  map[string]int
+}
+
+func (j *job) prepare() {
+	j.listed = make([]bool, len(j.Batch.Items))
+	j.index = make(map[string]int, len(j.Batch.Items))
+	for i, item := range j.Batch.Items {
+		j.index[item.ID] = i
+	}
+	for _, r := range j.Results {
+		j.listed[r.Item] = true
+	}
+}
+
+// image is the encoded state.
+type image struct {
+	Configuration *routes.Configuration `cbor:"1,keyasint,omitempty"`
+	Versions      map[string]uint64     `cbor:"2,keyasint,omitempty"`
+	Jobs          []job                 `cbor:"3,keyasint,omitempty"`
+	Departures    []Departure           `cbor:"4,keyasint,omitempty"`
+	Retired       []string              `cbor:"5,keyasint,omitempty"`
+}
+
+// State is the replicated state. Apply is called by one goroutine, the views by any.
+type State struct {
+	mu            sync.RWMutex
+	configuration *routes.Configuration
+	versions      map[string]uint64
+	jobs          map[string]*job
+	order         []string // batches in the order of their acceptance
+	departures    []Departure
+	retired       map[string]bool
+	changed       chan struct{} // closed and replaced at each change
+	// Applied is called after each command with what it changed, outside the lock. It may be nil.
+	Applied func(Command, Outcome)
+}
+
+// NewState returns an empty state.
+func NewState() *State {
+	return &State{versions: map[string]uint64{}, jobs: map[string]*job{}, retired: map[string]bool{}, changed: make(chan struct{})}
+}
+
+var decoding = mustDecMode()
+
+// maxElements bounds arrays and maps of a decoded command or snapshot.
+const maxElements = 1 << 20
+
+func mustDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		IndefLength: cbor.IndefLengthForbidden, MaxArrayElements: maxElements, MaxMapPairs: maxElements,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Encode returns a command for the log.
+func Encode(c Command) ([]byte, error) {
+	data, err := cbor.Marshal(c)
+	return data, errs.Wrap(err, errs.Internal, "report this fault", "cannot encode a command")
+}
+
+// DecodeOutcome reads the result of a command.
+func DecodeOutcome(data []byte) (Outcome, error) {
+	var o Outcome
+	err := decoding.Unmarshal(data, &o)
+	return o, errs.Wrap(err, errs.Internal, "use the same version of filbertledge on all VMs", "cannot decode the outcome of a command")
+}
+
+// Apply executes a committed command.
+func (s *State) Apply(_ uint64, data []byte) []byte {
+	var c Command
+	if err := decoding.Unmarshal(data, &c); err != nil {
+		// All replicas fail in the same way, so the state stays the same everywhere.
+		return nil
+	}
+	s.mu.Lock()
+	o := s.apply(c)
+	if o.Changed {
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+	s.mu.Unlock()
+	if s.Applied != nil {
+		s.Applied(c, o)
+	}
+	result, err := cbor.Marshal(o)
+	if err != nil {
+		return nil // two booleans always encode
+	}
+	return result
+}
+
+func (s *State) apply(c Command) Outcome {
+	switch {
+	case c.Configure != nil:
+		return s.configure(c.Configure)
+	case c.Publish != nil:
+		return s.publish(*c.Publish)
+	case c.Accept != nil:
+		return s.accept(c.Accept)
+	case len(c.Records) > 0:
+		return s.record(c.Records)
+	case c.End != "":
+		return s.end(c.End)
+	case c.Depart != nil:
+		return s.depart(*c.Depart)
+	case len(c.Forget) > 0:
+		return s.forget(c.Forget)
+	case c.Retire != nil:
+		s.retired[c.Retire.VM] = true
+		return Outcome{Changed: true, Found: true}
+	}
+	return Outcome{}
+}
+
+// configure takes only a higher version: configurations may arrive again and out of order.
+func (s *State) configure(c *routes.Configuration) Outcome {
+	if s.configuration != nil && c.Version <= s.configuration.Version {
+		return Outcome{Found: true}
+	}
+	s.configuration = c
+	return Outcome{Changed: true, Found: true}
+}
+
+func (s *State) publish(v Version) Outcome {
+	if v.Version <= s.versions[v.Model] {
+		return Outcome{Found: true}
+	}
+	s.versions[v.Model] = v.Version
+	return Outcome{Changed: true, Found: true}
+}
+
+func (s *State) accept(b *Batch) Outcome {
+	if s.jobs[b.ID] != nil {
+		return Outcome{Found: true}
+	}
+	j := &job{Batch: *b}
+	j.prepare()
+	s.jobs[b.ID] = j
+	s.order = append(s.order, b.ID)
+	return Outcome{Changed: true, Found: true}
+}
+
+// record lists results. An item that is listed keeps its first result.
+func (s *State) record(list []Record) Outcome {
+	o := Outcome{Found: true}
+	for _, r := range list {
+		j := s.jobs[r.Batch]
+		if j == nil || r.Result.Item < 0 || r.Result.Item >= len(j.listed) || j.listed[r.Result.Item] {
+			continue
+		}
+		j.listed[r.Result.Item] = true
+		j.Results = append(j.Results, r.Result)
+		o.Changed = true
+	}
+	return o
+}
+
+func (s *State) end(id string) Outcome {
+	j := s.jobs[id]
+	if j == nil {
+		return Outcome{}
+	}
+	changed := !j.Ended
+	j.Ended = true
+	return Outcome{Changed: changed, Found: true}
+}
+
+func (s *State) depart(d Departure) Outcome {
+	for _, known := range s.departures {
+		if known == d {
+			return Outcome{Found: true}
+		}
+	}
+	s.departures = append(s.departures, d)
+	if len(s.departures) > keptDepartures {
+		s.departures = slices.Clone(s.departures[1:])
+	}
+	return Outcome{Changed: true, Found: true}
+}
+
+func (s *State) forget(ids []string) Outcome {
+	for _, id := range ids {
+		delete(s.jobs, id)
+	}
+	s.order = slices.DeleteFunc(s.order, func(id string) bool { return s.jobs[id] == nil })
+	return Outcome{Changed: true, Found: true}
+}
+
+// Snapshot encodes the state.
+func (s *State) Snapshot() ([]byte, error) { return s.Capture()() }
+
+// Capture copies the state, without the texts, and returns the function that encodes the copy.
+func (s *State) Capture() func() ([]byte, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	img := image{
+		Configuration: s.configuration, Versions: maps.Clone(s.versions),
+		Departures: slices.Clone(s.departures), Retired: slices.Sorted(maps.Keys(s.retired)),
+	}
+	for _, id := range s.order {
+		j := s.jobs[id]
+		img.Jobs = append(img.Jobs, job{Batch: j.Batch, Results: j.Results[:len(j.Results):len(j.Results)], Ended: j.Ended})
+	}
+	return func() ([]byte, error) {
+		data, err := cbor.Marshal(img)
+		return data, errs.Wrap(err, errs.Internal, "report this fault", "cannot encode the state")
+	}
+}
+
+// Restore replaces the state by a snapshot.
+func (s *State) Restore(data []byte) error {
+	var img image
+	if err := decoding.Unmarshal(data, &img); err != nil {
+		return errs.Wrap(err, errs.StorageCorrupt, "replace the replica", "cannot decode a snapshot of %d bytes", len(data))
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.configuration, s.departures = img.Configuration, img.Departures
+	s.versions = img.Versions
+	if s.versions == nil {
+		s.versions = map[string]uint64{}
+	}
+	s.jobs, s.order, s.retired = map[string]*job{}, nil, map[string]bool{}
+	for i := range img.Jobs {
+		j := &img.Jobs[i]
+		j.prepare()
+		s.jobs[j.Batch.ID] = j
+		s.order = append(s.order, j.Batch.ID)
+	}
+	for _, vm := range img.Retired {
+		s.retired[vm] = true
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return nil
+}
+
+// Changed returns a channel that is closed at the next change.
+func (s *State) Changed() <-chan struct{} {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.changed
+}
+
+// Configuration returns the newest configuration, or nil.
+func (s *State) Configuration() *routes.Configuration {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.configuration
+}
+
+// Versions returns the newest named version of each model.
+func (s *State) Versions() map[string]uint64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return maps.Clone(s.versions)
+}
+
+// Departures returns the servers that are known to leave.
+func (s *State) Departures() []Departure {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return slices.Clone(s.departures)
+}
+
+// Retired returns the VMs that are to be emptied.
+func (s *State) Retired() map[string]bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return maps.Clone(s.retired)
+}
+
+// Page is a part of a batch's results.
+type Page struct {
+	Total   int      `cbor:"1,keyasint"`
+	Next    int      `cbor:"2,keyasint"`
+	Results []Result `cbor:"3,keyasint,omitempty"`
+	IDs     []string `cbor:"4,keyasint,omitempty"` // of the items of Results
+	Ended   bool     `cbor:"5,keyasint,omitempty"`
+}
+
+// Read returns the results from position after on, up to maxBytes but at least one if there is one, or false if
+// the batch is unknown.
+func (s *State) Read(id string, after, maxBytes int) (Page, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	j := s.jobs[id]
+	if j == nil {
+		return Page{}, false
+	}
+	p := Page{Total: len(j.Batch.Items), Next: after, Ended: j.Ended}
+	size := 0
+	for i := max(after, 0); i < len(j.Results); i++ {
+		r := j.Results[i]
+		size += len(r.Text) + resultOverhead
+		if size > maxBytes && len(p.Results) > 0 {
+			break
+		}
+		p.Results = append(p.Results, r)
+		p.IDs = append(p.IDs, j.Batch.Items[r.Item].ID)
+		p.Next = i + 1
+	}
+	return p, true
+}
+
+// resultOverhead is about what a result's fields take besides its text, in bytes.
+const resultOverhead = 128
+
+// Body returns the body of an item that is not listed yet. found tells whether the batch exists.
+func (s *State) Body(id, item string) (body []byte, open, found bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	j := s.jobs[id]
+	if j == nil {
+		return nil, false, false
+	}
+	i, ok := j.index[item]
+	if !ok || j.Ended {
+		return nil, false, true
+	}
+	return j.Batch.Items[i].Body, true, true
+}
+
+// Open is a batch with work left.
+type Open struct {
+	Batch  Batch
+	Listed []bool
+}
+
+// OpenBatches returns the batches that are not ended, in the order of their acceptance.
+func (s *State) OpenBatches() []Open {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var out []Open
+	for _, id := range s.order {
+		if j := s.jobs[id]; !j.Ended {
+			out = append(out, Open{Batch: j.Batch, Listed: slices.Clone(j.listed)})
+		}
+	}
+	return out
+}
+
+// Expired returns the ended batches that were submitted before the given time.
+func (s *State) Expired(before time.Time) []string {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var out []string
+	for _, id := range s.order {
+		if j := s.jobs[id]; j.Ended && j.Batch.Submitted < before.UnixMilli() {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// FindResult returns the completed result of an item of an earlier batch, for reuse.
+func (s *State) FindResult(item string) (Result, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for i := len(s.order) - 1; i >= 0; i-- {
+		j := s.jobs[s.order[i]]
+		index, ok := j.index[item]
+		if !ok || !j.listed[index] {
+			continue
+		}
+		for _, r := range j.Results {
+			if r.Item == index && r.Completed {
+				return r, true
+			}
+		}
+	}
+	return Result{}, false
+}
