--- /dev/null
+++ b/internal/blobs/blobs.go
@@ -0,0 +1,205 @@
+// Package blobs keeps large values of a replica on its disk, outside the snapshot of its state. Values are appended to
+// segment files and read by reference. A value is durable after the next Sync; until then the log that carried it is.
+package blobs
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"filbertledge/internal/errs"
+)
+
+const (
+	folderName = "values"
+	folderMode = 0o700
+	fileMode   = 0o600
+	// SegmentBytes is the size after which a new segment begins. A segment is removed as a whole.
+	SegmentBytes = 8 << 20
+)
+
+// Ref names a value. The zero Ref is the empty value.
+type Ref struct {
+	Segment uint64 `cbor:"1,keyasint,omitempty"`
+	Offset  int64  `cbor:"2,keyasint,omitempty"`
+	Length  int    `cbor:"3,keyasint,omitempty"`
+	Sum     uint64 `cbor:"4,keyasint,omitempty"` // xxhash of the value
+}
+
+// Store is a folder of segments. It is safe for concurrent use.
+type Store struct {
+	folder string
+
+	mu       sync.Mutex
+	segments map[uint64]*os.File
+	dirty    map[uint64]bool // written since the last Sync
+	created  bool            // a segment was created since the last Sync
+	current  uint64
+	size     int64
+}
+
+// Open opens the store in a data folder. Values are appended to a new segment: the end of the last one may hold
+// values that no reference names. Errors are of the kind errs.StorageFailed.
+func Open(dataFolder string) (*Store, error) {
+	s := &Store{folder: filepath.Join(dataFolder, folderName), segments: map[uint64]*os.File{}, dirty: map[uint64]bool{}}
+	if err := os.MkdirAll(s.folder, folderMode); err != nil {
+		return nil, failed(err, "cannot create the folder %s", s.folder)
+	}
+	entries, err := os.ReadDir(s.folder)
+	if err != nil {
+		return nil, failed(err, "cannot list the folder %s", s.folder)
+	}
+	for _, e := range entries {
+		var number uint64
+		if _, err := fmt.Sscanf(e.Name(), "%d.values", &number); err != nil {
+			continue // not a segment
+		}
+		f, err := os.Open(s.path(number))
+		if err != nil {
+			return nil, failed(err, "cannot open segment %d", number)
+		}
+		s.segments[number] = f
+		s.current = max(s.current, number)
+	}
+	s.size = SegmentBytes // the first value begins a new segment
+	s.created = true      // the folder itself may be new
+	return s, nil
+}
+
+func failed(err error, format string, args ...any) error {
+	return errs.Wrap(err, errs.StorageFailed, "check the disk, then start the VM again", format, args...)
+}
+
+func (s *Store) path(segment uint64) string {
+	return filepath.Join(s.folder, fmt.Sprintf("%08d.values", segment))
+}
+
+// Append writes a value.
+func (s *Store) Append(value []byte) (Ref, error) {
+	if len(value) == 0 {
+		return Ref{}, nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.size+int64(len(value)) > SegmentBytes {
+		if err := s.begin(); err != nil {
+			return Ref{}, err
+		}
+	}
+	ref := Ref{Segment: s.current, Offset: s.size, Length: len(value), Sum: xxhash.Sum64(value)}
+	if _, err := s.segments[s.current].WriteAt(value, s.size); err != nil {
+		return Ref{}, failed(err, "cannot write segment %d", s.current)
+	}
+	s.size += int64(len(value))
+	s.dirty[s.current] = true
+	return ref, nil
+}
+
+// begin starts a new segment.
+func (s *Store) begin() error {
+	f, err := os.OpenFile(s.path(s.current+1), os.O_RDWR|os.O_CREATE|os.O_TRUNC, fileMode)
+	if err != nil {
+		return failed(err, "cannot create segment %d", s.current+1)
+	}
+	s.current++
+	s.segments[s.current] = f
+	s.size, s.created = 0, true
+	return nil
+}
+
+// Read returns a value. The error is of the kind errs.StorageCorrupt if the value is not the one that was written.
+func (s *Store) Read(ref Ref) ([]byte, error) {
+	if ref.Length == 0 {
+		return nil, nil
+	}
+	s.mu.Lock()
+	f := s.segments[ref.Segment]
+	s.mu.Unlock()
+	if f == nil {
+		return nil, corrupt("segment %d is missing", ref.Segment)
+	}
+	value := make([]byte, ref.Length)
+	if _, err := f.ReadAt(value, ref.Offset); err != nil {
+		return nil, failed(err, "cannot read segment %d", ref.Segment)
+	}
+	if xxhash.Sum64(value) != ref.Sum {
+		return nil, corrupt("the value at %d of segment %d is damaged", ref.Offset, ref.Segment)
+	}
+	return value, nil
+}
+
+func corrupt(format string, args ...any) error {
+	return errs.New(errs.StorageCorrupt, "replace the replica: move its data folder away and start it again", format, args...)
+}
+
+// Sync makes all values durable, and the names of new segments.
+func (s *Store) Sync() error {
+	s.mu.Lock()
+	var files []*os.File
+	for number := range s.dirty {
+		files = append(files, s.segments[number])
+	}
+	created := s.created
+	s.dirty, s.created = map[uint64]bool{}, false
+	s.mu.Unlock()
+	// A failed sync is not repeated: the process ends, because nobody knows what is on the disk.
+	for _, f := range files {
+		if err := f.Sync(); err != nil {
+			return failed(err, "cannot sync %s", f.Name())
+		}
+	}
+	if !created {
+		return nil
+	}
+	for _, name := range []string{s.folder, filepath.Dir(s.folder)} {
+		if err := syncFolder(name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func syncFolder(name string) error {
+	f, err := os.Open(name)
+	if err != nil {
+		return failed(err, "cannot open the folder %s", name)
+	}
+	defer f.Close()
+	return failed(f.Sync(), "cannot sync the folder %s", name)
+}
+
+// Retain removes the segments that are not in use. The one that is being written stays.
+func (s *Store) Retain(used map[uint64]bool) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for number, f := range s.segments {
+		if used[number] || number == s.current {
+			continue
+		}
+		if err := f.Close(); err != nil {
+			return failed(err, "cannot close segment %d", number)
+		}
+		if err := os.Remove(s.path(number)); err != nil {
+			return failed(err, "cannot remove segment %d", number)
+		}
+		delete(s.segments, number)
+		delete(s.dirty, number)
+	}
+	return nil
+}
+
+// Close closes the files.
+func (s *Store) Close() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for number, f := range s.segments {
+		if err := f.Close(); err != nil {
+			return failed(err, "cannot close segment %d", number)
+		}
+	}
+	s.segments = map[uint64]*os.File{}
+	return nil
+}
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -172,7 +172,10 @@
 	defer timeout.Stop()
 	for waiting := q.Wait > 0; ; {
 		changed := s.node.state.Changed()
-		page, found := s.node.state.Read(q.Batch, q.After, q.Bytes)
+		page, found, err := s.node.state.Read(q.Batch, q.After, q.Bytes)
+		if err != nil {
+			return ReadReply{}, err
+		}
 		if !found || !waiting || len(page.Results) > 0 || page.Next >= page.Total || page.Ended {
 			return ReadReply{Found: found, Page: page}, s.stillLeads()
 		}
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"filbertledge/internal/blobs"
 	"filbertledge/internal/boottime"
 	"filbertledge/internal/errs"
 	"filbertledge/internal/events"
@@ -26,10 +27,10 @@
 )
 
 const (
-	// snapshotEntries and snapshotBytes bound the log between snapshots: replaying it must stay far below the
-	// time within which a restarted VM counts as back.
+	// snapshotEntries and snapshotBytes bound the log between snapshots, which is held in memory. A snapshot holds
+	// no texts and is small. A VM that was away for some seconds catches up from the log alone.
 	snapshotEntries = 4000
-	snapshotBytes   = 24 << 20
+	snapshotBytes   = 6 << 20
 	// forwardTimeout bounds a call that this VM passes on to the leader.
 	forwardTimeout = 900 * time.Millisecond
 	// proposeTimeout bounds the wait for a commit.
@@ -56,12 +57,15 @@
 	Retention time.Duration
 	Engines   Engines
 	Events    *events.Recorder
+	// Fatal ends the process after a failure of the disk.
+	Fatal func(error)
 }
 
 // Node is a VM with a replica of the state. Its methods are safe for concurrent use.
 type Node struct {
 	opts     Options
 	replica  *replica.Replica
+	texts    *blobs.Store
 	state    *rollout.State
 	registry *fleet.Registry
 	client   *link.Client
@@ -71,14 +75,19 @@
 
 // New opens the data folder of a node.
 func New(o Options) (*Node, error) {
+	texts, err := blobs.Open(o.Folder)
+	if err != nil {
+		return nil, err
+	}
 	n := &Node{
-		opts: o, state: rollout.NewState(), registry: fleet.NewRegistry(o.AnnounceInterval),
+		opts: o, texts: texts, state: rollout.NewState(texts), registry: fleet.NewRegistry(o.AnnounceInterval),
 		client: link.NewClient(), server: link.NewServer(),
 	}
 	n.server.Failed = func(remote string, err error) {
 		o.Events.Log().WithField("remote", remote).WithError(err).Warn("connection of another VM sent a malformed frame")
 	}
 	n.state.Applied = n.applied
+	n.state.Failed = o.Fatal
 	self := raft.Member{Name: o.Name, FailureDomain: o.FailureDomain, Address: o.Address}
 	r, err := replica.Open(replica.Options{
 		Folder: o.Folder, Self: self, Peers: peersOf(o.Seeds), StateMachine: n.state, Sender: sender{n},
@@ -90,6 +99,7 @@
 		},
 		JoinOnly: !o.Bootstrap || !slices.Contains(o.Seeds, o.Address), Managed: true, FaultBudget: o.FaultBudget,
 		Retired: n.state.Retired, Events: o.Events, Clock: boottime.Now,
+		Fatal:           o.Fatal,
 		SnapshotEntries: snapshotEntries, SnapshotBytes: snapshotBytes,
 		ElectionTimeout: electionTimeout, HeartbeatInterval: heartbeatInterval, LeaderLease: leaderLease,
 		ProposeTimeout: proposeTimeout, ReadTimeout: proposeTimeout,
@@ -144,6 +154,9 @@
 	}
 	stop()
 	n.client.Close()
+	if closeErr := n.texts.Close(); err == nil {
+		err = closeErr
+	}
 	return err
 }
 
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -28,6 +28,7 @@
 	LeaderElected      Name = "raft.leader_elected"
 	LeaderLost         Name = "raft.leader_lost"
 	SnapshotTaken      Name = "raft.snapshot_taken"
+	SnapshotFailed     Name = "raft.snapshot_failed"
 	ReplicaRefused     Name = "raft.replica_refused"
 	MembershipChanged  Name = "raft.membership_changed"
 	TableApplied       Name = "table.applied"
--- a/internal/replica/bootstrap.go
+++ b/internal/replica/bootstrap.go
@@ -221,7 +221,7 @@
 		r.fail(err)
 		return true
 	}
-	r.loop.encoder = encoder{self: r.self}
+	r.loop.encoder = &encoder{self: r.self}
 	return true
 }
 
@@ -269,6 +269,9 @@
 	if s.Role != raft.Leader {
 		return JoinReply{}, errNotLeader(r.buildStatus().leader())
 	}
+	if r.opts.Retired != nil && r.opts.Retired()[q.Member.Name] {
+		return JoinReply{}, errs.New(errs.Conflict, "take the VM away", "VM %s has been emptied for good", q.Member.Name)
+	}
 	if _, member := s.Configuration.Member(q.Member.ID); member {
 		return JoinReply{}, nil
 	}
--- a/internal/replica/codec.go
+++ b/internal/replica/codec.go
@@ -1,6 +1,8 @@
 package replica
 
 import (
+	"sync/atomic"
+
 	"github.com/fxamacker/cbor/v2"
 
 	"filbertledge/internal/raft"
@@ -50,7 +52,7 @@
 // encoder encodes messages of one replica.
 type encoder struct {
 	self   raft.Member
-	number uint64
+	number atomic.Uint64
 }
 
 // encode returns the frames that carry m.
@@ -59,12 +61,12 @@
 	if err != nil || len(whole) <= fragmentBytes {
 		return [][]byte{whole}, err
 	}
-	e.number++
+	number := e.number.Add(1)
 	parts := (len(whole) + fragmentBytes - 1) / fragmentBytes
 	frames := make([][]byte, 0, parts)
 	for part := range parts {
 		data := whole[part*fragmentBytes : min(len(whole), (part+1)*fragmentBytes)]
-		f := frame{From: e.self.ID, Fragment: &fragment{Number: e.number, Part: part, Parts: parts, Data: data}}
+		f := frame{From: e.self.ID, Fragment: &fragment{Number: number, Part: part, Parts: parts, Data: data}}
 		encoded, err := cbor.Marshal(f)
 		if err != nil {
 			return nil, err
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -87,7 +87,7 @@
 	// readPrefix tells the reads of this process from those of an earlier one, whose answers may still arrive.
 	readPrefix uint64
 	readCount  uint64
-	encoder    encoder
+	encoder    *encoder
 	decoder    decoder
 	leader     uint64
 	role       raft.Role
@@ -114,7 +114,7 @@
 	defer cancel()
 	defer close(r.stopped)
 	defer func() { _ = r.store.Close() }()
-	r.loop.encoder = encoder{self: r.self}
+	r.loop.encoder = &encoder{self: r.self}
 	if !r.Status().Joined {
 		go r.joinGroup(ctx)
 	}
@@ -292,18 +292,30 @@
 }
 
 func (r *Replica) send(messages []raft.Message) {
+	exporter, exports := r.opts.StateMachine.(Exporter)
 	for _, m := range messages {
-		frames, err := r.loop.encoder.encode(m)
-		if err != nil {
-			r.fail(errs.Wrap(err, errs.Internal, "report this fault", "cannot encode a %s message", m.Type))
-			return
+		if exports && m.Snapshot != nil && len(m.Snapshot.Data) > 0 {
+			go r.sendExported(exporter, m)
+			continue
 		}
-		for _, f := range frames {
-			r.opts.Sender.Send(m.To, f)
+		if err := r.encodeAndSend(m); err != nil {
+			r.fail(err)
+			return
 		}
 	}
 }
 
+func (r *Replica) encodeAndSend(m raft.Message) error {
+	frames, err := r.loop.encoder.encode(m)
+	if err != nil {
+		return errs.Wrap(err, errs.Internal, "report this fault", "cannot encode a %s message", m.Type)
+	}
+	for _, f := range frames {
+		r.opts.Sender.Send(m.To, f)
+	}
+	return nil
+}
+
 func (r *Replica) install(s *raft.Snapshot) {
 	if err := r.restore(s); err != nil {
 		r.fail(err)
@@ -311,6 +323,7 @@
 	}
 	r.loop.applied = s.Index
 	r.loop.snapshot = s.Index
+	r.loop.logBytes = r.opts.SnapshotBytes // the next snapshot of this VM refers to its own files
 	for index, p := range r.loop.waiters {
 		if index <= s.Index {
 			delete(r.loop.waiters, index)
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -9,9 +9,9 @@
 	"filbertledge/internal/raft"
 )
 
-// keptEntriesDivisor leaves a quarter of the snapshot interval in the log, so that a follower that is a little
+// keptEntriesDivisor leaves half of the snapshot interval in the log, so that a follower that is a little
 // behind needs no snapshot.
-const keptEntriesDivisor = 4
+const keptEntriesDivisor = 2
 
 // Capturer is a StateMachine that can copy its state quickly and encode the copy in another goroutine. Encoding
 // 14 MB in the replica's goroutine took longer than the leader lease.
@@ -19,9 +19,36 @@
 	Capture() func() ([]byte, error)
 }
 
+// Exporter is a StateMachine whose snapshots refer to files of this VM. Export returns a snapshot for another VM.
+type Exporter interface {
+	Export(snapshot []byte) ([]byte, error)
+}
+
+// Compactor is a StateMachine that removes files which the newest snapshot no longer refers to.
+type Compactor interface {
+	Compacted(snapshot []byte) error
+}
+
+// sendExported sends a snapshot with the files that it refers to. Reading them takes longer than the leader lease, so
+// it runs in its own goroutine.
+func (r *Replica) sendExported(e Exporter, m raft.Message) {
+	data, err := e.Export(m.Snapshot.Data)
+	if err != nil {
+		// The leader sends the snapshot again; meanwhile the files may have been compacted into a newer one.
+		r.record(events.SnapshotFailed, r.self.Name, err.Error())
+		return
+	}
+	s := *m.Snapshot
+	s.Data = data
+	m.Snapshot = &s
+	if err := r.encodeAndSend(m); err != nil {
+		r.record(events.SnapshotFailed, r.self.Name, err.Error())
+	}
+}
+
 // maybeSnapshot takes a snapshot and compacts the log after enough applied entries.
 func (r *Replica) maybeSnapshot() {
-	full := r.opts.SnapshotBytes > 0 && r.loop.logBytes >= r.opts.SnapshotBytes
+	full := r.opts.SnapshotBytes > 0 && r.loop.logBytes >= r.opts.SnapshotBytes && r.loop.applied > r.loop.snapshot
 	if r.loop.failed != nil || r.loop.encoding || !full && r.loop.applied < r.loop.snapshot+r.opts.SnapshotEntries {
 		return
 	}
@@ -66,6 +93,12 @@
 		return
 	}
 	r.loop.snapshot = s.Index
+	if c, ok := r.opts.StateMachine.(Compactor); ok {
+		if err := c.Compacted(data); err != nil {
+			r.fail(err)
+			return
+		}
+	}
 	r.record(events.SnapshotTaken, r.self.Name, fmt.Sprintf("index %d, %d bytes", s.Index, len(data)))
 }
 
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -8,6 +8,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"filbertledge/internal/blobs"
 	"filbertledge/internal/errs"
 	"filbertledge/internal/routes"
 )
@@ -15,11 +16,29 @@
 // keptDepartures bounds the record of servers that left. A departed incarnation is not announced again.
 const keptDepartures = 2048
 
+// Texts keeps the texts of results outside the state.
+type Texts interface {
+	Append(text []byte) (blobs.Ref, error)
+	Read(ref blobs.Ref) ([]byte, error)
+	Sync() error
+	// Retain removes what lies in other segments than the given ones.
+	Retain(segments map[uint64]bool) error
+}
+
+// listedResult is a result whose text is on the disk, or in Text while the state is on its way to another VM.
+type listedResult struct {
+	Item      int       `cbor:"1,keyasint"`
+	Completed bool      `cbor:"2,keyasint,omitempty"`
+	Versions  []uint64  `cbor:"3,keyasint,omitempty"`
+	Ref       blobs.Ref `cbor:"4,keyasint,omitempty"`
+	Text      []byte    `cbor:"5,keyasint,omitempty"`
+}
+
 // job is a batch and what has become of it.
 type job struct {
-	Batch   Batch    `cbor:"1,keyasint"`
-	Results []Result `cbor:"2,keyasint,omitempty"`
-	Ended   bool     `cbor:"3,keyasint,omitempty"`
+	Batch   Batch          `cbor:"1,keyasint"`
+	Results []listedResult `cbor:"2,keyasint,omitempty"`
+	Ended   bool           `cbor:"3,keyasint,omitempty"`
 
 	listed []bool
 	index  map[string]int
@@ -47,6 +66,7 @@
 
 // State is the replicated state. Apply is called by one goroutine, the views by any.
 type State struct {
+	texts         Texts
 	mu            sync.RWMutex
 	configuration *routes.Configuration
 	versions      map[string]uint64
@@ -57,11 +77,13 @@
 	changed       chan struct{} // closed and replaced at each change
 	// Applied is called after each command with what it changed, outside the lock. It may be nil.
 	Applied func(Command, Outcome)
+	// Failed is called when a text cannot be kept; the replica must end. It must be set.
+	Failed func(error)
 }
 
-// NewState returns an empty state.
-func NewState() *State {
-	return &State{versions: map[string]uint64{}, jobs: map[string]*job{}, retired: map[string]bool{}, changed: make(chan struct{})}
+// NewState returns an empty state that keeps its texts in texts.
+func NewState(texts Texts) *State {
+	return &State{texts: texts, versions: map[string]uint64{}, jobs: map[string]*job{}, retired: map[string]bool{}, changed: make(chan struct{})}
 }
 
 var decoding = mustDecMode()
@@ -161,6 +183,7 @@
 		return Outcome{Found: true}
 	}
 	j := &job{Batch: *b}
+	j.Batch.Items = slices.Clone(b.Items) // bodies are dropped from the copy only
 	j.prepare()
 	s.jobs[b.ID] = j
 	s.order = append(s.order, b.ID)
@@ -175,8 +198,14 @@
 		if j == nil || r.Result.Item < 0 || r.Result.Item >= len(j.listed) || j.listed[r.Result.Item] {
 			continue
 		}
+		ref, err := s.texts.Append(r.Result.Text)
+		if err != nil {
+			s.Failed(err)
+			return o
+		}
 		j.listed[r.Result.Item] = true
-		j.Results = append(j.Results, r.Result)
+		j.Batch.Items[r.Result.Item].Body = nil
+		j.Results = append(j.Results, listedResult{Item: r.Result.Item, Completed: r.Result.Completed, Versions: r.Result.Versions, Ref: ref})
 		o.Changed = true
 	}
 	return o
@@ -189,6 +218,9 @@
 	}
 	changed := !j.Ended
 	j.Ended = true
+	for i := range j.Batch.Items {
+		j.Batch.Items[i].Body = nil
+	}
 	return Outcome{Changed: changed, Found: true}
 }
 
@@ -216,7 +248,8 @@
 // Snapshot encodes the state.
 func (s *State) Snapshot() ([]byte, error) { return s.Capture()() }
 
-// Capture copies the state, without the texts, and returns the function that encodes the copy.
+// Capture copies the state, without the texts, and returns the function that makes the texts durable and encodes the
+// copy.
 func (s *State) Capture() func() ([]byte, error) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
@@ -226,19 +259,59 @@
 	}
 	for _, id := range s.order {
 		j := s.jobs[id]
-		img.Jobs = append(img.Jobs, job{Batch: j.Batch, Results: j.Results[:len(j.Results):len(j.Results)], Ended: j.Ended})
+		copied := job{Batch: j.Batch, Results: j.Results[:len(j.Results):len(j.Results)], Ended: j.Ended}
+		copied.Batch.Items = slices.Clone(j.Batch.Items)
+		img.Jobs = append(img.Jobs, copied)
 	}
 	return func() ([]byte, error) {
-		data, err := cbor.Marshal(img)
-		return data, errs.Wrap(err, errs.Internal, "report this fault", "cannot encode the state")
+		if err := s.texts.Sync(); err != nil {
+			return nil, err
+		}
+		return encodeImage(img)
 	}
 }
 
-// Restore replaces the state by a snapshot.
-func (s *State) Restore(data []byte) error {
+func encodeImage(img image) ([]byte, error) {
+	data, err := cbor.Marshal(img)
+	return data, errs.Wrap(err, errs.Internal, "report this fault", "cannot encode the state")
+}
+
+func decodeImage(data []byte) (image, error) {
 	var img image
-	if err := decoding.Unmarshal(data, &img); err != nil {
-		return errs.Wrap(err, errs.StorageCorrupt, "replace the replica", "cannot decode a snapshot of %d bytes", len(data))
+	err := decoding.Unmarshal(data, &img)
+	return img, errs.Wrap(err, errs.StorageCorrupt, "replace the replica", "cannot decode a snapshot of %d bytes", len(data))
+}
+
+// Export returns a snapshot of this replica with the texts in it, for a replica that lacks them.
+func (s *State) Export(snapshot []byte) ([]byte, error) {
+	img, err := decodeImage(snapshot)
+	if err != nil {
+		return nil, err
+	}
+	for i := range img.Jobs {
+		for k := range img.Jobs[i].Results {
+			r := &img.Jobs[i].Results[k]
+			if r.Text, err = s.texts.Read(r.Ref); err != nil {
+				return nil, err
+			}
+			r.Ref = blobs.Ref{}
+		}
+	}
+	return encodeImage(img)
+}
+
+// Restore replaces the state by a snapshot of this replica or one that Export returned.
+func (s *State) Restore(data []byte) error {
+	img, err := decodeImage(data)
+	if err != nil {
+		return err
+	}
+	for i := range img.Jobs {
+		for k := range img.Jobs[i].Results {
+			if err := s.keepText(&img.Jobs[i].Results[k]); err != nil {
+				return err
+			}
+		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -262,6 +335,38 @@
 	return nil
 }
 
+// keepText puts a text that came with a snapshot on the disk.
+func (s *State) keepText(r *listedResult) error {
+	if len(r.Text) == 0 {
+		return nil
+	}
+	ref, err := s.texts.Append(r.Text)
+	r.Ref, r.Text = ref, nil
+	return err
+}
+
+// Compacted removes texts that neither the state nor the given snapshot of this replica refers to.
+func (s *State) Compacted(snapshot []byte) error {
+	img, err := decodeImage(snapshot)
+	if err != nil {
+		return err
+	}
+	used := map[uint64]bool{}
+	for i := range img.Jobs {
+		for _, r := range img.Jobs[i].Results {
+			used[r.Ref.Segment] = true
+		}
+	}
+	s.mu.RLock()
+	for _, j := range s.jobs {
+		for _, r := range j.Results {
+			used[r.Ref.Segment] = true
+		}
+	}
+	s.mu.RUnlock()
+	return s.texts.Retain(used)
+}
+
 // Changed returns a channel that is closed at the next change.
 func (s *State) Changed() <-chan struct{} {
 	s.mu.RLock()
@@ -306,28 +411,41 @@
 	Ended   bool     `cbor:"5,keyasint,omitempty"`
 }
 
-// Read returns the results from position after on, up to maxBytes but at least one if there is one, or false if
+// Read returns the results from position after on, up to maxBytes but at least one if there is one. found is false if
 // the batch is unknown.
-func (s *State) Read(id string, after, maxBytes int) (Page, bool) {
+func (s *State) Read(id string, after, maxBytes int) (p Page, found bool, err error) {
+	listed, p, found := s.list(id, after, maxBytes)
+	for _, r := range listed {
+		text, err := s.texts.Read(r.Ref)
+		if err != nil {
+			return Page{}, found, err
+		}
+		p.Results = append(p.Results, Result{Item: r.Item, Completed: r.Completed, Text: text, Versions: r.Versions})
+	}
+	return p, found, nil
+}
+
+// list selects the results of a page, without their texts.
+func (s *State) list(id string, after, maxBytes int) (listed []listedResult, p Page, found bool) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	j := s.jobs[id]
 	if j == nil {
-		return Page{}, false
+		return nil, Page{}, false
 	}
-	p := Page{Total: len(j.Batch.Items), Next: after, Ended: j.Ended}
+	p = Page{Total: len(j.Batch.Items), Next: after, Ended: j.Ended}
 	size := 0
 	for i := max(after, 0); i < len(j.Results); i++ {
 		r := j.Results[i]
-		size += len(r.Text) + resultOverhead
-		if size > maxBytes && len(p.Results) > 0 {
+		size += r.Ref.Length + resultOverhead
+		if size > maxBytes && len(listed) > 0 {
 			break
 		}
-		p.Results = append(p.Results, r)
+		listed = append(listed, r)
 		p.IDs = append(p.IDs, j.Batch.Items[r.Item].ID)
 		p.Next = i + 1
 	}
-	return p, true
+	return listed, p, true
 }
 
 // resultOverhead is about what a result's fields take besides its text, in bytes.
@@ -342,7 +460,7 @@
 		return nil, false, false
 	}
 	i, ok := j.index[item]
-	if !ok || j.Ended {
+	if !ok || j.Ended || j.listed[i] {
 		return nil, false, true
 	}
 	return j.Batch.Items[i].Body, true, true
@@ -361,7 +479,9 @@
 	var out []Open
 	for _, id := range s.order {
 		if j := s.jobs[id]; !j.Ended {
-			out = append(out, Open{Batch: j.Batch, Listed: slices.Clone(j.listed)})
+			open := Open{Batch: j.Batch, Listed: slices.Clone(j.listed)}
+			open.Batch.Items = slices.Clone(j.Batch.Items)
+			out = append(out, open)
 		}
 	}
 	return out
@@ -379,22 +499,3 @@
 	}
 	return out
 }
-
-// FindResult returns the completed result of an item of an earlier batch, for reuse.
-func (s *State) FindResult(item string) (Result, bool) {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	for i := len(s.order) - 1; i >= 0; i-- {
-		j := s.jobs[s.order[i]]
-		index, ok := j.index[item]
-		if !ok || !j.listed[index] {
-			continue
-		}
-		for _, r := range j.Results {
-			if r.Item == index && r.Completed {
-				return r, true
-			}
-		}
-	}
-	return Result{}, false
-}
