Copy texts by segment, find the leader in parallel, start the longest items first

After a leader was lost some entry VMs needed 2.4 s to find the next one, because they asked VMs one by one, the frozen one among them.

--- a/internal/blobs/blobs.go
+++ b/internal/blobs/blobs.go
@@ -1,9 +1,15 @@
 // Package blobs keeps large values of a replica on its disk, outside the snapshot of its state. Values are appended to
 // segment files and read by reference. A value is durable after the next Sync; until then the log that carried it is.
+//
+// The numbers of segments are unique over all replicas, so a replica that receives a snapshot copies the segments
+// that it refers to and the references stay valid.
 package blobs
 
 import (
+	"errors"
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"sync"
@@ -14,11 +20,15 @@
 )
 
 const (
-	folderName = "values"
-	folderMode = 0o700
-	fileMode   = 0o600
+	folderName  = "values"
+	segmentName = "%016x.values"
+	folderMode  = 0o700
+	fileMode    = 0o600
 	// SegmentBytes is the size after which a new segment begins. A segment is removed as a whole.
 	SegmentBytes = 8 << 20
+	// counterBits are the low bits of a segment's number, which count the segments of one process; the high bits
+	// are random.
+	counterBits = 20
 )
 
 // Ref names a value. The zero Ref is the empty value.
@@ -38,13 +48,17 @@
 	dirty    map[uint64]bool // written since the last Sync
 	created  bool            // a segment was created since the last Sync
 	current  uint64
-	size     int64
+	size     int64 // of the current segment
 }
 
 // Open opens the store in a data folder. Values are appended to a new segment: the end of the last one may hold
 // values that no reference names. Errors are of the kind errs.StorageFailed.
 func Open(dataFolder string) (*Store, error) {
-	s := &Store{folder: filepath.Join(dataFolder, folderName), segments: map[uint64]*os.File{}, dirty: map[uint64]bool{}}
+	s := &Store{
+		folder: filepath.Join(dataFolder, folderName), segments: map[uint64]*os.File{}, dirty: map[uint64]bool{},
+		current: rand.Uint64() << counterBits, size: SegmentBytes, // the first value begins a new segment
+		created: true, // the folder itself may be new
+	}
 	if err := os.MkdirAll(s.folder, folderMode); err != nil {
 		return nil, failed(err, "cannot create the folder %s", s.folder)
 	}
@@ -54,18 +68,15 @@
 	}
 	for _, e := range entries {
 		var number uint64
-		if _, err := fmt.Sscanf(e.Name(), "%d.values", &number); err != nil {
+		if _, err := fmt.Sscanf(e.Name(), segmentName, &number); err != nil {
 			continue // not a segment
 		}
-		f, err := os.Open(s.path(number))
+		f, err := os.OpenFile(s.path(number), os.O_RDWR, fileMode)
 		if err != nil {
-			return nil, failed(err, "cannot open segment %d", number)
+			return nil, failed(err, "cannot open segment %x", number)
 		}
 		s.segments[number] = f
-		s.current = max(s.current, number)
 	}
-	s.size = SegmentBytes // the first value begins a new segment
-	s.created = true      // the folder itself may be new
 	return s, nil
 }
 
@@ -74,7 +85,7 @@
 }
 
 func (s *Store) path(segment uint64) string {
-	return filepath.Join(s.folder, fmt.Sprintf("%08d.values", segment))
+	return filepath.Join(s.folder, fmt.Sprintf(segmentName, segment))
 }
 
 // Append writes a value.
@@ -91,7 +102,7 @@
 	}
 	ref := Ref{Segment: s.current, Offset: s.size, Length: len(value), Sum: xxhash.Sum64(value)}
 	if _, err := s.segments[s.current].WriteAt(value, s.size); err != nil {
-		return Ref{}, failed(err, "cannot write segment %d", s.current)
+		return Ref{}, failed(err, "cannot write segment %x", s.current)
 	}
 	s.size += int64(len(value))
 	s.dirty[s.current] = true
@@ -100,16 +111,85 @@
 
 // begin starts a new segment.
 func (s *Store) begin() error {
-	f, err := os.OpenFile(s.path(s.current+1), os.O_RDWR|os.O_CREATE|os.O_TRUNC, fileMode)
-	if err != nil {
-		return failed(err, "cannot create segment %d", s.current+1)
+	if err := s.create(s.current + 1); err != nil {
+		return err
 	}
 	s.current++
-	s.segments[s.current] = f
-	s.size, s.created = 0, true
+	s.size = 0
 	return nil
 }
 
+func (s *Store) create(number uint64) error {
+	f, err := os.OpenFile(s.path(number), os.O_RDWR|os.O_CREATE|os.O_TRUNC, fileMode)
+	if err != nil {
+		return failed(err, "cannot create segment %x", number)
+	}
+	s.segments[number] = f
+	s.created = true
+	return nil
+}
+
+// ChunkBytes is how much of a segment is copied at once.
+const ChunkBytes = 256 << 10
+
+// ReadChunk returns up to ChunkBytes of a segment from offset on.
+func (s *Store) ReadChunk(segment uint64, offset int64) ([]byte, error) {
+	s.mu.Lock()
+	f := s.segments[segment]
+	s.mu.Unlock()
+	if f == nil {
+		return nil, errs.New(errs.NotFound, "ask for a newer snapshot", "segment %x is gone", segment)
+	}
+	chunk := make([]byte, ChunkBytes)
+	n, err := f.ReadAt(chunk, offset)
+	if err != nil && !errors.Is(err, io.EOF) {
+		return nil, failed(err, "cannot read segment %x", segment)
+	}
+	return chunk[:n], nil
+}
+
+// Copy makes the first length bytes of a segment of another replica readable here, unless they are. read returns a
+// chunk of the segment from an offset on.
+func (s *Store) Copy(segment uint64, length int64, read func(offset int64) ([]byte, error)) error {
+	f, have, err := s.target(segment)
+	if err != nil || have >= length {
+		return err
+	}
+	for offset := have; offset < length; {
+		chunk, err := read(offset)
+		if err != nil {
+			return err
+		}
+		if len(chunk) == 0 {
+			return errs.New(errs.Unavailable, "ask for a newer snapshot", "segment %x ends at %d instead of %d", segment, offset, length)
+		}
+		if _, err := f.WriteAt(chunk, offset); err != nil {
+			return failed(err, "cannot write segment %x", segment)
+		}
+		offset += int64(len(chunk))
+	}
+	return nil
+}
+
+// target returns the file to copy a segment to and what it holds already.
+func (s *Store) target(segment uint64) (*os.File, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.segments[segment] == nil {
+		if err := s.create(segment); err != nil {
+			return nil, 0, err
+		}
+		s.dirty[segment] = true
+		return s.segments[segment], 0, nil
+	}
+	info, err := s.segments[segment].Stat()
+	if err != nil {
+		return nil, 0, failed(err, "cannot read the size of segment %x", segment)
+	}
+	s.dirty[segment] = true
+	return s.segments[segment], info.Size(), nil
+}
+
 // Read returns a value. The error is of the kind errs.StorageCorrupt if the value is not the one that was written.
 func (s *Store) Read(ref Ref) ([]byte, error) {
 	if ref.Length == 0 {
@@ -119,14 +199,14 @@
 	f := s.segments[ref.Segment]
 	s.mu.Unlock()
 	if f == nil {
-		return nil, corrupt("segment %d is missing", ref.Segment)
+		return nil, corrupt("segment %x is missing", ref.Segment)
 	}
 	value := make([]byte, ref.Length)
 	if _, err := f.ReadAt(value, ref.Offset); err != nil {
-		return nil, failed(err, "cannot read segment %d", ref.Segment)
+		return nil, failed(err, "cannot read segment %x", ref.Segment)
 	}
 	if xxhash.Sum64(value) != ref.Sum {
-		return nil, corrupt("the value at %d of segment %d is damaged", ref.Offset, ref.Segment)
+		return nil, corrupt("the value at %d of segment %x is damaged", ref.Offset, ref.Segment)
 	}
 	return value, nil
 }
@@ -180,10 +260,10 @@
 			continue
 		}
 		if err := f.Close(); err != nil {
-			return failed(err, "cannot close segment %d", number)
+			return failed(err, "cannot close segment %x", number)
 		}
 		if err := os.Remove(s.path(number)); err != nil {
-			return failed(err, "cannot remove segment %d", number)
+			return failed(err, "cannot remove segment %x", number)
 		}
 		delete(s.segments, number)
 		delete(s.dirty, number)
@@ -197,7 +277,7 @@
 	defer s.mu.Unlock()
 	for number, f := range s.segments {
 		if err := f.Close(); err != nil {
-			return failed(err, "cannot close segment %d", number)
+			return failed(err, "cannot close segment %x", number)
 		}
 	}
 	s.segments = map[uint64]*os.File{}
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -20,6 +20,7 @@
 	link.Handle(n.server, methodBootstrap, n.replica.HandleBootstrap)
 	link.Handle(n.server, methodJoin, n.replica.HandleJoin)
 	link.Handle(n.server, methodLeader, n.handleLeader)
+	link.Handle(n.server, methodTexts, n.handleTexts)
 	onLeader(n, MethodFollow, (*session).follow)
 	onLeader(n, MethodSubmit, (*session).submit)
 	onLeader(n, MethodRead, (*session).read)
@@ -47,7 +48,8 @@
 }
 
 func (n *Node) handleLeader(context.Context, Done) (LeaderReply, error) {
-	return LeaderReply{Leader: n.replica.Status().LeaderAddress, Replicas: n.replicas()}, nil
+	_, err := n.current()
+	return LeaderReply{Leader: n.replica.Status().LeaderAddress, Replicas: n.replicas(), Leads: err == nil}, nil
 }
 
 // byLeader runs a call here if this VM leads, or passes it on to the leader once.
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -21,9 +21,9 @@
 
 // Timing of the agreement on VMs with half a core, whose quota may stop a process for most of 100 ms.
 const (
-	heartbeatInterval = 120 * time.Millisecond
-	electionTimeout   = 900 * time.Millisecond
-	leaderLease       = 800 * time.Millisecond
+	heartbeatInterval = 100 * time.Millisecond
+	electionTimeout   = 700 * time.Millisecond
+	leaderLease       = 600 * time.Millisecond
 )
 
 const (
@@ -97,7 +97,8 @@
 		Join: func(ctx context.Context, address string, q replica.JoinRequest) (replica.JoinReply, error) {
 			return link.Call[replica.JoinRequest, replica.JoinReply](ctx, n.client, address, methodJoin, q)
 		},
-		JoinOnly: !o.Bootstrap || !slices.Contains(o.Seeds, o.Address), Managed: true, FaultBudget: o.FaultBudget,
+		PrepareSnapshot: n.fetchTexts,
+		JoinOnly:        !o.Bootstrap || !slices.Contains(o.Seeds, o.Address), Managed: true, FaultBudget: o.FaultBudget,
 		Retired: n.state.Retired, Events: o.Events, Clock: boottime.Now,
 		Fatal:           o.Fatal,
 		SnapshotEntries: snapshotEntries, SnapshotBytes: snapshotBytes,
@@ -160,6 +161,31 @@
 	return err
 }
 
+// fetchTexts copies the texts that a snapshot refers to from the VM at address.
+func (n *Node) fetchTexts(ctx context.Context, snapshot []byte, address string) error {
+	segments, err := rollout.Segments(snapshot)
+	if err != nil {
+		return err
+	}
+	for number, length := range segments {
+		err := n.texts.Copy(number, length, func(offset int64) ([]byte, error) {
+			ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+			defer cancel()
+			r, err := link.Call[TextsRequest, TextsReply](ctx, n.client, address, methodTexts, TextsRequest{Segment: number, Offset: offset})
+			return r.Chunk, err
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return n.texts.Sync()
+}
+
+func (n *Node) handleTexts(_ context.Context, q TextsRequest) (TextsReply, error) {
+	chunk, err := n.texts.ReadChunk(q.Segment, q.Offset)
+	return TextsReply{Chunk: chunk}, err
+}
+
 // lead runs a session whenever this VM leads.
 func (n *Node) lead(ctx context.Context) {
 	ticker := time.NewTicker(heartbeatInterval / 2)
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -124,7 +124,7 @@
 	item := &t.batch.Items[t.item]
 	t.state, t.engine, t.cancel, t.startedAt, t.eventAt, t.moved = running, v.ID, cancel, now, 0, false
 	s.engineOf(v).running++
-	s.homes[s.homeKey(t)] = v.ID
+	s.homes[t.homeKey()] = v.ID
 	name := events.ItemPlaced
 	if t.events > 0 {
 		name = events.ItemResumed
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -154,6 +154,9 @@
 		}
 		b.tasks = append(b.tasks, t)
 	}
+	if len(s.seen) > mostSeenGroups {
+		clear(s.seen) // a group comes again in the next steps or never
+	}
 	for name := range b.groups {
 		if name != "" {
 			s.seen[name] = true
@@ -164,6 +167,9 @@
 	s.poke()
 }
 
+// mostSeenGroups bounds the record of groups; it holds those of some hundred steps.
+const mostSeenGroups = 20000
+
 // defaultItemLifetime applies to items whose route is gone.
 const defaultItemLifetime = 40 * time.Second
 
@@ -203,6 +209,9 @@
 		}
 		t.state = finished
 	}
+	for name := range b.groups {
+		delete(s.homes, homeKey(b, name))
+	}
 	s.poke()
 }
 
@@ -240,6 +249,9 @@
 	before := s.node.registry.Revision()
 	for _, id := range s.node.registry.Expire(now, sinceLast) {
 		s.record(events.Event{Name: events.ServerExpired, Server: api.ServerID(id), Detail: "not heard of for long"})
+		s.mu.Lock()
+		delete(s.engines, id)
+		s.mu.Unlock()
 	}
 	if s.node.registry.Revision() != before {
 		s.signalServers()
@@ -291,7 +303,7 @@
 func (s *session) candidates(t *task, servers []fleet.Server, now time.Duration) ([]scheduling.Engine, []*fleet.Server) {
 	var list []scheduling.Engine
 	var of []*fleet.Server
-	home := s.homes[s.homeKey(t)]
+	home := s.homes[t.homeKey()]
 	for i := range servers {
 		v := &servers[i]
 		e := s.engineOf(v)
@@ -311,6 +323,6 @@
 }
 
 // homeKey names the prompt of a task's group.
-func (s *session) homeKey(t *task) string {
-	return t.batch.ID + "/" + t.batch.Items[t.item].Group
-}
+func (t *task) homeKey() string { return homeKey(t.batch, t.batch.Items[t.item].Group) }
+
+func homeKey(b *batch, group string) string { return b.ID + "/" + group }
--- a/internal/coordinator/wire.go
+++ b/internal/coordinator/wire.go
@@ -26,6 +26,7 @@
 	methodRetire    = "vm.retire"
 	methodRetired   = "vm.retired"
 	methodLeader    = "leader"
+	methodTexts     = "texts.read"
 )
 
 // FollowRequest asks the leader for what has changed. It is answered at the next change or after FollowWait.
@@ -112,6 +113,18 @@
 type LeaderReply struct {
 	Leader   string   `cbor:"1,keyasint,omitempty"`
 	Replicas []string `cbor:"2,keyasint,omitempty"`
+	Leads    bool     `cbor:"3,keyasint,omitempty"` // the VM that was asked holds the lease
+}
+
+// TextsRequest asks for a chunk of a segment of texts.
+type TextsRequest struct {
+	Segment uint64 `cbor:"1,keyasint"`
+	Offset  int64  `cbor:"2,keyasint,omitempty"`
+}
+
+// TextsReply is the chunk, empty at the end of the segment.
+type TextsReply struct {
+	Chunk []byte `cbor:"1,keyasint,omitempty"`
 }
 
 // Done is an empty reply.
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -133,6 +133,7 @@
 	mu   sync.Mutex
 	next uint64
 	ring []Event
+	kept int // the capacity of ring
 }
 
 // NewRecorder returns a recorder for vm that writes JSON lines to w.
@@ -140,7 +141,14 @@
 	log := logrus.New()
 	log.SetOutput(w)
 	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
-	return &Recorder{vm: vm, log: log, ring: make([]Event, 0, 256)}
+	return &Recorder{vm: vm, log: log, kept: bufferedEvents}
+}
+
+// NewLogRecorder returns a recorder that only writes the log, for processes whose time line nobody queries.
+func NewLogRecorder(vm api.VMID, w io.Writer) *Recorder {
+	r := NewRecorder(vm, w)
+	r.kept = 0
+	return r
 }
 
 // Log returns the logger, for messages that are not events.
@@ -156,10 +164,11 @@
 	r.mu.Lock()
 	e.Sequence = r.next
 	r.next++
-	if len(r.ring) < bufferedEvents {
+	switch {
+	case len(r.ring) < r.kept:
 		r.ring = append(r.ring, e)
-	} else {
-		r.ring[e.Sequence%bufferedEvents] = e
+	case r.kept > 0:
+		r.ring[e.Sequence%uint64(r.kept)] = e
 	}
 	r.mu.Unlock()
 	r.write(e)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,8 @@
 	followMargin = 500 * time.Millisecond
 	// retryPause is the time between attempts to find a leader.
 	retryPause = 100 * time.Millisecond
+	// findTimeout bounds the search for the leader among the known VMs.
+	findTimeout = 400 * time.Millisecond
 	// confirmedFor is how long an entry VM may say "no such route" after the leader confirmed its configuration. It
 	// is shorter than the time within which a configuration must be in force.
 	confirmedFor = 1800 * time.Millisecond
@@ -93,12 +95,10 @@
 func (g *Gateway) Run(ctx context.Context) {
 	q := coordinator.FollowRequest{VM: g.opts.Name}
 	lostAt := time.Now()
-	next := 0
 	for ctx.Err() == nil {
 		leader := g.currentLeader()
 		if leader == "" {
-			leader = g.candidate(next)
-			next++
+			leader = g.findLeader(ctx)
 		}
 		sentAt := boottime.Now()
 		reply, err := g.follow(ctx, leader, q)
@@ -107,7 +107,6 @@
 				lostAt = time.Now()
 				g.opts.Events.Record(events.Event{Name: events.DependencyLost, Detail: "leader at " + leader + ": " + err.Error()})
 			}
-			g.askForLeader(ctx, leader)
 			sleep(ctx, retryPause)
 			continue
 		}
@@ -123,7 +122,7 @@
 
 func (g *Gateway) follow(ctx context.Context, leader string, q coordinator.FollowRequest) (coordinator.FollowReply, error) {
 	if leader == "" {
-		return coordinator.FollowReply{}, errs.New(errs.Unavailable, "give seeds in the settings", "no VM with the state is known")
+		return coordinator.FollowReply{}, errs.New(errs.Unavailable, "check the VMs that hold the state", "no VM leads")
 	}
 	ctx, cancel := context.WithTimeout(ctx, coordinator.FollowWait+followMargin)
 	defer cancel()
@@ -149,40 +148,58 @@
 	return g.leader
 }
 
-// candidate returns the n-th address to try.
-func (g *Gateway) candidate(n int) string {
+// findLeader asks all known VMs at once and returns the one that leads, or an empty string. A VM that does not
+// answer delays nothing.
+func (g *Gateway) findLeader(ctx context.Context) string {
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	candidates := g.candidates()
+	type answer struct {
+		address string
+		reply   coordinator.LeaderReply
+	}
+	answers := make(chan answer, len(candidates))
+	for _, address := range candidates {
+		go func() {
+			r, err := coordinator.AskForLeader(ctx, g.client, address)
+			if err != nil {
+				r = coordinator.LeaderReply{} // a VM that does not answer does not lead
+			}
+			answers <- answer{address, r}
+		}()
+	}
+	for range candidates {
+		select {
+		case a := <-answers:
+			g.learn(a.reply.Replicas)
+			if a.reply.Leads {
+				return a.address
+			}
+		case <-ctx.Done():
+			return ""
+		}
+	}
+	return ""
+}
+
+// candidates returns the addresses of the VMs that may lead.
+func (g *Gateway) candidates() []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	list := slices.Concat(g.replicas, g.seeds)
 	slices.Sort(list)
-	list = slices.Compact(list)
-	if len(list) == 0 {
-		return ""
-	}
-	return list[n%len(list)]
+	return slices.Compact(list)
 }
 
-// askForLeader asks the VM that does not lead who does.
-func (g *Gateway) askForLeader(ctx context.Context, address string) {
-	if address == "" {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, followMargin)
-	defer cancel()
-	r, err := coordinator.AskForLeader(ctx, g.client, address)
-	if err != nil {
-		return // the next candidate is asked
-	}
+// learn adds addresses of VMs with the state.
+func (g *Gateway) learn(addresses []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, a := range r.Replicas {
+	for _, a := range addresses {
 		if !slices.Contains(g.replicas, a) {
 			g.replicas = append(g.replicas, a)
 		}
 	}
-	if r.Leader != "" && r.Leader != address && g.leader == "" {
-		g.leader = r.Leader
-	}
 }
 
 // loseLeader forgets the leader and reports whether it was followed.
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -112,6 +112,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	r.runCtx = ctx
 	defer close(r.stopped)
 	defer func() { _ = r.store.Close() }()
 	r.loop.encoder = &encoder{self: r.self}
@@ -181,6 +182,10 @@
 		return
 	}
 	r.addresses.learn(f.From, f.Address)
+	if f.Message.Snapshot != nil && len(f.Message.Snapshot.Data) > 0 && r.opts.PrepareSnapshot != nil {
+		r.receiveSnapshot(r.runCtx, f)
+		return
+	}
 	r.loop.node.Step(*f.Message, r.opts.Clock())
 }
 
@@ -292,12 +297,7 @@
 }
 
 func (r *Replica) send(messages []raft.Message) {
-	exporter, exports := r.opts.StateMachine.(Exporter)
 	for _, m := range messages {
-		if exports && m.Snapshot != nil && len(m.Snapshot.Data) > 0 {
-			go r.sendExported(exporter, m)
-			continue
-		}
 		if err := r.encodeAndSend(m); err != nil {
 			r.fail(err)
 			return
@@ -323,7 +323,6 @@
 	}
 	r.loop.applied = s.Index
 	r.loop.snapshot = s.Index
-	r.loop.logBytes = r.opts.SnapshotBytes // the next snapshot of this VM refers to its own files
 	for index, p := range r.loop.waiters {
 		if index <= s.Index {
 			delete(r.loop.waiters, index)
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -52,6 +52,9 @@
 
 	StateMachine StateMachine
 	Sender       Sender
+	// PrepareSnapshot makes the files durable here that a received snapshot refers to; address is the sender's. It
+	// may be nil if snapshots refer to none.
+	PrepareSnapshot func(ctx context.Context, snapshot []byte, address string) error
 	// Bootstrap calls HandleBootstrap of the replica at address.
 	Bootstrap func(ctx context.Context, address string, request BootstrapRequest) (BootstrapReply, error)
 	// Join calls HandleJoin of the replica at address.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -50,6 +50,7 @@
 	stopped   chan struct{}
 	stopOnce  sync.Once
 	phase     atomic.Int32
+	fetching  atomic.Bool // files of a snapshot are being fetched
 
 	started    atomic.Bool  // the replica takes part in the group
 	leaseUntil atomic.Int64 // end of the lease on the replica's clock, in nanoseconds
@@ -57,7 +58,8 @@
 	addresses  addressBook
 	bootstrap  bootstrapState
 
-	loop loopState
+	loop   loopState
+	runCtx context.Context // of Run; ends what it started
 }
 
 // Open opens or creates the data folder and restores the state machine. Run must be called to take part in the
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -19,31 +20,29 @@
 	Capture() func() ([]byte, error)
 }
 
-// Exporter is a StateMachine whose snapshots refer to files of this VM. Export returns a snapshot for another VM.
-type Exporter interface {
-	Export(snapshot []byte) ([]byte, error)
-}
-
 // Compactor is a StateMachine that removes files which the newest snapshot no longer refers to.
 type Compactor interface {
 	Compacted(snapshot []byte) error
 }
 
-// sendExported sends a snapshot with the files that it refers to. Reading them takes longer than the leader lease, so
-// it runs in its own goroutine.
-func (r *Replica) sendExported(e Exporter, m raft.Message) {
-	data, err := e.Export(m.Snapshot.Data)
-	if err != nil {
-		// The leader sends the snapshot again; meanwhile the files may have been compacted into a newer one.
-		r.record(events.SnapshotFailed, r.self.Name, err.Error())
-		return
-	}
-	s := *m.Snapshot
-	s.Data = data
-	m.Snapshot = &s
-	if err := r.encodeAndSend(m); err != nil {
-		r.record(events.SnapshotFailed, r.self.Name, err.Error())
+// receiveSnapshot fetches the files that a snapshot refers to before the core sees it. Meanwhile the leader's other
+// messages are handled, so that the replica does not count as silent.
+func (r *Replica) receiveSnapshot(ctx context.Context, f frame) {
+	if !r.fetching.CompareAndSwap(false, true) {
+		return // the leader sends the snapshot again
 	}
+	go func() {
+		defer r.fetching.Store(false)
+		if err := r.opts.PrepareSnapshot(ctx, f.Message.Snapshot.Data, f.Address); err != nil {
+			r.record(events.SnapshotFailed, r.self.Name, "from "+f.Address+": "+err.Error())
+			return
+		}
+		select {
+		case r.calls <- func() { r.loop.node.Step(*f.Message, r.opts.Clock()) }:
+		case <-ctx.Done():
+		case <-r.stopped:
+		}
+	}()
 }
 
 // maybeSnapshot takes a snapshot and compacts the log after enough applied entries.
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -25,13 +25,12 @@
 	Retain(segments map[uint64]bool) error
 }
 
-// listedResult is a result whose text is on the disk, or in Text while the state is on its way to another VM.
+// listedResult is a result whose text is on the disk.
 type listedResult struct {
 	Item      int       `cbor:"1,keyasint"`
 	Completed bool      `cbor:"2,keyasint,omitempty"`
 	Versions  []uint64  `cbor:"3,keyasint,omitempty"`
 	Ref       blobs.Ref `cbor:"4,keyasint,omitempty"`
-	Text      []byte    `cbor:"5,keyasint,omitempty"`
 }
 
 // job is a batch and what has become of it.
@@ -282,37 +281,28 @@
 	return img, errs.Wrap(err, errs.StorageCorrupt, "replace the replica", "cannot decode a snapshot of %d bytes", len(data))
 }
 
-// Export returns a snapshot of this replica with the texts in it, for a replica that lacks them.
-func (s *State) Export(snapshot []byte) ([]byte, error) {
+// Segments returns the segments that a snapshot refers to, and how much of each.
+func Segments(snapshot []byte) (map[uint64]int64, error) {
 	img, err := decodeImage(snapshot)
 	if err != nil {
 		return nil, err
 	}
+	used := map[uint64]int64{}
 	for i := range img.Jobs {
-		for k := range img.Jobs[i].Results {
-			r := &img.Jobs[i].Results[k]
-			if r.Text, err = s.texts.Read(r.Ref); err != nil {
-				return nil, err
-			}
-			r.Ref = blobs.Ref{}
+		for _, r := range img.Jobs[i].Results {
+			used[r.Ref.Segment] = max(used[r.Ref.Segment], r.Ref.Offset+int64(r.Ref.Length))
 		}
 	}
-	return encodeImage(img)
+	delete(used, 0) // empty texts
+	return used, nil
 }
 
-// Restore replaces the state by a snapshot of this replica or one that Export returned.
+// Restore replaces the state by a snapshot. The segments that it refers to must be here.
 func (s *State) Restore(data []byte) error {
 	img, err := decodeImage(data)
 	if err != nil {
 		return err
 	}
-	for i := range img.Jobs {
-		for k := range img.Jobs[i].Results {
-			if err := s.keepText(&img.Jobs[i].Results[k]); err != nil {
-				return err
-			}
-		}
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.configuration, s.departures = img.Configuration, img.Departures
@@ -335,27 +325,15 @@
 	return nil
 }
 
-// keepText puts a text that came with a snapshot on the disk.
-func (s *State) keepText(r *listedResult) error {
-	if len(r.Text) == 0 {
-		return nil
-	}
-	ref, err := s.texts.Append(r.Text)
-	r.Ref, r.Text = ref, nil
-	return err
-}
-
 // Compacted removes texts that neither the state nor the given snapshot of this replica refers to.
 func (s *State) Compacted(snapshot []byte) error {
-	img, err := decodeImage(snapshot)
+	segments, err := Segments(snapshot)
 	if err != nil {
 		return err
 	}
 	used := map[uint64]bool{}
-	for i := range img.Jobs {
-		for _, r := range img.Jobs[i].Results {
-			used[r.Ref.Segment] = true
-		}
+	for number := range segments {
+		used[number] = true
 	}
 	s.mu.RLock()
 	for _, j := range s.jobs {
--- a/internal/scheduling/order.go
+++ b/internal/scheduling/order.go
@@ -15,16 +15,17 @@
 	Item    int // position in the batch
 }
 
-// Order sorts waiting items: older steps first, because their due time is nearer; in a step the groups carried
-// over from an earlier one, which the trainer waits for whatever else is whole; then groups in their order, so that
-// whole groups come out early; and in a group the longest first.
+// Order sorts waiting items: older steps first, because their due time is nearer; in a step the groups carried over
+// from an earlier one, which the trainer waits for whatever else is whole; then the longest items first, whatever their
+// group: nearly every group has a long member, which decides when the group is whole, and short ones fill the slots
+// that are left.
 func Order(list []Waiting) {
 	slices.SortFunc(list, func(a, b Waiting) int {
 		return cmp.Or(
 			cmp.Compare(a.Batch, b.Batch),
 			compareBool(b.Carried, a.Carried),
-			cmp.Compare(a.Group, b.Group),
 			cmp.Compare(b.Length, a.Length),
+			cmp.Compare(a.Group, b.Group),
 			cmp.Compare(a.Item, b.Item),
 		)
 	})
