Keep the servers in the replicated state; entry VMs serve before a leader is elected

Ruled out: a shorter election, which has to wait out the lease of the leader before. Change: servers that appear are registered in the replicated state; an entry VM without a configuration takes the newest one that any state VM holds, with the servers, and says that no route exists only once a leader confirmed it.

--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -21,6 +21,7 @@
 	link.Handle(n.server, methodJoin, n.replica.HandleJoin)
 	link.Handle(n.server, methodLeader, n.handleLeader)
 	link.Handle(n.server, methodTexts, n.handleTexts)
+	link.Handle(n.server, methodPeek, n.handlePeek)
 	onLeader(n, MethodFollow, (*session).follow)
 	onLeader(n, MethodSubmit, (*session).submit)
 	onLeader(n, MethodRead, (*session).read)
@@ -52,6 +53,23 @@
 	return LeaderReply{Leader: n.replica.Status().LeaderAddress, Replicas: n.replicas(), Leads: err == nil}, nil
 }
 
+// handlePeek answers from what this VM holds, for an entry VM that has started while there is no leader.
+func (n *Node) handlePeek(context.Context, Done) (PeekReply, error) {
+	r := PeekReply{Configuration: n.state.Configuration(), Servers: n.registry.List("", boottime.Now())}
+	if len(r.Servers) == 0 {
+		r.Servers = n.state.Servers()
+	}
+	for i := range r.Servers {
+		r.Servers[i].Models = nil
+	}
+	return r, nil
+}
+
+// Peek asks the VM at address for the configuration and the servers that it holds.
+func Peek(ctx context.Context, c *link.Client, address string) (PeekReply, error) {
+	return link.Call[Done, PeekReply](ctx, c, address, methodPeek, Done{})
+}
+
 // byLeader runs a call here if this VM leads, or passes it on to the leader once.
 func byLeader[Q, R any](ctx context.Context, n *Node, method string, run func(*session, context.Context, Q) (R, error), q Q) (R, error) {
 	if s, err := n.current(); err == nil {
@@ -243,9 +261,22 @@
 	if change != fleet.None {
 		s.signalServers()
 	}
+	if change == fleet.Appeared {
+		go s.register(v)
+	}
 	s.heard(v)
 }
 
+// register notes a server in the replicated state. If it fails, the next leader learns of the server from its
+// announcements alone.
+func (s *session) register(v fleet.Server) {
+	ctx, cancel := context.WithTimeout(s.ctx, proposeTimeout)
+	defer cancel()
+	if _, err := s.node.propose(ctx, rollout.Command{Register: &v}); err != nil {
+		s.node.opts.Events.Log().WithError(err).WithField("server", v.ID).Info("server is not registered durably")
+	}
+}
+
 func (s *session) depart(ctx context.Context, q DepartRequest) (Done, error) {
 	known, found := s.node.registry.Get(q.Server)
 	if !found {
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -114,6 +115,7 @@
 
 // start loads the open batches and begins to work.
 func (s *session) start() {
+	s.node.registry.Merge(s.unknownServers(), boottime.Now())
 	for _, d := range s.node.state.Departures() {
 		s.node.registry.Leave(d.Server, d.Born)
 	}
@@ -125,6 +127,15 @@
 	go s.weightsLoop()
 }
 
+// unknownServers returns the registered servers that this VM has not heard of, as after a restart of all VMs. They
+// count as heard now and fall silent unless they announce themselves.
+func (s *session) unknownServers() []fleet.Server {
+	return slices.DeleteFunc(s.node.state.Servers(), func(v fleet.Server) bool {
+		_, known := s.node.registry.Get(v.ID)
+		return known
+	})
+}
+
 // add takes a batch up, unless it is known.
 func (s *session) add(open rollout.Open) {
 	s.mu.Lock()
@@ -247,23 +258,31 @@
 // expire looks for silent servers and for batches past their retention.
 func (s *session) expire(now, sinceLast time.Duration) {
 	before := s.node.registry.Revision()
-	for _, id := range s.node.registry.Expire(now, sinceLast) {
-		s.record(events.Event{Name: events.ServerExpired, Server: api.ServerID(id), Detail: "not heard of for long"})
+	var gone []rollout.Departure
+	for _, v := range s.node.registry.Expire(now, sinceLast) {
+		s.record(events.Event{Name: events.ServerExpired, Server: serverID(v), Detail: "not heard of for long"})
+		gone = append(gone, rollout.Departure{Server: v.ID, Born: v.Born})
 		s.mu.Lock()
-		delete(s.engines, id)
+		delete(s.engines, v.ID)
 		s.mu.Unlock()
 	}
+	if len(gone) > 0 {
+		go s.tidy(rollout.Command{Unregister: gone})
+	}
 	if s.node.registry.Revision() != before {
 		s.signalServers()
 	}
 	if old := s.node.state.Expired(time.Now().Add(-s.node.opts.Retention)); len(old) > 0 {
-		go func() {
-			ctx, cancel := context.WithTimeout(s.ctx, proposeTimeout)
-			defer cancel()
-			if _, err := s.node.propose(ctx, rollout.Command{Forget: old}); err != nil {
-				s.node.opts.Events.Log().WithError(err).Info("batches past their retention are forgotten at the next look")
-			}
-		}()
+		go s.tidy(rollout.Command{Forget: old})
+	}
+}
+
+// tidy commits a command that removes what is no longer needed. If it fails, the next look repeats it.
+func (s *session) tidy(c rollout.Command) {
+	ctx, cancel := context.WithTimeout(s.ctx, proposeTimeout)
+	defer cancel()
+	if _, err := s.node.propose(ctx, c); err != nil {
+		s.node.opts.Events.Log().WithError(err).Info("what is no longer needed is removed later")
 	}
 }
 
--- a/internal/coordinator/wire.go
+++ b/internal/coordinator/wire.go
@@ -27,6 +27,7 @@
 	methodRetired   = "vm.retired"
 	methodLeader    = "leader"
 	methodTexts     = "texts.read"
+	methodPeek      = "state.peek"
 )
 
 // FollowRequest asks the leader for what has changed. It is answered at the next change or after FollowWait.
@@ -116,6 +117,12 @@
 	Leads    bool     `cbor:"3,keyasint,omitempty"` // the VM that was asked holds the lease
 }
 
+// PeekReply is what a VM holds, which may not be the newest.
+type PeekReply struct {
+	Configuration *routes.Configuration `cbor:"1,keyasint,omitempty"`
+	Servers       []fleet.Server        `cbor:"2,keyasint,omitempty"`
+}
+
 // TextsRequest asks for a chunk of a segment of texts.
 type TextsRequest struct {
 	Segment uint64 `cbor:"1,keyasint"`
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -199,17 +199,17 @@
 	return now-e.heard > silentIntervals*interval
 }
 
-// Expire forgets servers that have been silent for long and reports the IDs. It also counts a new revision when a
+// Expire forgets servers that have been silent for long and returns them. It also counts a new revision when a
 // server has just become silent since the last call.
-func (r *Registry) Expire(now, sinceLast time.Duration) []string {
+func (r *Registry) Expire(now, sinceLast time.Duration) []Server {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var gone []string
+	var gone []Server
 	for id, e := range r.byID {
 		switch {
 		case now-e.heard > forgetAfter:
 			delete(r.byID, id)
-			gone = append(gone, id)
+			gone = append(gone, e.server)
 			r.revision++
 		case e.silent(now, r.interval) && !e.silent(now-sinceLast, r.interval):
 			r.revision++
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -100,6 +101,9 @@
 		if leader == "" {
 			leader = g.findLeader(ctx)
 		}
+		if leader == "" && g.configuration.Load() == nil {
+			g.peek(ctx)
+		}
 		sentAt := boottime.Now()
 		reply, err := g.follow(ctx, leader, q)
 		if err != nil {
@@ -135,9 +139,12 @@
 		g.registry.Replace(r.Servers, boottime.Now())
 	}
 	if c := r.Configuration; c != nil && c.Version > q.Configuration {
+		q.Configuration = c.Version
+		if held := g.configuration.Load(); held != nil && held.Version >= c.Version {
+			return // what it held without a leader is confirmed now
+		}
 		c.Document = nil // only the leader reads it back
 		g.configuration.Store(c)
-		q.Configuration = c.Version
 		g.opts.Events.Record(events.Event{Name: events.ConfigurationInForce, Detail: versionText(c.Version, r.Term)})
 	}
 }
@@ -182,6 +189,39 @@
 	return ""
 }
 
+// peek takes the newest configuration that any VM holds, so that requests are served while there is no leader. It is
+// not confirmed: until a leader is found no caller is told that a route does not exist.
+func (g *Gateway) peek(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	candidates := g.candidates()
+	replies := make(chan coordinator.PeekReply, len(candidates))
+	for _, address := range candidates {
+		go func() {
+			r, err := coordinator.Peek(ctx, g.client, address)
+			if err != nil {
+				r = coordinator.PeekReply{} // a VM that does not answer knows nothing
+			}
+			replies <- r
+		}()
+	}
+	for range candidates {
+		select {
+		case r := <-replies:
+			held := g.configuration.Load()
+			if r.Configuration == nil || held != nil && held.Version >= r.Configuration.Version {
+				continue
+			}
+			r.Configuration.Document = nil
+			g.registry.Merge(r.Servers, boottime.Now())
+			g.configuration.Store(r.Configuration)
+			g.opts.Events.Record(events.Event{Name: events.ConfigurationInForce, Detail: fmt.Sprintf("version %d, not confirmed: there is no leader", r.Configuration.Version)})
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // candidates returns the addresses of the VMs that may lead.
 func (g *Gateway) candidates() []string {
 	g.mu.Lock()
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -10,6 +11,7 @@
 
 	"filbertledge/internal/blobs"
 	"filbertledge/internal/errs"
+	"filbertledge/internal/fleet"
 	"filbertledge/internal/routes"
 )
 
@@ -61,6 +63,7 @@
 	Jobs          []job                 `cbor:"3,keyasint,omitempty"`
 	Departures    []Departure           `cbor:"4,keyasint,omitempty"`
 	Retired       []string              `cbor:"5,keyasint,omitempty"`
+	Servers       []fleet.Server        `cbor:"6,keyasint,omitempty"`
 }
 
 // State is the replicated state. Apply is called by one goroutine, the views by any.
@@ -72,6 +75,7 @@
 	jobs          map[string]*job
 	order         []string // batches in the order of their acceptance
 	departures    []Departure
+	servers       map[string]fleet.Server // by ID; where to find them after a restart of all VMs
 	retired       map[string]bool
 	changed       chan struct{} // closed and replaced at each change
 	// Applied is called after each command with what it changed, outside the lock. It may be nil.
@@ -82,7 +86,7 @@
 
 // NewState returns an empty state that keeps its texts in texts.
 func NewState(texts Texts) *State {
-	return &State{texts: texts, versions: map[string]uint64{}, jobs: map[string]*job{}, retired: map[string]bool{}, changed: make(chan struct{})}
+	return &State{texts: texts, versions: map[string]uint64{}, jobs: map[string]*job{}, servers: map[string]fleet.Server{}, retired: map[string]bool{}, changed: make(chan struct{})}
 }
 
 var decoding = mustDecMode()
@@ -151,6 +155,10 @@
 		return s.end(c.End)
 	case c.Depart != nil:
 		return s.depart(*c.Depart)
+	case c.Register != nil:
+		return s.register(*c.Register)
+	case len(c.Unregister) > 0:
+		return s.unregister(c.Unregister)
 	case len(c.Forget) > 0:
 		return s.forget(c.Forget)
 	case c.Retire != nil:
@@ -230,12 +238,49 @@
 		}
 	}
 	s.departures = append(s.departures, d)
+	s.unregister([]Departure{d})
 	if len(s.departures) > keptDepartures {
 		s.departures = slices.Clone(s.departures[1:])
 	}
 	return Outcome{Changed: true, Found: true}
 }
 
+// register keeps the newest incarnation of a server. An address belongs to one server.
+func (s *State) register(v fleet.Server) Outcome {
+	if s.servers[v.ID].Born > v.Born || slices.Contains(s.departures, Departure{Server: v.ID, Born: v.Born}) {
+		return Outcome{Found: true}
+	}
+	for id, other := range s.servers {
+		if other.Address == v.Address && other.Born <= v.Born {
+			delete(s.servers, id)
+		}
+	}
+	s.servers[v.ID] = v
+	return Outcome{Changed: true, Found: true}
+}
+
+func (s *State) unregister(list []Departure) Outcome {
+	o := Outcome{Found: true}
+	for _, d := range list {
+		if v, ok := s.servers[d.Server]; ok && v.Born <= d.Born {
+			delete(s.servers, d.Server)
+			o.Changed = true
+		}
+	}
+	return o
+}
+
+// Servers returns the servers that were registered and have not left, ordered by ID.
+func (s *State) Servers() []fleet.Server {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.sortedServers()
+}
+
+func (s *State) sortedServers() []fleet.Server {
+	return slices.SortedFunc(maps.Values(s.servers), func(a, b fleet.Server) int { return cmp.Compare(a.ID, b.ID) })
+}
+
 func (s *State) forget(ids []string) Outcome {
 	for _, id := range ids {
 		delete(s.jobs, id)
@@ -255,6 +300,7 @@
 	img := image{
 		Configuration: s.configuration, Versions: maps.Clone(s.versions),
 		Departures: slices.Clone(s.departures), Retired: slices.Sorted(maps.Keys(s.retired)),
+		Servers: s.sortedServers(),
 	}
 	for _, id := range s.order {
 		j := s.jobs[id]
@@ -320,6 +366,10 @@
 	for _, vm := range img.Retired {
 		s.retired[vm] = true
 	}
+	s.servers = map[string]fleet.Server{}
+	for _, v := range img.Servers {
+		s.servers[v.ID] = v
+	}
 	close(s.changed)
 	s.changed = make(chan struct{})
 	return nil
--- a/internal/rollout/types.go
+++ b/internal/rollout/types.go
@@ -2,7 +2,10 @@
 // of weights, the servers that leave, and the batches with their results.
 package rollout
 
-import "filbertledge/internal/routes"
+import (
+	"filbertledge/internal/fleet"
+	"filbertledge/internal/routes"
+)
 
 // Header is one header of an item, passed on to the server.
 type Header struct {
@@ -73,6 +76,9 @@
 	Depart    *Departure            `cbor:"6,keyasint,omitempty"`
 	Forget    []string              `cbor:"7,keyasint,omitempty"` // batches whose retention has passed
 	Retire    *Retirement           `cbor:"8,keyasint,omitempty"`
+	// Register notes a server that has appeared, Unregister servers that have not been heard of for long.
+	Register   *fleet.Server `cbor:"9,keyasint,omitempty"`
+	Unregister []Departure   `cbor:"10,keyasint,omitempty"`
 }
 
 // Retirement asks for a VM to be emptied of its state, so that it can be taken away.
