Commit the progress of running items; reuse texts of carried groups; order engines at once after a lost leader

Each change of the leader started all running items again, though the longest take 7 s of the 8 s that two overlapping steps leave; the new leader gave engines to other models and loaded again what they held, and ordered nothing for 3 s. Ruled out: more engines loading at once (they share the store); shorter elections. Change: texts of running items are committed once a second as deltas, so each byte is still committed once; the next leader resumes after the last committed event; texts of groups that an ended batch left unfinished are reused where their versions fit; engines without a place get the model they are nearest to; a new leader waits only for a former leader that answers it. Loads go first to the models with the fewest usable engines.

--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -50,7 +50,11 @@
 
 func (n *Node) handleLeader(context.Context, Done) (LeaderReply, error) {
 	_, err := n.current()
-	return LeaderReply{Leader: n.replica.Status().LeaderAddress, Replicas: n.replicas(), Leads: err == nil}, nil
+	r := LeaderReply{Leader: n.replica.Status().LeaderAddress, Replicas: n.replicas(), Leads: err == nil}
+	if at := n.ledUntil.Load(); at != 0 {
+		r.Led, r.SinceLed = true, boottime.Now()-time.Duration(at)
+	}
+	return r, nil
 }
 
 // handlePeek answers from what this VM holds, for an entry VM that has started while there is no leader.
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -51,8 +51,11 @@
 	FaultBudget int    // VMs that may be lost at once
 	// AnnounceInterval is the time between announcements of a server.
 	AnnounceInterval time.Duration
-	// OrderHandover is how long a new leader waits before it orders servers.
+	// OrderHandover is how long after the last order of one leader the next one may order servers.
 	OrderHandover time.Duration
+	// EnginesFence is true if the engines refuse orders with an older token. Then only a former leader that is alive
+	// and reachable has to be waited for.
+	EnginesFence bool
 	// Retention is how long an ended batch stays readable after its submission.
 	Retention time.Duration
 	Engines   Engines
@@ -71,6 +74,7 @@
 	client   *link.Client
 	server   *link.Server
 	session  atomic.Pointer[session] // while this VM leads
+	ledUntil atomic.Int64            // boot time at which this process last led, in nanoseconds; 0 if it never did
 }
 
 // New opens the data folder of a node.
@@ -227,6 +231,7 @@
 	defer ticker.Stop()
 	expired := boottime.Now()
 	for n.leads(term) {
+		n.ledUntil.Store(int64(boottime.Now()))
 		select {
 		case <-ctx.Done():
 			n.session.Store(nil)
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -42,6 +42,8 @@
 	longestPause = 1600 * time.Millisecond
 	// paceWeight is the weight of a new measurement in the average time between events.
 	paceWeight = 0.12
+	// progressInterval is how much of its running items' work a lost leader loses.
+	progressInterval = time.Second
 	// recordLinger lets results share a commit.
 	recordLinger = 4 * time.Millisecond
 	// recordBytes bounds one command with results.
@@ -192,7 +194,9 @@
 			return errLabel{ev.Version}
 		}
 		if route.SingleVersion && len(t.versions) > 0 && t.versions[0] != ev.Version {
-			t.text, t.events, t.versions = nil, 0, nil
+			s.mu.Lock()
+			t.reset()
+			s.mu.Unlock()
 			return errLabel{ev.Version}
 		}
 		if ev.Number != t.events+1 {
@@ -204,16 +208,19 @@
 
 // take adds an event to the text and measures the engine's pace.
 func (s *session) take(t *task, v fleet.Server, ev Event, last time.Duration) time.Duration {
+	now := boottime.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t.state != running {
+		return now // the batch has ended; its text may be in use elsewhere
+	}
 	if t.events > 0 {
 		t.text = append(t.text, '\n')
 	}
 	t.text = append(t.text, ev.Data...)
 	if i, found := slices.BinarySearch(t.versions, ev.Version); !found {
-		t.versions = slices.Insert(t.versions, i, ev.Version)
+		t.versions = slices.Insert(slices.Clone(t.versions), i, ev.Version)
 	}
-	now := boottime.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	t.events++
 	t.eventAt = now
 	e := s.engineOf(&v)
@@ -273,17 +280,20 @@
 
 // finish lists the result of an item. The caller holds the mutex.
 func (s *session) finish(t *task, r rollout.Result) {
-	t.state = finished
+	t.state, t.completed = finished, r.Completed
 	t.group.missing--
 	s.record(events.Event{
 		Name: events.ItemListed, Request: t.batch.Items[t.item].ID,
 		Detail: fmt.Sprintf("batch %s, completed %t, %d events, versions %v, group misses %d", t.batch.ID, r.Completed, t.events, r.Versions, t.group.missing),
 	})
+	if r.Completed {
+		r.Offset, r.Text = t.committed, r.Text[t.committed:]
+	}
 	select {
 	case s.records <- rollout.Record{Batch: t.batch.ID, Result: r}:
 	default:
 		// The queue holds more results than all engines produce in a second; without room the item runs again.
-		t.state = waiting
+		t.state, t.completed = waiting, false
 		t.group.missing++
 	}
 }
@@ -360,6 +370,60 @@
 	return scheduling.MedianPace(list)
 }
 
+// progressLoop commits the texts of running items from time to time, so that the next leader goes on from there. Each
+// byte is committed once: the result of an item holds only what no progress held.
+func (s *session) progressLoop() {
+	ticker := time.NewTicker(progressInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		s.commitProgress()
+	}
+}
+
+func (s *session) commitProgress() {
+	tasks, restarts, list := s.gatherProgress()
+	if len(list) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, proposeTimeout)
+	defer cancel()
+	if _, err := s.node.propose(ctx, rollout.Command{Progress: list}); err != nil {
+		s.node.opts.Events.Log().WithError(err).WithField("items", len(list)).Info("progress is committed later")
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, t := range tasks {
+		// The committed text is no part of the text of an item that has started again since.
+		if t.restarts == restarts[i] {
+			t.committed = list[i].Offset + len(list[i].Text)
+		}
+	}
+}
+
+// gatherProgress returns the tasks with text that is not committed, and that text.
+func (s *session) gatherProgress() (tasks []*task, restarts []int, list []rollout.Progress) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, b := range s.order {
+		for _, t := range b.tasks {
+			if t.state == finished || len(t.text) == t.committed {
+				continue
+			}
+			tasks, restarts = append(tasks, t), append(restarts, t.restarts)
+			list = append(list, rollout.Progress{
+				Batch: b.ID, Item: t.item, Offset: t.committed, Text: slices.Clone(t.text[t.committed:]), Events: t.events, Versions: t.versions,
+			})
+		}
+	}
+	return tasks, restarts, list
+}
+
 // recordLoop commits results, several at a time.
 func (s *session) recordLoop() {
 	for {
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -32,6 +32,8 @@
 	wake    chan struct{}     // asks for a look at the waiting items
 	orders  chan struct{}     // asks for a look at the weights
 	homes   map[string]string // prompt group to the engine that has read it
+	// leftovers are the texts of unfinished groups of ended batches, by item.
+	leftovers map[string]leftover
 }
 
 // batch is an open batch.
@@ -77,6 +79,22 @@
 	text     []byte
 	events   int
 	versions []uint64
+	// committed is how many bytes of the text are in the replicated state.
+	committed int
+	restarts  int  // how often the text was dropped
+	completed bool // the text is whole
+}
+
+// reset drops the text: the item starts again.
+func (t *task) reset() {
+	t.text, t.events, t.versions, t.committed = nil, 0, nil, 0
+	t.restarts++
+}
+
+// leftover is the text of an item of an ended batch. The item may come again in a later one.
+type leftover struct {
+	rollout.Partial
+	whole bool
 }
 
 // engine is what the leader knows of an engine besides its announcements.
@@ -102,7 +120,8 @@
 	return &session{
 		node: n, ctx: ctx, term: term, began: boottime.Now(),
 		batches: map[string]*batch{}, seen: map[string]bool{}, engines: map[string]*engine{}, homes: map[string]string{},
-		signal: make(chan struct{}), records: make(chan rollout.Record, recordQueue),
+		leftovers: map[string]leftover{},
+		signal:    make(chan struct{}), records: make(chan rollout.Record, recordQueue),
 		wake: make(chan struct{}, 1), orders: make(chan struct{}, 1),
 	}
 }
@@ -124,6 +143,7 @@
 	}
 	go s.scheduleLoop()
 	go s.recordLoop()
+	go s.progressLoop()
 	go s.weightsLoop()
 }
 
@@ -163,8 +183,12 @@
 		} else {
 			g.missing++
 		}
+		if p, ok := open.Partials[i]; ok {
+			t.text, t.events, t.versions, t.committed = p.Text, p.Events, p.Versions, len(p.Text)
+		}
 		b.tasks = append(b.tasks, t)
 	}
+	s.reuse(b)
 	if len(s.seen) > mostSeenGroups {
 		clear(s.seen) // a group comes again in the next steps or never
 	}
@@ -178,6 +202,49 @@
 	s.poke()
 }
 
+// reuse starts items that were unfinished in an earlier batch from the text that is left of them, if its versions are
+// allowed here. The caller holds the mutex.
+func (s *session) reuse(b *batch) {
+	for _, t := range b.tasks {
+		id := b.Items[t.item].ID
+		left, ok := s.leftovers[id]
+		if !ok || t.state != waiting || t.events > 0 {
+			continue
+		}
+		delete(s.leftovers, id)
+		if len(left.Versions) == 0 || left.Versions[0] < b.MinVersion {
+			continue
+		}
+		t.text, t.events, t.versions = left.Text, left.Events, left.Versions
+		s.record(events.Event{
+			Name: events.ItemReused, Request: id,
+			Detail: fmt.Sprintf("batch %s, %d events of versions %v, whole %t", b.ID, left.Events, left.Versions, left.whole),
+		})
+		if left.whole {
+			s.finish(t, rollout.Result{Item: t.item, Completed: true, Text: t.text, Versions: t.versions})
+		}
+	}
+}
+
+// keepLeftovers keeps the texts of the groups that an ending batch leaves unfinished. The caller holds the mutex.
+func (s *session) keepLeftovers(b *batch) {
+	if len(s.leftovers) > mostLeftovers {
+		clear(s.leftovers) // groups come again in the next steps or never
+	}
+	for _, t := range b.tasks {
+		failed := t.state == finished && !t.completed
+		if t.group.missing > 0 && t.events > 0 && !failed && len(b.Items[t.item].Group) > 0 {
+			s.leftovers[b.Items[t.item].ID] = leftover{
+				Partial: rollout.Partial{Text: slices.Clone(t.text), Events: t.events, Versions: slices.Clone(t.versions)},
+				whole:   t.completed,
+			}
+		}
+	}
+}
+
+// mostLeftovers bounds the kept texts to some megabytes.
+const mostLeftovers = 1000
+
 // mostSeenGroups bounds the record of groups; it holds those of some hundred steps.
 const mostSeenGroups = 20000
 
@@ -214,6 +281,7 @@
 			break
 		}
 	}
+	s.keepLeftovers(b)
 	for _, t := range b.tasks {
 		if t.state == running {
 			t.cancel()
--- a/internal/coordinator/weights.go
+++ b/internal/coordinator/weights.go
@@ -28,14 +28,17 @@
 	reportPause  = 150 * time.Millisecond
 	loadDeadline = 5 * time.Second
 	// orderPause is the time before an engine that did not answer an order gets another one.
-	orderPause   = 1200 * time.Millisecond
-	longestOrder = 5 * time.Second
+	orderPause = 1200 * time.Millisecond
+	// formerLeaderTimeout bounds the question to the other VMs whether they led.
+	formerLeaderTimeout = 300 * time.Millisecond
+	// unreachableFailures is the number of failures in a row after which an engine holds no model's place.
+	unreachableFailures = 3
+	longestOrder        = 5 * time.Second
 )
 
 // weightsLoop brings the engines to the named versions.
 func (s *session) weightsLoop() {
-	// Orders of the leader before may still arrive. Engines must not see two holders take turns.
-	sleep(s.ctx, s.node.opts.OrderHandover)
+	s.awaitHandover()
 	ticker := time.NewTicker(weightsInterval)
 	defer ticker.Stop()
 	for {
@@ -49,6 +52,47 @@
 	}
 }
 
+// awaitHandover waits until engines no longer see the leader before and this one take turns. A former leader that was
+// killed, frozen or cut off gives no more orders that engines accept.
+func (s *session) awaitHandover() {
+	wait := s.node.opts.OrderHandover
+	if s.node.opts.EnginesFence {
+		wait = s.formerLeaderWait()
+	}
+	s.record(events.Event{Name: events.OrderHandover, Detail: "orders begin after " + wait.Round(time.Millisecond).String()})
+	sleep(s.ctx, wait)
+	// Engines announce within one interval what they hold; orders before that would load what is there already.
+	sleep(s.ctx, s.node.opts.AnnounceInterval-(boottime.Now()-s.began))
+}
+
+// formerLeaderWait asks the other VMs when they last led.
+func (s *session) formerLeaderWait() time.Duration {
+	ctx, cancel := context.WithTimeout(s.ctx, formerLeaderTimeout)
+	defer cancel()
+	var others []string
+	for _, a := range s.node.replicas() {
+		if a != s.node.opts.Address {
+			others = append(others, a)
+		}
+	}
+	waits := make(chan time.Duration, len(others))
+	for _, address := range others {
+		go func() {
+			r, err := AskForLeader(ctx, s.node.client, address)
+			if err != nil || !r.Led {
+				waits <- 0 // a VM that does not answer gives no orders that count
+				return
+			}
+			waits <- s.node.opts.OrderHandover - r.SinceLed
+		}()
+	}
+	var longest time.Duration
+	for range others {
+		longest = max(longest, <-waits)
+	}
+	return longest
+}
+
 // startLoads orders as many engines to load as may load at once.
 func (s *session) startLoads() {
 	c := s.node.state.Configuration()
@@ -99,11 +143,11 @@
 
 // wantedLoads returns the loads that are due, those of the oldest versions first: they can serve no new step.
 func (s *session) wantedLoads(service *routes.Service, servers []fleet.Server, versions map[string]uint64, now time.Duration) []load {
-	s.assign(service, servers)
+	s.assign(service, servers, versions)
 	var out []load
 	for i := range servers {
 		e := s.engineOf(&servers[i])
-		if servers[i].Silent || e.loading != "" || e.orderAt > now {
+		if servers[i].Silent || e.loading != "" || e.orderAt > now || e.blocked > now || len(e.versions) == 0 {
 			continue
 		}
 		for _, model := range service.Models {
@@ -112,22 +156,52 @@
 			}
 		}
 	}
+	current := currentEngines(servers, s.engines, versions)
 	slices.SortStableFunc(out, func(a, b load) int {
-		return cmp.Or(cmp.Compare(b.behind, a.behind), cmp.Compare(a.engine.running, b.engine.running))
+		return cmp.Or(
+			cmp.Compare(min(b.behind, usableLag+1), min(a.behind, usableLag+1)),
+			cmp.Compare(current[a.model], current[b.model]),
+			cmp.Compare(a.engine.running, b.engine.running),
+		)
 	})
 	return out
 }
 
-// assign divides the engines among the models of a service.
-func (s *session) assign(service *routes.Service, servers []fleet.Server) {
+// usableLag is how many versions an engine may be behind and still serve the newest step.
+const usableLag = 1
+
+// currentEngines counts for each model the engines that can serve its newest step.
+func currentEngines(servers []fleet.Server, engines map[string]*engine, versions map[string]uint64) map[string]int {
+	count := map[string]int{}
+	for i := range servers {
+		e := engines[servers[i].ID]
+		if e == nil || servers[i].Silent || e.failures >= unreachableFailures {
+			continue
+		}
+		for model, newest := range versions {
+			if e.versions[model]+usableLag >= newest {
+				count[model]++
+			}
+		}
+	}
+	return count
+}
+
+// assign divides the engines among the models of a service. An engine without a place gets that of the model whose
+// newest version it is nearest to, as after a change of the leader.
+func (s *session) assign(service *routes.Service, servers []fleet.Server, versions map[string]uint64) {
 	var usable []scheduling.Loadable
 	var engines []*engine
 	for i := range servers {
 		e := s.engineOf(&servers[i])
-		if !servers[i].Silent {
-			usable = append(usable, scheduling.Loadable{ID: servers[i].ID, Model: e.model})
-			engines = append(engines, e)
+		if servers[i].Silent || e.failures >= unreachableFailures || len(e.versions) == 0 {
+			continue
 		}
+		if e.model == "" {
+			e.model = nearestModel(service.Models, e.versions, versions)
+		}
+		usable = append(usable, scheduling.Loadable{ID: servers[i].ID, Model: e.model})
+		engines = append(engines, e)
 	}
 	models := scheduling.Assign(usable, service.Models)
 	for i, e := range engines {
@@ -138,6 +212,23 @@
 	}
 }
 
+// nearestModel returns the model that an engine is the fewest versions behind of, or none if it is as far behind of
+// all.
+func nearestModel(models []string, held, newest map[string]uint64) string {
+	best, least, most := "", uint64(0), uint64(0)
+	for _, m := range models {
+		behind := newest[m] - min(held[m], newest[m])
+		if best == "" || behind < least {
+			best, least = m, behind
+		}
+		most = max(most, behind)
+	}
+	if least == most {
+		return ""
+	}
+	return best
+}
+
 // load sends one order and follows it to its end.
 func (s *session) load(l load, service *routes.Service) {
 	done := s.runOrder(l, service)
--- a/internal/coordinator/wire.go
+++ b/internal/coordinator/wire.go
@@ -115,6 +115,9 @@
 	Leader   string   `cbor:"1,keyasint,omitempty"`
 	Replicas []string `cbor:"2,keyasint,omitempty"`
 	Leads    bool     `cbor:"3,keyasint,omitempty"` // the VM that was asked holds the lease
+	// Led is true if the process of that VM led before, and SinceLed how long ago it stopped.
+	Led      bool          `cbor:"4,keyasint,omitempty"`
+	SinceLed time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // PeekReply is what a VM holds, which may not be the newest.
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -67,6 +67,7 @@
 	OrderVerified      Name = "order.verified"
 	SwapFailed         Name = "order.swap_failed"
 	OrderUnanswered    Name = "order.unanswered"
+	OrderHandover      Name = "order.handover"
 
 	LeaseGained           Name = "raft.lease_gained"
 	LeaseLost             Name = "raft.lease_lost"
@@ -86,6 +87,7 @@
 	ItemResumed           Name = "item.resumed"
 	ItemRefused           Name = "item.refused"
 	ItemMoved             Name = "item.moved"
+	ItemReused            Name = "item.reused"
 	ItemListed            Name = "item.listed"
 	LabelRefused          Name = "item.label_refused"
 )
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -40,6 +40,8 @@
 	Batch   Batch          `cbor:"1,keyasint"`
 	Results []listedResult `cbor:"2,keyasint,omitempty"`
 	Ended   bool           `cbor:"3,keyasint,omitempty"`
+	// Partials are the texts of items that are not listed, by their position in the batch.
+	Partials map[int]Partial `cbor:"4,keyasint,omitempty"`
 
 	listed []bool
 	index  map[string]int
@@ -151,6 +153,8 @@
 		return s.accept(c.Accept)
 	case len(c.Records) > 0:
 		return s.record(c.Records)
+	case len(c.Progress) > 0:
+		return s.progress(c.Progress)
 	case c.End != "":
 		return s.end(c.End)
 	case c.Depart != nil:
@@ -205,19 +209,53 @@
 		if j == nil || r.Result.Item < 0 || r.Result.Item >= len(j.listed) || j.listed[r.Result.Item] {
 			continue
 		}
-		ref, err := s.texts.Append(r.Result.Text)
+		text, ok := joined(j.Partials[r.Result.Item].Text, r.Result.Offset, r.Result.Text)
+		if !ok {
+			continue // the leader's view of what is committed is wrong; it commits the whole text next
+		}
+		ref, err := s.texts.Append(text)
 		if err != nil {
 			s.Failed(err)
 			return o
 		}
 		j.listed[r.Result.Item] = true
 		j.Batch.Items[r.Result.Item].Body = nil
+		delete(j.Partials, r.Result.Item)
 		j.Results = append(j.Results, listedResult{Item: r.Result.Item, Completed: r.Result.Completed, Versions: r.Result.Versions, Ref: ref})
 		o.Changed = true
 	}
 	return o
 }
 
+// joined returns the first offset bytes of committed and then text.
+func joined(committed []byte, offset int, text []byte) ([]byte, bool) {
+	if offset > len(committed) {
+		return nil, false
+	}
+	if offset == 0 {
+		return text, true
+	}
+	return append(committed[:offset:offset], text...), true
+}
+
+func (s *State) progress(list []Progress) Outcome {
+	for _, p := range list {
+		j := s.jobs[p.Batch]
+		if j == nil || j.Ended || p.Item < 0 || p.Item >= len(j.listed) || j.listed[p.Item] {
+			continue
+		}
+		text, ok := joined(j.Partials[p.Item].Text, p.Offset, p.Text)
+		if !ok {
+			continue // the item goes on from less
+		}
+		if j.Partials == nil {
+			j.Partials = map[int]Partial{}
+		}
+		j.Partials[p.Item] = Partial{Text: text, Events: p.Events, Versions: p.Versions}
+	}
+	return Outcome{Found: true}
+}
+
 func (s *State) end(id string) Outcome {
 	j := s.jobs[id]
 	if j == nil {
@@ -225,6 +263,7 @@
 	}
 	changed := !j.Ended
 	j.Ended = true
+	j.Partials = nil
 	for i := range j.Batch.Items {
 		j.Batch.Items[i].Body = nil
 	}
@@ -304,7 +343,7 @@
 	}
 	for _, id := range s.order {
 		j := s.jobs[id]
-		copied := job{Batch: j.Batch, Results: j.Results[:len(j.Results):len(j.Results)], Ended: j.Ended}
+		copied := job{Batch: j.Batch, Results: j.Results[:len(j.Results):len(j.Results)], Ended: j.Ended, Partials: maps.Clone(j.Partials)}
 		copied.Batch.Items = slices.Clone(j.Batch.Items)
 		img.Jobs = append(img.Jobs, copied)
 	}
@@ -496,8 +535,9 @@
 
 // Open is a batch with work left.
 type Open struct {
-	Batch  Batch
-	Listed []bool
+	Batch    Batch
+	Listed   []bool
+	Partials map[int]Partial
 }
 
 // OpenBatches returns the batches that are not ended, in the order of their acceptance.
@@ -507,7 +547,7 @@
 	var out []Open
 	for _, id := range s.order {
 		if j := s.jobs[id]; !j.Ended {
-			open := Open{Batch: j.Batch, Listed: slices.Clone(j.listed)}
+			open := Open{Batch: j.Batch, Listed: slices.Clone(j.listed), Partials: maps.Clone(j.Partials)}
 			open.Batch.Items = slices.Clone(j.Batch.Items)
 			out = append(out, open)
 		}
--- a/internal/rollout/types.go
+++ b/internal/rollout/types.go
@@ -46,6 +46,27 @@
 	Completed bool     `cbor:"2,keyasint,omitempty"`
 	Text      []byte   `cbor:"3,keyasint,omitempty"`
 	Versions  []uint64 `cbor:"4,keyasint,omitempty"` // of the weights that produced the text, ascending
+	// Offset is how many bytes of the text were committed as progress before; Text is what follows them.
+	Offset int `cbor:"5,keyasint,omitempty"`
+}
+
+// Progress is a part of the text of an item that still runs, so that another leader can go on from it.
+type Progress struct {
+	Batch string `cbor:"1,keyasint"`
+	Item  int    `cbor:"2,keyasint"`
+	// Offset is how many bytes of the text that is there already stay; Text follows them.
+	Offset int    `cbor:"3,keyasint,omitempty"`
+	Text   []byte `cbor:"4,keyasint,omitempty"`
+	// Events and Versions are those of the whole text up to its end.
+	Events   int      `cbor:"5,keyasint"`
+	Versions []uint64 `cbor:"6,keyasint,omitempty"`
+}
+
+// Partial is the text of an item that is not finished.
+type Partial struct {
+	Text     []byte   `cbor:"1,keyasint"`
+	Events   int      `cbor:"2,keyasint"`
+	Versions []uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Record is a result to be listed.
@@ -79,6 +100,7 @@
 	// Register notes a server that has appeared, Unregister servers that have not been heard of for long.
 	Register   *fleet.Server `cbor:"9,keyasint,omitempty"`
 	Unregister []Departure   `cbor:"10,keyasint,omitempty"`
+	Progress   []Progress    `cbor:"11,keyasint,omitempty"`
 }
 
 // Retirement asks for a VM to be emptied of its state, so that it can be taken away.
--- a/internal/scheduling/assign.go
+++ b/internal/scheduling/assign.go
@@ -7,9 +7,8 @@
 
 // Loadable is an engine that can hold the weights of several models.
 type Loadable struct {
-	ID      string
-	Model   string // that it is assigned to now; empty if none
-	Version uint64 // of that model
+	ID    string
+	Model string // that it is assigned to now; empty if none
 }
 
 // Assign divides engines among models, so that each new version has to be loaded by a part of the engines only. It
