storage: wait while the disk is full instead of ending the process

Change: a write that finds no room is rolled back and repeated every 100 ms, with an event each time; the replica answers nothing meanwhile, so the others go on without it. A failed sync stays fatal.

--- a/internal/blobs/blobs.go
+++ b/internal/blobs/blobs.go
@@ -13,6 +13,8 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"syscall"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -26,6 +28,8 @@
 	fileMode    = 0o600
 	// SegmentBytes is the size after which a new segment begins. A segment is removed as a whole.
 	SegmentBytes = 8 << 20
+	// fullDiskPause is the time between attempts to write to a full disk.
+	fullDiskPause = 100 * time.Millisecond
 	// counterBits are the low bits of a segment's number, which count the segments of one process; the high bits
 	// are random.
 	counterBits = 20
@@ -88,11 +92,21 @@
 	return filepath.Join(s.folder, fmt.Sprintf(segmentName, segment))
 }
 
-// Append writes a value.
+// Append writes a value. It waits while the disk is full.
 func (s *Store) Append(value []byte) (Ref, error) {
 	if len(value) == 0 {
 		return Ref{}, nil
 	}
+	for {
+		ref, err := s.append(value)
+		if !errors.Is(err, syscall.ENOSPC) {
+			return ref, err
+		}
+		time.Sleep(fullDiskPause)
+	}
+}
+
+func (s *Store) append(value []byte) (Ref, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.size+int64(len(value)) > SegmentBytes {
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -31,6 +31,7 @@
 	SnapshotFailed     Name = "raft.snapshot_failed"
 	ReplicaRefused     Name = "raft.replica_refused"
 	MembershipChanged  Name = "raft.membership_changed"
+	DiskFull           Name = "raft.disk_full"
 	TableApplied       Name = "table.applied"
 	TableLeaseExpired  Name = "table.lease_expired"
 	TableLeaseRenewed  Name = "table.lease_renewed"
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -145,3 +145,10 @@
 func event(name events.Name, peer, detail string) events.Event {
 	return events.Event{Name: name, Peer: api.VMID(peer), Detail: strings.TrimSpace(detail)}
 }
+
+// diskFull records that the replica waits for room on its disk.
+func (o Options) diskFull(since time.Duration, err error) {
+	if o.Events != nil {
+		o.Events.Record(event(events.DiskFull, o.Self.Name, fmt.Sprintf("for %s: %v", since.Round(time.Millisecond), err)))
+	}
+}
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -8,11 +8,13 @@
 import (
 	"crypto/rand"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
 	"runtime/debug"
 	"sync"
+	"syscall"
 	"time"
 
 	"go.etcd.io/bbolt"
@@ -29,6 +31,8 @@
 	fileMode   = 0o600
 	// lockTimeout is how long Open waits for another process to release the file.
 	lockTimeout = 2 * time.Second
+	// fullDiskPause is the time between attempts to write to a full disk.
+	fullDiskPause = 100 * time.Millisecond
 )
 
 const replaceRemedy = "replace the replica: move its data folder away and start it again, it rejoins with a new instance number"
@@ -39,12 +43,15 @@
 	Folder string
 	// Commit makes a transaction durable; nil means (*bbolt.Tx).Commit. Tests inject failures here.
 	Commit func(*bbolt.Tx) error
+	// Full is told of each failed attempt to write to a full disk and how long it has been full. It may be nil.
+	Full func(since time.Duration, err error)
 }
 
 // Store is the durable state of one replica. Its methods are safe for concurrent use.
 type Store struct {
 	path     string
 	commit   func(*bbolt.Tx) error
+	full     func(since time.Duration, err error)
 	db       *bbolt.DB
 	instance uint64
 	state    raft.State
@@ -57,7 +64,7 @@
 // Open opens or creates the file in the data folder and checks every record. Errors are of the kinds
 // StorageFailed and StorageCorrupt.
 func Open(o Options) (*Store, error) {
-	s := &Store{path: filepath.Join(o.Folder, FileName), commit: o.Commit}
+	s := &Store{path: filepath.Join(o.Folder, FileName), commit: o.Commit, full: o.Full}
 	if s.commit == nil {
 		s.commit = (*bbolt.Tx).Commit
 	}
@@ -223,12 +230,26 @@
 	if s.failed != nil {
 		return s.failed
 	}
-	if err := s.transact(write); err != nil {
+	err := s.transact(write)
+	for began := time.Now(); errors.Is(err, syscall.ENOSPC); err = s.transact(write) {
+		// Nothing was written: the transaction is rolled back. The replica waits here and so stops answering, which
+		// the others take for a lost VM, until there is room again.
+		s.waitForRoom(began, err)
+	}
+	if err != nil {
 		s.failed = errs.Wrap(err, errs.StorageFailed, "check the disk, then start the VM again", "cannot write %s", s.path)
 	}
 	return s.failed
 }
 
+// waitForRoom pauses before the next attempt to write to a full disk.
+func (s *Store) waitForRoom(began time.Time, err error) {
+	if s.full != nil {
+		s.full(time.Since(began), err)
+	}
+	time.Sleep(fullDiskPause)
+}
+
 func (s *Store) transact(write func(*bbolt.Tx) error) error {
 	tx, err := s.db.Begin(true)
 	if err != nil {
