--- /dev/null
+++ b/internal/blobs/blobs_test.go
@@ -0,0 +1,121 @@
+package blobs
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"filbertledge/internal/errs"
+)
+
+func open(t *testing.T, folder string) *Store {
+	t.Helper()
+	s, err := Open(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.Close() })
+	return s
+}
+
+func appendValue(t *testing.T, s *Store, value []byte) Ref {
+	t.Helper()
+	ref, err := s.Append(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ref
+}
+
+func TestValuesSurviveAReopen(t *testing.T) {
+	folder := t.TempDir()
+	s := open(t, folder)
+	refs := map[string]Ref{}
+	for _, v := range []string{"a", "bb", ""} {
+		refs[v] = appendValue(t, s, []byte(v))
+	}
+	if err := s.Sync(); err != nil {
+		t.Fatal(err)
+	}
+	again := open(t, folder)
+	other := appendValue(t, again, []byte("new"))
+	for v, ref := range refs {
+		got, err := again.Read(ref)
+		if err != nil || string(got) != v {
+			t.Fatalf("read %q: %q, %v", v, got, err)
+		}
+		if ref.Segment == other.Segment {
+			t.Fatal("a reopened store appends to a segment whose end may be torn")
+		}
+	}
+}
+
+func TestDamageIsFound(t *testing.T) {
+	folder := t.TempDir()
+	s := open(t, folder)
+	ref := appendValue(t, s, []byte("value"))
+	f, err := os.OpenFile(s.path(ref.Segment), os.O_RDWR, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.WriteAt([]byte("X"), ref.Offset+2); err != nil {
+		t.Fatal(err)
+	}
+	f.Close()
+	if _, err := s.Read(ref); !errs.Is(err, errs.StorageCorrupt) {
+		t.Fatalf("got %v", err)
+	}
+}
+
+func TestRetainRemovesUnusedSegments(t *testing.T) {
+	folder := t.TempDir()
+	s := open(t, folder)
+	old := appendValue(t, s, bytes.Repeat([]byte("x"), SegmentBytes))
+	kept := appendValue(t, s, bytes.Repeat([]byte("y"), SegmentBytes))
+	current := appendValue(t, s, []byte("z"))
+	if err := s.Retain(map[uint64]bool{kept.Segment: true}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.Read(old); err == nil {
+		t.Fatal("an unused segment is still there")
+	}
+	for _, ref := range []Ref{kept, current} {
+		if _, err := s.Read(ref); err != nil {
+			t.Fatal(err)
+		}
+	}
+	names, err := filepath.Glob(filepath.Join(folder, folderName, "*"))
+	if err != nil || len(names) != 2 {
+		t.Fatalf("files left: %v, %v", names, err)
+	}
+}
+
+func TestCopyGoesOnWhereItStopped(t *testing.T) {
+	source, target := open(t, t.TempDir()), open(t, t.TempDir())
+	first := appendValue(t, source, bytes.Repeat([]byte("a"), 2*ChunkBytes+7))
+	read := func(offset int64) ([]byte, error) { return source.ReadChunk(first.Segment, offset) }
+	if err := target.Copy(first.Segment, first.Offset+int64(first.Length), read); err != nil {
+		t.Fatal(err)
+	}
+	second := appendValue(t, source, []byte("second"))
+	calls := 0
+	counted := func(offset int64) ([]byte, error) {
+		calls++
+		return read(offset)
+	}
+	if err := target.Copy(second.Segment, second.Offset+int64(second.Length), counted); err != nil {
+		t.Fatal(err)
+	}
+	if calls != 1 {
+		t.Fatalf("%d chunks were copied again", calls)
+	}
+	for _, ref := range []Ref{first, second} {
+		if _, err := target.Read(ref); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := target.Copy(99, 10, func(int64) ([]byte, error) { return nil, nil }); !errs.Is(err, errs.Unavailable) {
+		t.Fatalf("a short segment: %v", err)
+	}
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -194,7 +194,7 @@
 
 // mayStart reports whether another server may be asked.
 func (f *forwarding) mayStart() bool {
-	return len(f.tried) < f.attempts() && len(f.refused) < mostRefusals
+	return len(f.tried) < f.attempts() && len(f.refused)+f.pending < mostRefusals
 }
 
 // again starts the next exchange after all earlier ones failed.
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -105,6 +105,9 @@
 	r := bufio.NewReaderSize(c.Conn, bufferBytes)
 	for {
 		f, err := readFrame(r)
+		if errs.Is(err, errs.InvalidArgument) {
+			return err
+		}
 		if err != nil {
 			return errs.Wrap(err, errs.Unavailable, "call again", "connection to %s ended", c.RemoteAddr())
 		}
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -117,6 +117,9 @@
 	}
 	answer := frame{kind: frameResponse, call: f.call}
 	body, err := s.dispatch(ctx, f)
+	if err != nil && ctx.Err() != nil {
+		err = errs.Wrap(err, errs.OutcomeUnknown, "call again if the call may be repeated", "%s ran out of time", f.method)
+	}
 	answer.body = body
 	if err != nil {
 		answer.kind, answer.body = frameFailure, encodeFailure(err)
--- /dev/null
+++ b/internal/scheduling/scheduling_test.go
@@ -0,0 +1,118 @@
+package scheduling
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func TestChoose(t *testing.T) {
+	for name, tc := range map[string]struct {
+		engines []Engine
+		want    int
+	}{
+		"none":                     {nil, -1},
+		"all full":                 {[]Engine{{ID: "a", Slots: 1, Running: 1}}, -1},
+		"emptiest":                 {[]Engine{{ID: "a", Slots: 8, Running: 3}, {ID: "b", Slots: 8, Running: 2}}, 1},
+		"share of slots":           {[]Engine{{ID: "a", Slots: 16, Running: 4}, {ID: "b", Slots: 4, Running: 2}}, 0},
+		"home":                     {[]Engine{{ID: "a", Slots: 8}, {ID: "b", Slots: 8, Running: 2, Home: true}}, 1},
+		"home but much fuller":     {[]Engine{{ID: "a", Slots: 8}, {ID: "b", Slots: 8, Running: 5, Home: true}}, 0},
+		"slow":                     {[]Engine{{ID: "a", Slots: 8, Pace: 200}, {ID: "b", Slots: 8, Running: 7, Pace: 40}, {ID: "c", Slots: 8, Running: 8, Pace: 40}}, 1},
+		"slow rather than none":    {[]Engine{{ID: "a", Slots: 8, Pace: 200}, {ID: "b", Slots: 8, Running: 8, Pace: 40}, {ID: "c", Slots: 8, Running: 8, Pace: 40}}, 0},
+		"avoided":                  {[]Engine{{ID: "a", Slots: 8, Avoid: true}, {ID: "b", Slots: 8, Running: 7}}, 1},
+		"avoided rather than none": {[]Engine{{ID: "a", Slots: 8, Avoid: true}}, 0},
+	} {
+		if got := Choose(tc.engines); got != tc.want {
+			t.Errorf("%s: got %d, want %d", name, got, tc.want)
+		}
+	}
+}
+
+func TestOrderStartsLongItemsFirst(t *testing.T) {
+	list := []Waiting{
+		{Batch: 1, Length: 900, Item: 0},
+		{Batch: 0, Group: 0, Length: 100, Item: 1},
+		{Batch: 0, Group: 3, Length: 900, Item: 2},
+		{Batch: 0, Group: 2, Length: 50, Item: 3, Carried: true},
+	}
+	Order(list)
+	var items []int
+	for _, w := range list {
+		items = append(items, w.Item)
+	}
+	if !slices.Equal(items, []int{3, 2, 1, 0}) {
+		t.Fatalf("order %v", items)
+	}
+}
+
+// TestLongestFirstEndsSooner plays a step on engines with few slots: the time at which all groups are whole must be
+// near the longest item, not behind the sum of what was started before it.
+func TestLongestFirstEndsSooner(t *testing.T) {
+	const slots = 24
+	var list []Waiting
+	for g := range 9 {
+		for m := range 8 {
+			length := 10
+			if m == 7 {
+				length = 160
+			}
+			list = append(list, Waiting{Group: g, Item: g*8 + m, Length: length})
+		}
+	}
+	Order(list)
+	free := make([]int, slots) // when each slot is free, in events
+	end := 0
+	for _, w := range list {
+		slices.Sort(free)
+		free[0] += w.Length
+		end = max(end, free[0])
+	}
+	if end > 160 {
+		t.Fatalf("the step ends after %d events, the longest item has 160", end)
+	}
+}
+
+func TestAssignIsEvenAndStable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		models := []string{"x", "y", "z"}[:rapid.IntRange(2, 3).Draw(t, "models")]
+		var engines []Loadable
+		for i := range rapid.IntRange(len(models), 14).Draw(t, "engines") {
+			engines = append(engines, Loadable{ID: fmt.Sprintf("e%02d", i), Model: rapid.SampledFrom([]string{"", "x", "y", "z", "gone"}).Draw(t, "model")})
+		}
+		first := Assign(engines, models)
+		count := map[string]int{}
+		for i := range engines {
+			count[first[i]]++
+			engines[i].Model = first[i]
+		}
+		for _, m := range models {
+			if count[m] < len(engines)/len(models) || count[m] > len(engines)/len(models)+1 {
+				t.Fatalf("uneven: %v", count)
+			}
+		}
+		if again := Assign(engines, models); !slices.Equal(first, again) {
+			t.Fatalf("a second look moves engines: %v, then %v", first, again)
+		}
+	})
+}
+
+func TestAssignNeedsEnoughEngines(t *testing.T) {
+	if got := Assign([]Loadable{{ID: "a"}}, []string{"x", "y"}); got != nil {
+		t.Fatalf("got %v", got)
+	}
+	if got := Assign([]Loadable{{ID: "a"}}, []string{"x"}); got != nil {
+		t.Fatalf("one model needs no division: %v", got)
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	engines := make([]Engine, 2000)
+	for i := range engines {
+		engines[i] = Engine{ID: fmt.Sprint(i), Slots: 8, Running: i % 8, Pace: float64(30 + i%20)}
+	}
+	for b.Loop() {
+		Choose(engines)
+	}
+}
