Load engines that can serve the newest step after its items are placed

A new leader waited for announcements to learn the versions of the engines. Ruled out: fewer loads at once (steps then wait for engines that are two versions behind). Change: an engine one version behind loads only when no item of its model waits, and not within 250 ms of the naming; the version that an engine reached is registered in the replicated state.

--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -32,6 +32,8 @@
 	wake    chan struct{}     // asks for a look at the waiting items
 	orders  chan struct{}     // asks for a look at the weights
 	homes   map[string]string // prompt group to the engine that has read it
+	// published is when the newest version of each model was named in this leadership.
+	published map[string]time.Duration
 	// leftovers are the texts of unfinished groups of ended batches, by item.
 	leftovers map[string]leftover
 }
@@ -120,8 +122,8 @@
 	return &session{
 		node: n, ctx: ctx, term: term, began: boottime.Now(),
 		batches: map[string]*batch{}, seen: map[string]bool{}, engines: map[string]*engine{}, homes: map[string]string{},
-		leftovers: map[string]leftover{},
-		signal:    make(chan struct{}), records: make(chan rollout.Record, recordQueue),
+		leftovers: map[string]leftover{}, published: map[string]time.Duration{},
+		signal: make(chan struct{}), records: make(chan rollout.Record, recordQueue),
 		wake: make(chan struct{}, 1), orders: make(chan struct{}, 1),
 	}
 }
@@ -135,6 +137,7 @@
 // start loads the open batches and begins to work.
 func (s *session) start() {
 	s.node.registry.Merge(s.unknownServers(), boottime.Now())
+	s.learnVersions()
 	for _, d := range s.node.state.Departures() {
 		s.node.registry.Leave(d.Server, d.Born)
 	}
@@ -156,6 +159,17 @@
 	})
 }
 
+// learnVersions takes the versions that the replicated state has of the engines.
+func (s *session) learnVersions() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, v := range s.node.state.Servers() {
+		if known, ok := s.node.registry.Get(v.ID); ok && known.Born == v.Born {
+			s.engineOf(&v)
+		}
+	}
+}
+
 // add takes a batch up, unless it is known.
 func (s *session) add(open rollout.Open) {
 	s.mu.Lock()
@@ -258,7 +272,13 @@
 		s.add(rollout.Open{Batch: *c.Accept, Listed: make([]bool, len(c.Accept.Items))})
 	case c.End != "":
 		s.drop(c.End)
-	case c.Publish != nil, c.Configure != nil:
+	case c.Publish != nil:
+		s.mu.Lock()
+		s.published[c.Publish.Model] = boottime.Now()
+		s.mu.Unlock()
+		s.poke()
+		s.pokeOrders()
+	case c.Configure != nil:
 		s.poke()
 		s.pokeOrders()
 	case c.Depart != nil:
--- a/internal/coordinator/weights.go
+++ b/internal/coordinator/weights.go
@@ -29,6 +29,9 @@
 	loadDeadline = 5 * time.Second
 	// orderPause is the time before an engine that did not answer an order gets another one.
 	orderPause = 1200 * time.Millisecond
+	// settleTime is how long after a new version engines that can serve the newest step are left alone: a trainer that
+	// is late asks for its next step right after it named the version.
+	settleTime = 250 * time.Millisecond
 	// formerLeaderTimeout bounds the question to the other VMs whether they led.
 	formerLeaderTimeout = 300 * time.Millisecond
 	// unreachableFailures is the number of failures in a row after which an engine holds no model's place.
@@ -61,8 +64,6 @@
 	}
 	s.record(events.Event{Name: events.OrderHandover, Detail: "orders begin after " + wait.Round(time.Millisecond).String()})
 	sleep(s.ctx, wait)
-	// Engines announce within one interval what they hold; orders before that would load what is there already.
-	sleep(s.ctx, s.node.opts.AnnounceInterval-(boottime.Now()-s.began))
 }
 
 // formerLeaderWait asks the other VMs when they last led.
@@ -144,6 +145,7 @@
 // wantedLoads returns the loads that are due, those of the oldest versions first: they can serve no new step.
 func (s *session) wantedLoads(service *routes.Service, servers []fleet.Server, versions map[string]uint64, now time.Duration) []load {
 	s.assign(service, servers, versions)
+	starting := s.modelsWaiting()
 	var out []load
 	for i := range servers {
 		e := s.engineOf(&servers[i])
@@ -151,7 +153,11 @@
 			continue
 		}
 		for _, model := range service.Models {
-			if want := versions[model]; (e.model == "" || e.model == model) && e.versions[model] < want {
+			want := versions[model]
+			if held := e.versions[model]; want-min(held, want) <= usableLag && (starting[model] || now-s.published[model] < settleTime) {
+				continue // it can serve the step that begins, and would refuse its items while it loads
+			}
+			if (e.model == "" || e.model == model) && e.versions[model] < want {
 				out = append(out, load{server: servers[i], engine: e, model: model, version: want, behind: want - e.versions[model]})
 			}
 		}
@@ -167,6 +173,20 @@
 	return out
 }
 
+// modelsWaiting returns the models with items that wait for an engine.
+func (s *session) modelsWaiting() map[string]bool {
+	out := map[string]bool{}
+	for _, b := range s.order {
+		for _, t := range b.tasks {
+			if t.state == waiting {
+				out[b.Model] = true
+				break
+			}
+		}
+	}
+	return out
+}
+
 // usableLag is how many versions an engine may be behind and still serve the newest step.
 const usableLag = 1
 
@@ -238,6 +258,7 @@
 	if done {
 		l.engine.orderFailures = 0
 		l.engine.versions[l.model] = max(l.engine.versions[l.model], l.version)
+		go s.register(l.engine.described(l.server))
 	} else {
 		l.engine.orderFailures++
 		l.engine.orderAt = boottime.Now() + min(orderPause*time.Duration(l.engine.orderFailures), longestOrder)
@@ -246,6 +267,16 @@
 	s.pokeOrders()
 }
 
+// described returns the server with the versions that its engine holds.
+func (e *engine) described(v fleet.Server) fleet.Server {
+	v.Models = nil
+	for name, version := range e.versions {
+		v.Models = append(v.Models, fleet.Model{Name: name, Version: version})
+	}
+	slices.SortFunc(v.Models, func(a, b fleet.Model) int { return cmp.Compare(a.Name, b.Name) })
+	return v
+}
+
 // runOrder reports whether the engine has the version at the end.
 func (s *session) runOrder(l load, service *routes.Service) bool {
 	ctx, cancel := context.WithTimeout(s.ctx, loadDeadline)
