--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -203,7 +203,7 @@
 
 func TestEndedBatchesRunNoMore(t *testing.T) {
 	c := startCluster(t, 3)
-	c.engines.events, c.engines.pace = 1000, 10*time.Millisecond
+	c.engines.events, c.engines.pace = 100000, 10*time.Millisecond
 	c.configure(1)
 	c.announce(1, 1)
 	c.submit("b", 8, 0)
@@ -216,6 +216,11 @@
 		_, err := byLeader(ctx, n, MethodEnd, (*session).end, EndRequest{Batch: "b"})
 		return err
 	})
+	c.eventually("the end of the running item", func() bool {
+		c.engines.mu.Lock()
+		defer c.engines.mu.Unlock()
+		return c.engines.active == 0
+	})
 	c.engines.mu.Lock()
 	runs := len(c.engines.started)
 	c.engines.mu.Unlock()
--- a/internal/coordinator/fakes_test.go
+++ b/internal/coordinator/fakes_test.go
@@ -36,6 +36,7 @@
 	dead     map[string]bool // servers that answer nothing
 	fail     map[string]int  // items: how many runs the server fails itself
 	refuse   map[string]bool // items that no engine can run
+	active   int             // streams that run
 	events   int             // of each item
 	pace     time.Duration   // between events
 }
@@ -69,6 +70,7 @@
 		f.fail[g.ID]--
 		return nil, &RunError{Refusal: Failed, Err: errDead}
 	}
+	f.active++
 	return &fakeStream{f: f, ctx: ctx, server: v.ID, id: g.ID, next: g.After + 1}, nil
 }
 
@@ -131,7 +133,11 @@
 	return ev, nil
 }
 
-func (*fakeStream) Close() {}
+func (s *fakeStream) Close() {
+	s.f.mu.Lock()
+	defer s.f.mu.Unlock()
+	s.f.active--
+}
 
 func eventText(id string, number int) []byte { return fmt.Appendf(nil, "%s/%d", id, number) }
 
--- a/internal/coordinator/weights.go
+++ b/internal/coordinator/weights.go
@@ -145,7 +145,7 @@
 // wantedLoads returns the loads that are due, those of the oldest versions first: they can serve no new step.
 func (s *session) wantedLoads(service *routes.Service, servers []fleet.Server, versions map[string]uint64, now time.Duration) []load {
 	s.assign(service, servers, versions)
-	starting := s.modelsWaiting()
+	needs := s.neededVersions()
 	var out []load
 	for i := range servers {
 		e := s.engineOf(&servers[i])
@@ -154,7 +154,9 @@
 		}
 		for _, model := range service.Models {
 			want := versions[model]
-			if held := e.versions[model]; want-min(held, want) <= usableLag && (starting[model] || now-s.published[model] < settleTime) {
+			held := e.versions[model]
+			needed, starting := needs[model]
+			if starting && held >= needed || now-s.published[model] < settleTime && want-min(held, want) <= usableLag {
 				continue // it can serve the step that begins, and would refuse its items while it loads
 			}
 			if (e.model == "" || e.model == model) && e.versions[model] < want {
@@ -173,15 +175,13 @@
 	return out
 }
 
-// modelsWaiting returns the models with items that wait for an engine.
-func (s *session) modelsWaiting() map[string]bool {
-	out := map[string]bool{}
+// neededVersions returns, for each model with items that wait for an engine, the highest version that any of their
+// batches asks for at least.
+func (s *session) neededVersions() map[string]uint64 {
+	out := map[string]uint64{}
 	for _, b := range s.order {
-		for _, t := range b.tasks {
-			if t.state == waiting {
-				out[b.Model] = true
-				break
-			}
+		if slices.ContainsFunc(b.tasks, func(t *task) bool { return t.state == waiting }) {
+			out[b.Model] = max(out[b.Model], b.MinVersion)
 		}
 	}
 	return out
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -231,3 +232,43 @@
 		t.Fatalf("opening took %v, limit %v", elapsed, limit)
 	}
 }
+
+// TestWritesAreSynced guards the options that make a commit durable. That the file system keeps what was synced is
+// played on the users' bench only.
+func TestWritesAreSynced(t *testing.T) {
+	s := mustOpen(t, t.TempDir())
+	defer s.Close()
+	if s.db.NoSync || s.db.NoGrowSync || s.db.NoFreelistSync {
+		t.Fatal("the log is written without syncs")
+	}
+}
+
+// TestAFullDiskIsWaitedFor lets the first commits find no room.
+func TestAFullDiskIsWaitedFor(t *testing.T) {
+	failures, told := 0, 0
+	s, err := Open(Options{
+		Folder: t.TempDir(),
+		Commit: func(tx *bbolt.Tx) error {
+			if failures > 0 {
+				failures--
+				return &os.PathError{Op: "write", Path: "raft.db", Err: syscall.ENOSPC}
+			}
+			return tx.Commit()
+		},
+		Full: func(time.Duration, error) { told++ },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	failures = 3
+	if err := s.Save(&raft.HardState{Term: 7}, entries(1, 3, 7), nil); err != nil {
+		t.Fatal(err)
+	}
+	if told != 3 {
+		t.Fatalf("told %d times that the disk is full", told)
+	}
+	if err := s.Save(&raft.HardState{Term: 8}, nil, nil); err != nil {
+		t.Fatalf("the store failed for good: %v", err)
+	}
+}
