--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -283,7 +283,7 @@
 	t.state, t.completed = finished, r.Completed
 	t.group.missing--
 	s.record(events.Event{
-		Name: events.ItemListed, Request: t.batch.Items[t.item].ID,
+		Name: events.ItemListed, Request: t.batch.Items[t.item].ID, Took: time.Since(time.UnixMilli(t.batch.Submitted)),
 		Detail: fmt.Sprintf("batch %s, completed %t, %d events, versions %v, group misses %d", t.batch.ID, r.Completed, t.events, r.Versions, t.group.missing),
 	})
 	if r.Completed {
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -104,6 +104,8 @@
 	Server   api.ServerID `json:"server,omitempty" cbor:"7,keyasint,omitempty"`
 	Peer     api.VMID     `json:"peer,omitempty" cbor:"8,keyasint,omitempty"` // another VM that the event is about
 	Detail   string       `json:"detail,omitempty" cbor:"9,keyasint,omitempty"`
+	// Took is how long what ended with the event lasted; zero if it ended nothing.
+	Took time.Duration `json:"took,omitempty" cbor:"10,keyasint,omitempty"`
 }
 
 // Filter selects events. Empty fields select everything.
@@ -137,6 +139,8 @@
 	next uint64
 	ring []Event
 	kept int // the capacity of ring
+
+	observe func(Event)
 }
 
 // NewRecorder returns a recorder for vm that writes JSON lines to w.
@@ -160,6 +164,9 @@
 // SetLevel sets the lowest level that is logged. Events of single requests and samples are logged at debug level.
 func (r *Recorder) SetLevel(l logrus.Level) { r.log.SetLevel(l) }
 
+// Observe calls f for each event. It must be called before the first one.
+func (r *Recorder) Observe(f func(Event)) { r.observe = f }
+
 // Record adds e to the time line. It sets the time, the sequence and the VM.
 func (r *Recorder) Record(e Event) {
 	e.Time = time.Now()
@@ -174,6 +181,9 @@
 		r.ring[e.Sequence%uint64(r.kept)] = e
 	}
 	r.mu.Unlock()
+	if r.observe != nil {
+		r.observe(e)
+	}
 	r.write(e)
 }
 
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -61,8 +61,6 @@
 	mostRefusals = 6
 	// answerMargin is kept of the deadline to write the answer.
 	answerMargin = 5 * time.Millisecond
-	// ReturnAfter is when a caller that was refused may return.
-	ReturnAfter = 200 * time.Millisecond
 )
 
 // outcome is the end of one exchange.
@@ -168,6 +166,7 @@
 				return f.giveUp(ctx)
 			}
 		case <-hedge.C:
+			f.g.health.overdue(f.tried, boottime.Now())
 			if f.pending == 1 && f.mayStart() {
 				f.start(ctx)
 			}
@@ -239,8 +238,7 @@
 	return true
 }
 
-// exchange runs to its end also when another server has answered meanwhile, so that the connection can be used
-// again, unless the caller leaves.
+// exchange sends the request to one server. It ends with the request, also when another server answered it.
 func (f *forwarding) exchange(ctx context.Context, v fleet.Server) {
 	f.g.health.begin(v.ID)
 	began := boottime.Now()
@@ -269,7 +267,7 @@
 
 func (g *Gateway) noteForward(r *Request, route *routes.Route, f *forwarding, start time.Time, a *Answer, err error) {
 	c := g.configuration.Load()
-	e := events.Event{Name: events.RequestFinished, Request: r.ID}
+	e := events.Event{Name: events.RequestFinished, Request: r.ID, Took: time.Since(start)}
 	detail := fmt.Sprintf("route %s, configuration %d, tried %v, refused %v, %s", route.Name, c.Version, f.tried, f.refused, time.Since(start).Round(time.Millisecond))
 	if err != nil {
 		e.Name = events.RequestFailed
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,7 +26,11 @@
 	// retryPause is the time between attempts to find a leader.
 	retryPause = 100 * time.Millisecond
 	// findTimeout bounds the search for the leader among the known VMs.
-	findTimeout = 400 * time.Millisecond
+	findTimeout = 250 * time.Millisecond
+	// returnAfter is when a refused caller may return, and startupReturn when this VM waits for its first
+	// configuration: the VMs that hold it start with this one and need some hundred milliseconds.
+	returnAfter   = 200 * time.Millisecond
+	startupReturn = 500 * time.Millisecond
 	// confirmedFor is how long an entry VM may say "no such route" after the leader confirmed its configuration. It
 	// is shorter than the time within which a configuration must be in force.
 	confirmedFor = 1800 * time.Millisecond
@@ -87,6 +91,14 @@
 // Configuration returns the configuration in force here, or nil.
 func (g *Gateway) Configuration() *routes.Configuration { return g.configuration.Load() }
 
+// ReturnAfter is when a caller that was refused now may return.
+func (g *Gateway) ReturnAfter() time.Duration {
+	if g.configuration.Load() == nil {
+		return startupReturn
+	}
+	return returnAfter
+}
+
 // Confirmed reports whether the leader has just confirmed that the configuration is the newest.
 func (g *Gateway) Confirmed() bool {
 	return boottime.Now()-time.Duration(g.confirmed.Load()) < confirmedFor
@@ -98,12 +110,12 @@
 	lostAt := time.Now()
 	for ctx.Err() == nil {
 		leader := g.currentLeader()
+		if leader == "" && g.configuration.Load() == nil {
+			go g.peek(ctx)
+		}
 		if leader == "" {
 			leader = g.findLeader(ctx)
 		}
-		if leader == "" && g.configuration.Load() == nil {
-			g.peek(ctx)
-		}
 		sentAt := boottime.Now()
 		reply, err := g.follow(ctx, leader, q)
 		if err != nil {
@@ -140,15 +152,27 @@
 	}
 	if c := r.Configuration; c != nil && c.Version > q.Configuration {
 		q.Configuration = c.Version
-		if held := g.configuration.Load(); held != nil && held.Version >= c.Version {
+		if !g.raise(c) {
 			return // what it held without a leader is confirmed now
 		}
-		c.Document = nil // only the leader reads it back
-		g.configuration.Store(c)
 		g.opts.Events.Record(events.Event{Name: events.ConfigurationInForce, Detail: versionText(c.Version, r.Term)})
 	}
 }
 
+// raise puts a configuration in force unless one of that version or a higher one is.
+func (g *Gateway) raise(c *routes.Configuration) bool {
+	c.Document = nil // only the leader reads it back
+	for {
+		held := g.configuration.Load()
+		if held != nil && held.Version >= c.Version {
+			return false
+		}
+		if g.configuration.CompareAndSwap(held, c) {
+			return true
+		}
+	}
+}
+
 func (g *Gateway) currentLeader() string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -208,13 +232,10 @@
 	for range candidates {
 		select {
 		case r := <-replies:
-			held := g.configuration.Load()
-			if r.Configuration == nil || held != nil && held.Version >= r.Configuration.Version {
+			if r.Configuration == nil || !g.raise(r.Configuration) {
 				continue
 			}
-			r.Configuration.Document = nil
 			g.registry.Merge(r.Servers, boottime.Now())
-			g.configuration.Store(r.Configuration)
 			g.opts.Events.Record(events.Event{Name: events.ConfigurationInForce, Detail: fmt.Sprintf("version %d, not confirmed: there is no leader", r.Configuration.Version)})
 		case <-ctx.Done():
 			return
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -97,6 +97,16 @@
 	h.of(id).inFlight++
 }
 
+// overdue avoids servers for a while that have not answered when they should have; an answer clears them.
+func (h *health) overdue(ids []string, now time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, id := range ids {
+		o := h.of(id)
+		o.blocked = max(o.blocked, now+firstBlock)
+	}
+}
+
 // end takes the outcome of an exchange. gaveUp is true if this VM ended it.
 func (h *health) end(id string, now, took time.Duration, o outcome, gaveUp bool) {
 	h.mu.Lock()
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -50,15 +50,13 @@
 
 // New returns the instruments of vm.
 func New(vm api.VMID) (*Metrics, error) {
-	registry := prometheus.NewRegistry()
-	exporter, err := otelprom.New(otelprom.WithRegisterer(registry))
+	meter, handler, err := newMeter(vm)
 	if err != nil {
 		return nil, err
 	}
-	provider := sdk.NewMeterProvider(sdk.WithReader(exporter))
-	b := builder{meter: provider.Meter(meterName, metric.WithInstrumentationAttributes(attribute.String("vm", string(vm))))}
+	b := builder{meter: meter}
 	m := &Metrics{
-		handler:        promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+		handler:        handler,
 		requests:       b.counter("filbertledge.requests", "customer requests by row and outcome"),
 		refused:        b.counter("filbertledge.refused", "refused customer requests by row and error kind"),
 		refusedMinutes: b.counter("filbertledge.refused_minutes", "minutes in which at least one customer request of the row was refused by this VM"),
@@ -77,6 +75,18 @@
 	return m, b.err
 }
 
+// newMeter returns a meter of vm and the handler that serves what it measures.
+func newMeter(vm api.VMID) (metric.Meter, http.Handler, error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprom.New(otelprom.WithRegisterer(registry))
+	if err != nil {
+		return nil, nil, err
+	}
+	provider := sdk.NewMeterProvider(sdk.WithReader(exporter))
+	meter := provider.Meter(meterName, metric.WithInstrumentationAttributes(attribute.String("vm", string(vm))))
+	return meter, promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), nil
+}
+
 // Handler serves the metrics in the Prometheus text format.
 func (m *Metrics) Handler() http.Handler { return m.handler }
 
--- /dev/null
+++ b/internal/metrics/process_test.go
@@ -0,0 +1,29 @@
+package metrics
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestProcessCountsEvents(t *testing.T) {
+	p, err := NewProcess("vm-1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Event("request.refused", 0)
+	p.Event("request.finished", 30*time.Millisecond)
+	p.Event("request.finished", 40*time.Millisecond)
+	w := httptest.NewRecorder()
+	p.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	got := w.Body.String()
+	for _, want := range []string{`event="request.refused"`, `event="request.finished"`, "filbertledge_event_duration_seconds_bucket"} {
+		if !strings.Contains(got, want) {
+			t.Errorf("no %s in the metrics", want)
+		}
+	}
+	if !strings.Contains(got, "filbertledge_events_total") || strings.Contains(got, `filbertledge_event_duration_seconds_count{event="request.refused"`) {
+		t.Errorf("unexpected metrics:\n%s", got)
+	}
+}
