--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -305,7 +305,11 @@
 	defer s.mu.Unlock()
 	now, clock := boottime.Now(), time.Now()
 	median := s.medianPace()
+	room := map[string]int{} // free slots of ordinary engines by model
 	for _, b := range s.order {
+		if _, known := room[b.Model]; !known {
+			room[b.Model] = s.ordinaryRoom(b, median, now)
+		}
 		late := clock.After(b.deadline)
 		for _, t := range b.tasks {
 			switch {
@@ -314,13 +318,13 @@
 			case late && t.state == running:
 				t.cancel()
 			case t.state == running && !t.moved:
-				s.inspectRun(t, now, median)
+				s.inspectRun(t, now, median, room)
 			}
 		}
 	}
 }
 
-func (s *session) inspectRun(t *task, now time.Duration, median float64) {
+func (s *session) inspectRun(t *task, now time.Duration, median float64, room map[string]int) {
 	e := s.engines[t.engine]
 	if e == nil {
 		return
@@ -334,9 +338,10 @@
 	case quiet > limit:
 		reason = fmt.Sprintf("no event for %s", quiet.Round(time.Millisecond))
 		e.blocked = now + failurePause
-	case median > 0 && e.pace > scheduling.MoveRatio*median && now-t.startedAt > moveAfter && s.roomElsewhere(t, median, now):
+	case median > 0 && e.pace > scheduling.MoveRatio*median && now-t.startedAt > moveAfter && room[t.batch.Model] > 0:
 		if saved := time.Duration(expectedEvents * (e.pace - median) * float64(time.Millisecond)); saved > moveGain {
 			reason = fmt.Sprintf("%.0f ms between events against %.0f ms elsewhere", e.pace, median)
+			room[t.batch.Model]--
 		}
 	}
 	if reason == "" {
@@ -348,18 +353,20 @@
 	t.cancel()
 }
 
-// roomElsewhere reports whether an engine of ordinary pace with the needed weights has a free slot.
-func (s *session) roomElsewhere(t *task, median float64, now time.Duration) bool {
+// ordinaryRoom counts the free slots of engines of ordinary pace that have the weights for a batch. Items that move
+// beyond it would come back to the engine that they left.
+func (s *session) ordinaryRoom(b *batch, median float64, now time.Duration) int {
+	free := 0
 	for id, e := range s.engines {
 		v, ok := s.node.registry.Get(id)
-		if !ok || id == t.engine || v.Leaving || e.blocked > now || e.loading == t.batch.Model && e.loading != "" {
+		if !ok || v.Leaving || e.blocked > now || e.loading != "" && e.loading == b.Model || e.pace > scheduling.MoveRatio*median {
 			continue
 		}
-		if e.running < v.Slots && e.versions[t.batch.Model] >= t.batch.MinVersion && e.pace < scheduling.MoveRatio*median {
-			return true
+		if e.versions[b.Model] >= b.MinVersion {
+			free += max(v.Slots-e.running, 0)
 		}
 	}
-	return false
+	return free
 }
 
 func (s *session) medianPace() float64 {
