--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -56,11 +56,7 @@
 	if err != nil {
 		return false, err
 	}
-	defer func() {
-		if closeErr := d.Close(); err == nil {
-			err = closeErr
-		}
-	}()
+	defer func() { err = d.Finish(kept, seed, err) }()
 	fmt.Printf("started %d entry VMs, %d engines and %d services in %.1f s; logs in %s\n",
 		len(d.VMs), len(d.Engines), len(d.Services), time.Since(start).Seconds(), d.Dir)
 	demo := newDemo(d, seed)
--- a/cmd/rolling/main.go
+++ b/cmd/rolling/main.go
@@ -52,11 +52,7 @@
 	if err != nil {
 		return false, err
 	}
-	defer func() {
-		if closeErr := d.Close(); err == nil {
-			err = closeErr
-		}
-	}()
+	defer func() { err = d.Finish(kept, seed, err) }()
 	if err := d.WaitServers(ctx); err != nil {
 		return false, err
 	}
--- a/internal/harness/deployment.go
+++ b/internal/harness/deployment.go
@@ -354,3 +354,17 @@
 	}
 	return errors.Join(errsFound...)
 }
+
+// Finish closes the deployment after a run. The folder with the logs stays if a promise was broken or the run failed, and
+// the line that names it also names the seed.
+func (d *Deployment) Finish(kept bool, seed uint64, runErr error) error {
+	if !kept || runErr != nil {
+		d.opts.Keep = true
+		fmt.Fprintf(os.Stderr, "seed %d failed; its logs stay in %s\n", seed, d.Dir)
+	}
+	closeErr := d.Close()
+	if runErr != nil {
+		return runErr
+	}
+	return closeErr
+}
