--- a/Makefile
+++ b/Makefile
@@ -10,10 +10,10 @@
 	$(GO) build -o $(BIN)/ ./cmd/...
 
 fmt:
-	$(GO) tool gofumpt -w cmd internal
+	$(GO) tool gofumpt -w cmd internal platform
 
 lint:
-	@out="$$($(GO) tool gofumpt -l cmd internal)"; if [ -n "$$out" ]; then echo "not formatted (run make fmt):"; echo "$$out"; exit 1; fi
+	@out="$$($(GO) tool gofumpt -l cmd internal platform)"; if [ -n "$$out" ]; then echo "not formatted (run make fmt):"; echo "$$out"; exit 1; fi
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
