Drop state of the coordinator and the gateway that nothing reads

Found in the last read of the change: the start of a session, a pause of an item that nothing sets, a count of missing items that the order no longer uses, a flag in the follow reply, an unused parameter.

--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -145,12 +145,8 @@
 	for waiting := true; ; {
 		configured, servers := s.node.state.Changed(), s.serversChanged()
 		r := FollowReply{Term: s.term, Revision: s.node.registry.Revision()}
-		c := s.node.state.Configuration()
-		if c != nil {
-			r.Configured = true
-			if c.Version > q.Configuration {
-				r.Configuration = c
-			}
+		if c := s.node.state.Configuration(); c != nil && c.Version > q.Configuration {
+			r.Configuration = c
 		}
 		if q.Term != s.term || q.Revision != r.Revision {
 			r.ServersSent, r.Servers = true, s.servers()
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -76,7 +76,7 @@
 	now := boottime.Now()
 	servers := map[string][]fleet.Server{}
 	full := map[string]bool{} // batch and service without a free engine
-	for _, w := range s.waitingItems(now) {
+	for _, w := range s.waitingItems() {
 		t := s.order[w.Batch].tasks[w.Item]
 		route := c.Match(t.batch.Host, t.batch.Path)
 		if route == nil || route.Kind != routes.Rollout {
@@ -104,13 +104,13 @@
 func draw(id string) float64 { return float64(xxhash.Sum64String(id)>>11) / (1 << 53) }
 
 // waitingItems returns the items that may start now, in the order in which they should.
-func (s *session) waitingItems(now time.Duration) []scheduling.Waiting {
+func (s *session) waitingItems() []scheduling.Waiting {
 	var list []scheduling.Waiting
 	for i, b := range s.order {
 		for _, t := range b.tasks {
-			if t.state == waiting && t.notBefore <= now {
+			if t.state == waiting {
 				list = append(list, scheduling.Waiting{
-					Batch: i, Carried: t.group.carried, Group: t.group.index, Missing: t.group.missing,
+					Batch: i, Carried: t.group.carried, Group: t.group.index,
 					Length: b.Items[t.item].LengthHint, Item: t.item,
 				})
 			}
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -17,10 +17,9 @@
 
 // session is the work of one leadership. It ends with the lease.
 type session struct {
-	node  *Node
-	ctx   context.Context // ends with the leadership
-	term  uint64
-	began time.Duration
+	node *Node
+	ctx  context.Context // ends with the leadership
+	term uint64
 
 	mu      sync.Mutex
 	batches map[string]*batch
@@ -72,8 +71,7 @@
 	engine    string // while it runs
 	cancel    context.CancelFunc
 	startedAt time.Duration
-	eventAt   time.Duration // of the last event of the present run
-	notBefore time.Duration
+	eventAt   time.Duration            // of the last event of the present run
 	failures  int                      // runs that the server failed itself
 	avoid     map[string]time.Duration // engines to avoid, until when
 	moved     bool                     // the present run is being ended to go on elsewhere
@@ -120,7 +118,7 @@
 
 func newSession(n *Node, ctx context.Context, term uint64) *session {
 	return &session{
-		node: n, ctx: ctx, term: term, began: boottime.Now(),
+		node: n, ctx: ctx, term: term,
 		batches: map[string]*batch{}, seen: map[string]bool{}, engines: map[string]*engine{}, homes: map[string]string{},
 		leftovers: map[string]leftover{}, published: map[string]time.Duration{},
 		signal: make(chan struct{}), records: make(chan rollout.Record, recordQueue),
--- a/internal/coordinator/wire.go
+++ b/internal/coordinator/wire.go
@@ -42,7 +42,6 @@
 type FollowReply struct {
 	Term          uint64                `cbor:"1,keyasint"`
 	Configuration *routes.Configuration `cbor:"2,keyasint,omitempty"` // nil if the VM holds the newest
-	Configured    bool                  `cbor:"3,keyasint,omitempty"` // a configuration exists
 	ServersSent   bool                  `cbor:"4,keyasint,omitempty"`
 	Servers       []fleet.Server        `cbor:"5,keyasint,omitempty"`
 	Revision      uint64                `cbor:"6,keyasint,omitempty"`
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -119,7 +119,7 @@
 		sentAt := boottime.Now()
 		reply, err := g.follow(ctx, leader, q)
 		if err != nil {
-			if g.loseLeader(leader) {
+			if g.loseLeader() {
 				lostAt = time.Now()
 				g.opts.Events.Record(events.Event{Name: events.DependencyLost, Detail: "leader at " + leader + ": " + err.Error()})
 			}
@@ -264,7 +264,7 @@
 }
 
 // loseLeader forgets the leader and reports whether it was followed.
-func (g *Gateway) loseLeader(address string) bool {
+func (g *Gateway) loseLeader() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.leader = ""
--- a/internal/scheduling/order.go
+++ b/internal/scheduling/order.go
@@ -10,7 +10,6 @@
 	Batch   int // position of the batch among the open ones, the oldest first
 	Carried bool
 	Group   int // position of the group in its batch
-	Missing int // items of the group that are not finished
 	Length  int // expected output in tokens
 	Item    int // position in the batch
 }
