Long items run on engines that are fast for good; engines that were slow are tried again

Cause: a step ends with its longest items, 123 events of 51 ms and more. An engine that had been slow for a while also counted as slow until it got an item, which it did only when all others were full.

Change: the steady pace of an engine is the median of the time between events, without its own load. Items that are twice as long as the mean of their batch by their hint, or have produced 30 events, go where the next event is expected the soonest, and leave an engine that is 1.15 times slower than the median for good if that saves 250 ms. An idle engine is forgotten to be slow after 1.5 s.

--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -42,6 +42,16 @@
 	longestPause = 1600 * time.Millisecond
 	// paceWeight is the weight of a new measurement in the average time between events.
 	paceWeight = 0.12
+	// steadyStep is how much an event moves the steady pace: it halves or doubles within 35 events, two seconds of one
+	// run, and wavers by a few percent.
+	steadyStep = 0.02
+	// paceMemory is how long an idle engine counts as slow. Slowdowns last 5 to 8 seconds.
+	paceMemory = 1500 * time.Millisecond
+	// longEvents is how many events mark a long item: twice the mean of the sheets' items.
+	longEvents = 30
+	// longGain is the least time that moving a long item to an engine that is faster for good must save. A move costs
+	// a connection and reading the prompt and the text so far, some 60 ms.
+	longGain = 250 * time.Millisecond
 	// progressInterval is how much of its running items' work a lost leader loses.
 	progressInterval = time.Second
 	// progressBytes bounds one command with progress; the next one waits for its commit. Heartbeats wait behind a
@@ -80,6 +90,7 @@
 		return
 	}
 	now := boottime.Now()
+	typical := s.typicalPace(now)
 	servers := map[string][]fleet.Server{}
 	full := map[string]bool{} // batch and service without a free engine
 	for _, w := range s.waitingItems() {
@@ -97,7 +108,7 @@
 			servers[service] = s.node.registry.List(service, now)
 		}
 		engines, of := s.candidates(t, servers[service], now)
-		i := scheduling.Choose(engines)
+		i := typical.Choose(engines, t.long())
 		if i < 0 {
 			full[key] = true
 			continue
@@ -106,6 +117,12 @@
 	}
 }
 
+// long reports whether an item is expected to run much longer than the others of its batch, by the caller's hint or
+// by what it has produced.
+func (t *task) long() bool {
+	return float64(t.batch.Items[t.item].LengthHint) > scheduling.LongRatio*t.batch.meanLength || t.events >= longEvents
+}
+
 // draw returns a number in [0, 1) that depends on id only, so that an item keeps its service.
 func draw(id string) float64 { return float64(xxhash.Sum64String(id)>>11) / (1 << 53) }
 
@@ -116,7 +133,7 @@
 		for _, t := range b.tasks {
 			if t.state == waiting {
 				list = append(list, scheduling.Waiting{
-					Batch: i, Carried: t.group.carried, Group: t.group.index,
+					Batch: i, Begun: t.events > 0, Carried: t.group.carried, Group: t.group.index,
 					Length: b.Items[t.item].LengthHint, Item: t.item,
 				})
 			}
@@ -233,15 +250,39 @@
 	e.failures = 0
 	e.versions[t.batch.Model] = ev.Version
 	if last > 0 {
-		gap := float64((now - last).Microseconds()) / 1000
-		if e.pace == 0 {
-			e.pace = gap
-		}
-		e.pace += paceWeight * (gap - e.pace)
+		e.measure(float64((now-last).Microseconds())/1000, max(v.Slots, 1), now)
 	}
 	return now
 }
 
+// measure takes the time between two events of a run, in milliseconds. The steady pace follows the median, which the
+// short slowdowns of an engine do not move.
+func (e *engine) measure(gap float64, slots int, now time.Duration) {
+	alone := gap / scheduling.Crowd(e.running, slots)
+	if e.pace == 0 {
+		e.pace = gap
+	}
+	if e.steady == 0 {
+		e.steady = alone
+	}
+	e.pace += paceWeight * (gap - e.pace)
+	e.paceAt = now
+	if alone > e.steady {
+		e.steady *= 1 + steadyStep
+	} else {
+		e.steady *= 1 - steadyStep
+	}
+}
+
+// recentPace returns the pace for the choice of an engine. One that was slow and has run nothing for a while may be
+// fast again: it counts as unknown until one item has tried it.
+func (e *engine) recentPace(now time.Duration) float64 {
+	if e.running == 0 && now-e.paceAt > paceMemory {
+		return 0
+	}
+	return e.pace
+}
+
 // afterFailure decides when and where the item goes on. The caller holds the mutex.
 func (s *session) afterFailure(t *task, v *fleet.Server, e *engine, err error, route *routes.Route) {
 	now := boottime.Now()
@@ -310,11 +351,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now, clock := boottime.Now(), time.Now()
-	median := s.medianPace()
+	typical := s.typicalPace(now)
 	room := map[string]int{} // free slots of ordinary engines by model
 	for _, b := range s.order {
 		if _, known := room[b.Model]; !known {
-			room[b.Model] = s.ordinaryRoom(b, median, now)
+			room[b.Model] = s.ordinaryRoom(b, typical, now)
 		}
 		late := clock.After(b.deadline)
 		for _, t := range b.tasks {
@@ -324,13 +365,13 @@
 			case late && t.state == running:
 				t.cancel()
 			case t.state == running && !t.moved:
-				s.inspectRun(t, now, median, room)
+				s.inspectRun(t, now, typical, room)
 			}
 		}
 	}
 }
 
-func (s *session) inspectRun(t *task, now time.Duration, median float64, room map[string]int) {
+func (s *session) inspectRun(t *task, now time.Duration, typical scheduling.Typical, room map[string]int) {
 	e := s.engines[t.engine]
 	if e == nil {
 		return
@@ -344,9 +385,8 @@
 	case quiet > limit:
 		reason = fmt.Sprintf("no event for %s", quiet.Round(time.Millisecond))
 		e.blocked = now + failurePause
-	case median > 0 && e.pace > scheduling.MoveRatio*median && now-t.startedAt > moveAfter && room[t.batch.Model] > 0:
-		if saved := time.Duration(expectedEvents * (e.pace - median) * float64(time.Millisecond)); saved > moveGain {
-			reason = fmt.Sprintf("%.0f ms between events against %.0f ms elsewhere", e.pace, median)
+	case now-t.startedAt > moveAfter && room[t.batch.Model] > 0:
+		if reason = e.leaveReason(t.events, typical); reason != "" {
 			room[t.batch.Model]--
 		}
 	}
@@ -359,13 +399,31 @@
 	t.cancel()
 }
 
+// leaveReason tells why an item with the given number of events should go on at an ordinary engine, or nothing if it
+// may stay. How much is left of an item is unknown; one that is long already has about half as much again to go.
+func (e *engine) leaveReason(done int, typical scheduling.Typical) string {
+	left := float64(max(expectedEvents, done/2))
+	saved := func(here, there float64) time.Duration {
+		return time.Duration(left * (here - there) * float64(time.Millisecond))
+	}
+	switch {
+	case typical.Pace > 0 && e.pace > scheduling.MoveRatio*typical.Pace && saved(e.pace, typical.Pace) > moveGain:
+		return fmt.Sprintf("%.0f ms between events against %.0f ms elsewhere", e.pace, typical.Pace)
+	case typical.Steady > 0 && e.steady > scheduling.UnevenRatio*typical.Steady && done >= longEvents && saved(e.steady, typical.Steady) > longGain:
+		return fmt.Sprintf("long, %.0f ms between events of an idle engine against %.0f ms elsewhere", e.steady, typical.Steady)
+	default:
+		return ""
+	}
+}
+
 // ordinaryRoom counts the free slots of engines of ordinary pace that have the weights for a batch. Items that move
 // beyond it would come back to the engine that they left.
-func (s *session) ordinaryRoom(b *batch, median float64, now time.Duration) int {
+func (s *session) ordinaryRoom(b *batch, typical scheduling.Typical, now time.Duration) int {
 	free := 0
 	for id, e := range s.engines {
 		v, ok := s.node.registry.Get(id)
-		if !ok || v.Leaving || e.blocked > now || e.loading != "" && e.loading == b.Model || e.pace > scheduling.MoveRatio*median {
+		if !ok || v.Leaving || e.blocked > now || e.loading != "" && e.loading == b.Model ||
+			e.recentPace(now) > scheduling.MoveRatio*typical.Pace || e.steady > scheduling.UnevenRatio*typical.Steady {
 			continue
 		}
 		if e.versions[b.Model] >= b.MinVersion {
@@ -375,12 +433,13 @@
 	return free
 }
 
-func (s *session) medianPace() float64 {
+// typicalPace returns the medians over the engines that are known.
+func (s *session) typicalPace(now time.Duration) scheduling.Typical {
 	list := make([]scheduling.Engine, 0, len(s.engines))
 	for _, e := range s.engines {
-		list = append(list, scheduling.Engine{Pace: e.pace})
+		list = append(list, scheduling.Engine{Pace: e.recentPace(now), Steady: e.steady})
 	}
-	return scheduling.MedianPace(list)
+	return scheduling.TypicalOf(list)
 }
 
 // progressLoop commits the texts of running items from time to time, so that the next leader goes on from there. Each
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -43,6 +43,8 @@
 	tasks    []*task
 	groups   map[string]*group
 	deadline time.Time // when the items may be given up
+	// meanLength is the mean of the length hints, in tokens.
+	meanLength float64
 }
 
 // group counts the items of a group.
@@ -103,6 +105,8 @@
 	running       int
 	versions      map[string]uint64
 	pace          float64       // moving average of the time between events, ms
+	paceAt        time.Duration // of the last measurement
+	steady        float64       // median of the time between events without the engine's own load, ms
 	blocked       time.Duration // nothing is sent until then
 	failures      int           // in a row
 	model         string        // that it is assigned to
@@ -190,6 +194,7 @@
 	}
 	b.deadline = time.UnixMilli(b.Submitted).Add(lifetime + clockMargin)
 	for i, item := range b.Items {
+		b.meanLength += float64(item.LengthHint) / float64(len(b.Items))
 		g := b.groups[item.Group]
 		if g == nil {
 			g = &group{index: len(b.groups), carried: item.Group != "" && s.seen[item.Group]}
@@ -431,7 +436,7 @@
 			continue
 		}
 		list = append(list, scheduling.Engine{
-			ID: v.ID, Slots: max(v.Slots, 1), Running: e.running, Pace: e.pace,
+			ID: v.ID, Slots: max(v.Slots, 1), Running: e.running, Pace: e.recentPace(now), Steady: e.steady,
 			Home: home == v.ID, Avoid: v.Silent || t.avoid[v.ID] > now || e.failures > 0,
 		})
 		of = append(of, v)
--- a/internal/scheduling/choose.go
+++ b/internal/scheduling/choose.go
@@ -1,6 +1,8 @@
 // Package scheduling decides which waiting item of a batch runs next and at which engine. It is pure: state in,
 // decision out. It answers the load of trainers' steps: a few hundred items at once every few seconds, in groups
-// that share a prompt, on a few dozen engines that slow down as they fill, of which some are slower for a while.
+// that share a prompt, on a few dozen engines that slow down as they fill. Some engines are a third slower for good,
+// some several times for a while, and nearly every group has an item that runs several times longer than the others
+// and decides when the group is whole.
 package scheduling
 
 import "cmp"
@@ -14,6 +16,14 @@
 	slowRatio = 1.8
 	// MoveRatio is how many times slower than the median an engine must be for its items to move away.
 	MoveRatio = 2.2
+	// UnevenRatio is how many times slower than the median an engine must be for good for long items to leave it.
+	UnevenRatio = 1.15
+	// crowding is how much slower an engine produces events with all slots in use than with one: 1.16 to 1.5 times
+	// by the sheets of the engines.
+	crowding = 0.25
+	// LongRatio is how many times longer than its batch's mean an item must be to count as long. One item in twelve
+	// is five times as long as the others, and the hints are off by half.
+	LongRatio = 2
 )
 
 // Engine is a candidate for an item.
@@ -22,33 +32,51 @@
 	Slots   int     // requests that it runs at once
 	Running int     // requests that run or are on their way
 	Pace    float64 // recent time between events in milliseconds; 0 if unknown
+	Steady  float64 // typical time between events without its own load, in milliseconds; 0 if unknown
 	Home    bool    // has read the item's prompt for the same weights
 	Avoid   bool    // the item failed here before, or the engine answers nothing at present
 }
 
-// Choose returns the index of the engine that should run the next item, or -1 if all are full.
-func Choose(engines []Engine) int {
-	median := MedianPace(engines)
+// Typical holds the medians over all engines that an engine is compared with, in milliseconds; 0 if unknown.
+type Typical struct{ Pace, Steady float64 }
+
+// TypicalOf returns the medians of the engines whose paces are known.
+func TypicalOf(engines []Engine) Typical {
+	var paces, steady []float64
+	for i := range engines {
+		if engines[i].Pace > 0 {
+			paces = append(paces, engines[i].Pace)
+		}
+		if engines[i].Steady > 0 {
+			steady = append(steady, engines[i].Steady)
+		}
+	}
+	return Typical{Pace: median(paces), Steady: median(steady)}
+}
+
+// Choose returns the index of the engine that should run the next item, or -1 if all are full. Long items go where
+// they end first, the others where they leave room.
+func (t Typical) Choose(engines []Engine, long bool) int {
 	best := -1
 	for i := range engines {
 		if engines[i].Running >= engines[i].Slots {
 			continue
 		}
-		if best < 0 || compare(&engines[i], &engines[best], median) < 0 {
+		if best < 0 || t.compare(&engines[i], &engines[best], long) < 0 {
 			best = i
 		}
 	}
 	return best
 }
 
-// compare orders engines, the best first: those that answer, those that are not slow, then the emptiest.
-func compare(a, b *Engine, median float64) int {
-	return cmp.Or(
-		compareBool(a.Avoid, b.Avoid),
-		compareBool(a.slow(median), b.slow(median)),
-		cmp.Compare(a.load(), b.load()),
-		cmp.Compare(a.ID, b.ID),
-	)
+// compare orders engines, the best first: those that answer, those that are not slow, then for a long item the one
+// that will produce its events the soonest, else the emptiest.
+func (t Typical) compare(a, b *Engine, long bool) int {
+	order := cmp.Or(compareBool(a.Avoid, b.Avoid), compareBool(t.slow(a), t.slow(b)))
+	if long {
+		order = cmp.Or(order, cmp.Compare(t.Expected(a), t.Expected(b)))
+	}
+	return cmp.Or(order, cmp.Compare(a.load(), b.load()), cmp.Compare(a.ID, b.ID))
 }
 
 func compareBool(a, b bool) int {
@@ -62,7 +90,17 @@
 	}
 }
 
-func (e *Engine) slow(median float64) bool { return median > 0 && e.Pace > slowRatio*median }
+func (t Typical) slow(e *Engine) bool { return t.Pace > 0 && e.Pace > slowRatio*t.Pace }
+
+// Expected returns the time between events that one more item would see on an engine, in milliseconds.
+func (t Typical) Expected(e *Engine) float64 {
+	return cmp.Or(e.Steady, t.Steady) * Crowd(e.Running+1, e.Slots)
+}
+
+// Crowd returns how many times slower than alone an engine produces events with running requests in its slots.
+func Crowd(running, slots int) float64 {
+	return 1 + crowding*float64(max(running-1, 0))/float64(max(slots, 1))
+}
 
 // load is the share of its slots that an engine uses, less the bonus for a prompt that it has read.
 func (e *Engine) load() float64 {
@@ -72,17 +110,3 @@
 	}
 	return running / float64(max(e.Slots, 1))
 }
-
-// MedianPace returns the median pace of the engines whose pace is known, or 0.
-func MedianPace(engines []Engine) float64 {
-	var known []float64
-	for i := range engines {
-		if engines[i].Pace > 0 {
-			known = append(known, engines[i].Pace)
-		}
-	}
-	if len(known) == 0 {
-		return 0
-	}
-	return median(known)
-}
--- a/internal/scheduling/scheduling_test.go
+++ b/internal/scheduling/scheduling_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"slices"
 	"testing"
 
@@ -24,7 +26,7 @@
 		"avoided":                  {[]Engine{{ID: "a", Slots: 8, Avoid: true}, {ID: "b", Slots: 8, Running: 7}}, 1},
 		"avoided rather than none": {[]Engine{{ID: "a", Slots: 8, Avoid: true}}, 0},
 	} {
-		if got := Choose(tc.engines); got != tc.want {
+		if got := TypicalOf(tc.engines).Choose(tc.engines, false); got != tc.want {
 			t.Errorf("%s: got %d, want %d", name, got, tc.want)
 		}
 	}
@@ -107,12 +109,98 @@
 	}
 }
 
+func TestChooseForALongItem(t *testing.T) {
+	for name, tc := range map[string]struct {
+		engines []Engine
+		want    int
+	}{
+		"a fast one before an empty slow one":  {[]Engine{{ID: "a", Slots: 8, Pace: 66, Steady: 62}, {ID: "b", Slots: 8, Running: 6, Pace: 51, Steady: 44}, {ID: "c", Slots: 8, Running: 8, Steady: 44}}, 1},
+		"the emptiest of the fast ones":        {[]Engine{{ID: "a", Slots: 8, Running: 5, Steady: 44}, {ID: "b", Slots: 8, Running: 2, Steady: 44}, {ID: "c", Slots: 8, Steady: 62}}, 1},
+		"an unknown one counts as typical":     {[]Engine{{ID: "a", Slots: 8, Steady: 62}, {ID: "b", Slots: 8}, {ID: "c", Slots: 8, Running: 8, Steady: 44}, {ID: "d", Slots: 8, Running: 8, Steady: 44}}, 1},
+		"a slow one if nothing else is free":   {[]Engine{{ID: "a", Slots: 8, Steady: 62}, {ID: "b", Slots: 8, Running: 8, Steady: 44}}, 0},
+		"not one that is slow at the moment":   {[]Engine{{ID: "a", Slots: 8, Pace: 150, Steady: 44}, {ID: "b", Slots: 8, Pace: 66, Steady: 62}, {ID: "c", Slots: 8, Running: 8, Pace: 51, Steady: 44}}, 1},
+		"not one that it failed on or that is": {[]Engine{{ID: "a", Slots: 8, Steady: 44, Avoid: true}, {ID: "b", Slots: 8, Steady: 62}}, 1},
+	} {
+		if got := TypicalOf(tc.engines).Choose(tc.engines, true); got != tc.want {
+			t.Errorf("%s: got %d, want %d", name, got, tc.want)
+		}
+	}
+}
+
+// TestStepOnEnginesOfUnequalSpeed plays the start of a step of 20 groups of 8 items on 11 engines of which every third
+// is 1.3 times slower, with hints that are off by half: nine groups in ten must be whole within 1.05 times the time
+// that the longest item of the best nine tenths takes on a fast engine with all slots in use.
+func TestStepOnEnginesOfUnequalSpeed(t *testing.T) {
+	const groups, members, engineCount, slots, fast = 20, 8, 11, 8, 44.0
+	rng := rand.New(rand.NewPCG(1, 2))
+	for seed := range 20 {
+		var list []Waiting
+		lengths := make([]float64, groups*members)
+		for i := range lengths {
+			lengths[i] = min(123, 2+10*rng.ExpFloat64())
+			if rng.Float64() < 0.08 {
+				lengths[i] = min(123, 5*lengths[i]+20)
+			}
+			hint := lengths[i] * math.Exp(0.5*rng.NormFloat64())
+			list = append(list, Waiting{Group: i / members, Item: i, Length: int(hint)})
+		}
+		Order(list)
+		engines := make([]Engine, engineCount)
+		free := make([][]float64, engineCount) // ends of what runs
+		for i := range engines {
+			engines[i] = Engine{ID: fmt.Sprintf("e%02d", i), Slots: slots, Steady: fast}
+			if i%3 == 2 {
+				engines[i].Steady = 1.3 * fast
+			}
+			engines[i].Pace = engines[i].Steady
+		}
+		mean := 0
+		for _, w := range list {
+			mean += w.Length / len(list)
+		}
+		whole := make([]float64, groups)
+		now := 0.0
+		for _, w := range list {
+			i := TypicalOf(engines).Choose(engines, w.Length > LongRatio*mean)
+			for i < 0 {
+				next := math.Inf(1)
+				for _, ends := range free {
+					for _, end := range ends {
+						next = min(next, end)
+					}
+				}
+				now = next
+				for k := range free {
+					free[k] = slices.DeleteFunc(free[k], func(end float64) bool { return end <= now })
+					engines[k].Running = len(free[k])
+				}
+				i = TypicalOf(engines).Choose(engines, w.Length > LongRatio*mean)
+			}
+			end := now + lengths[w.Item]*engines[i].Steady*Crowd(slots, slots)
+			free[i] = append(free[i], end)
+			engines[i].Running++
+			whole[w.Group] = max(whole[w.Group], end)
+		}
+		longest := make([]float64, groups)
+		for i, l := range lengths {
+			longest[i/members] = max(longest[i/members], l*fast*Crowd(slots, slots))
+		}
+		slices.Sort(whole)
+		slices.Sort(longest)
+		wanted := groups*9/10 - 1
+		if whole[wanted] > 1.05*longest[wanted] {
+			t.Errorf("seed %d: nine groups in ten are whole after %.0f ms, the longest item takes %.0f ms", seed, whole[wanted], longest[wanted])
+		}
+	}
+}
+
 func BenchmarkChoose(b *testing.B) {
 	engines := make([]Engine, 2000)
 	for i := range engines {
 		engines[i] = Engine{ID: fmt.Sprint(i), Slots: 8, Running: i % 8, Pace: float64(30 + i%20)}
 	}
+	typical := TypicalOf(engines)
 	for b.Loop() {
-		Choose(engines)
+		typical.Choose(engines, true)
 	}
 }
