Long items leave engines that are slow for a moment, and short ones leave them room

Cause: an engine is 2.5 times slower in one of seven spells of 600 ms. A long item meets one or two of them and waits 300 ms in each; a move costs some 30 ms. Short items also crowd the engines of long ones, which each request beside them makes 2 to 3 percent slower. Both add to the longest items alone, which end the step: a trainer whose steps take 7.5 of 8 seconds never catches up on a delay.

Change: a long item moves when an event takes 1.9 times its usual time and another engine has room. A long item counts as two running ones in the choice of an engine for a short one.

--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -309,3 +309,48 @@
 	c.stop(1)
 	c.configure(2)
 }
+
+// TestALongItemLeavesAnEngineThatIsSlowForAMoment slows the engine of a long item down while another one is idle: the
+// item must go on there, from the event after its last one.
+func TestALongItemLeavesAnEngineThatIsSlowForAMoment(t *testing.T) {
+	c := startCluster(t, 3)
+	c.configure(1)
+	c.announce(2, 4)
+	c.engines.events, c.engines.pace = 150, 20*time.Millisecond
+	c.submit("b", 1, 0)
+	id := "b-0"
+	place := func() (engine string, events int) {
+		s, err := c.nodes[c.leader()].current()
+		if err != nil {
+			return "", 0
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if b := s.batches["b"]; b != nil {
+			return b.tasks[0].engine, b.tasks[0].events
+		}
+		return "", 0
+	}
+	var first string
+	c.eventually("a long item", func() bool {
+		engine, events := place()
+		first = engine
+		return events > longEvents
+	})
+	c.engines.mu.Lock()
+	c.engines.slow[first] = 4
+	c.engines.mu.Unlock()
+	c.eventually("the item on the other engine", func() bool {
+		engine, _ := place()
+		return engine != first && engine != ""
+	})
+	page := c.await("b", 1)
+	if got := string(page.Results[0].Text); got != wholeText(id, 150) {
+		t.Fatalf("the text has %d bytes", len(got))
+	}
+	c.engines.mu.Lock()
+	defer c.engines.mu.Unlock()
+	if c.engines.resumed[id] <= longEvents {
+		t.Fatalf("the item went on after event %d", c.engines.resumed[id])
+	}
+}
--- a/internal/coordinator/fakes_test.go
+++ b/internal/coordinator/fakes_test.go
@@ -39,6 +39,7 @@
 	active   int             // streams that run
 	events   int             // of each item
 	pace     time.Duration   // between events
+	slow     map[string]int  // servers: how many times slower they are
 }
 
 type order struct {
@@ -49,7 +50,7 @@
 func newFakeEngines() *fakeEngines {
 	return &fakeEngines{
 		versions: map[string]uint64{}, sequence: map[string]uint64{}, started: map[string]int{}, resumed: map[string]int{},
-		dead: map[string]bool{}, fail: map[string]int{}, refuse: map[string]bool{}, events: 5, pace: time.Millisecond,
+		dead: map[string]bool{}, slow: map[string]int{}, fail: map[string]int{}, refuse: map[string]bool{}, events: 5, pace: time.Millisecond,
 	}
 }
 
@@ -115,7 +116,8 @@
 
 func (s *fakeStream) Next() (Event, error) {
 	s.f.mu.Lock()
-	dead, pace, last := s.f.dead[s.server], s.f.pace, s.f.events
+	dead, last := s.f.dead[s.server], s.f.events
+	pace := s.f.pace * time.Duration(max(s.f.slow[s.server], 1))
 	s.f.mu.Unlock()
 	select {
 	case <-s.ctx.Done():
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -35,6 +35,8 @@
 	expectedEvents = 8
 	// avoidFor keeps an item away from an engine that it failed on.
 	avoidFor = 2 * time.Second
+	// hinderedFor keeps a long item away from an engine that is slower for a moment.
+	hinderedFor = 600 * time.Millisecond
 	// busyPause keeps work away from an engine that just refused it; failurePause doubles with each failure in a
 	// row up to longestPause.
 	busyPause    = 60 * time.Millisecond
@@ -148,7 +150,11 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	item := &t.batch.Items[t.item]
 	t.state, t.engine, t.cancel, t.startedAt, t.eventAt, t.moved = running, v.ID, cancel, now, 0, false
-	s.engineOf(v).running++
+	e := s.engineOf(v)
+	e.running++
+	if t.startedLong = t.long(); t.startedLong {
+		e.long++
+	}
 	s.homes[t.homeKey()] = v.ID
 	name := events.ItemPlaced
 	if t.events > 0 {
@@ -181,6 +187,9 @@
 	defer s.mu.Unlock()
 	e := s.engineOf(&v)
 	e.running = max(e.running-1, 0)
+	if t.startedLong {
+		e.long = max(e.long-1, 0)
+	}
 	if t.state != running || err != nil && s.ctx.Err() != nil {
 		return // the batch or this leadership has ended
 	}
@@ -250,11 +259,32 @@
 	e.failures = 0
 	e.versions[t.batch.Model] = ev.Version
 	if last > 0 {
-		e.measure(float64((now-last).Microseconds())/1000, max(v.Slots, 1), now)
+		gap := float64((now - last).Microseconds()) / 1000
+		if t.long() && !t.moved && scheduling.Hindered(gap, e.steady, e.running, max(v.Slots, 1)) {
+			s.leaveHindered(t, gap, now)
+		}
+		e.measure(gap, max(v.Slots, 1), now)
 	}
 	return now
 }
 
+// leaveHindered moves a long item away from an engine that is slower for a moment, if another one has room. The caller
+// holds the mutex.
+func (s *session) leaveHindered(t *task, gap float64, now time.Duration) {
+	if now-t.startedAt < moveAfter || s.ordinaryRoom(t.batch, s.typicalPace(now), now) == 0 {
+		return
+	}
+	s.move(t, fmt.Sprintf("long, %.0f ms between two events", gap), now+hinderedFor)
+}
+
+// move ends a run so that the item goes on at another engine. The caller holds the mutex.
+func (s *session) move(t *task, reason string, avoidUntil time.Duration) {
+	t.moved = true
+	t.avoid[t.engine] = avoidUntil
+	s.record(events.Event{Name: events.ItemMoved, Request: t.batch.Items[t.item].ID, Server: api.ServerID(t.engine), Detail: reason})
+	t.cancel()
+}
+
 // measure takes the time between two events of a run, in milliseconds. The steady pace follows the median, which the
 // short slowdowns of an engine do not move.
 func (e *engine) measure(gap float64, slots int, now time.Duration) {
@@ -314,10 +344,10 @@
 	case Impossible:
 		s.finish(t, rollout.Result{Item: t.item})
 	case Unreachable, Broken:
-		t.avoid[v.ID] = now + avoidFor
 		if t.moved {
 			return
 		}
+		t.avoid[v.ID] = now + avoidFor
 		e.failures++
 		pause := min(failurePause<<min(e.failures-1, 8), longestPause)
 		e.blocked = now + pause
@@ -393,10 +423,7 @@
 	if reason == "" {
 		return
 	}
-	t.moved = true
-	t.avoid[t.engine] = now + avoidFor
-	s.record(events.Event{Name: events.ItemMoved, Request: t.batch.Items[t.item].ID, Server: api.ServerID(t.engine), Detail: reason})
-	t.cancel()
+	s.move(t, reason, now+avoidFor)
 }
 
 // leaveReason tells why an item with the given number of events should go on at an ordinary engine, or nothing if it
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -77,6 +77,8 @@
 	failures  int                      // runs that the server failed itself
 	avoid     map[string]time.Duration // engines to avoid, until when
 	moved     bool                     // the present run is being ended to go on elsewhere
+	// startedLong is true if the item counts as a long one at the engine of the present run.
+	startedLong bool
 
 	text     []byte
 	events   int
@@ -103,6 +105,7 @@
 type engine struct {
 	born          int64
 	running       int
+	long          int // items among the running ones that were long at their start
 	versions      map[string]uint64
 	pace          float64       // moving average of the time between events, ms
 	paceAt        time.Duration // of the last measurement
@@ -436,7 +439,7 @@
 			continue
 		}
 		list = append(list, scheduling.Engine{
-			ID: v.ID, Slots: max(v.Slots, 1), Running: e.running, Pace: e.recentPace(now), Steady: e.steady,
+			ID: v.ID, Slots: max(v.Slots, 1), Running: e.running, Long: e.long, Pace: e.recentPace(now), Steady: e.steady,
 			Home: home == v.ID, Avoid: v.Silent || t.avoid[v.ID] > now || e.failures > 0,
 		})
 		of = append(of, v)
--- a/internal/scheduling/choose.go
+++ b/internal/scheduling/choose.go
@@ -12,12 +12,18 @@
 	// prompt may have and still be preferred. Reading a prompt again costs a few milliseconds, as does each
 	// request that shares the batch.
 	homeBonus = 3
+	// longWeight is how many running requests a long item counts as besides itself. A step ends with its long items,
+	// and each request beside them costs them 2 to 3 percent; the short ones are over in a second anywhere.
+	longWeight = 1
 	// slowRatio is how many times slower than the median an engine must be to be avoided while others are free.
 	slowRatio = 1.8
 	// MoveRatio is how many times slower than the median an engine must be for its items to move away.
 	MoveRatio = 2.2
 	// UnevenRatio is how many times slower than the median an engine must be for good for long items to leave it.
 	UnevenRatio = 1.15
+	// hinderedRatio is how many times its usual time an event must take to show a short slowdown: those of the sheets
+	// make an engine 2.5 times slower for 600 ms, and other events waver by some ten percent.
+	hinderedRatio = 1.9
 	// crowding is how much slower an engine produces events with all slots in use than with one: 1.16 to 1.5 times
 	// by the sheets of the engines.
 	crowding = 0.25
@@ -31,6 +37,7 @@
 	ID      string
 	Slots   int     // requests that it runs at once
 	Running int     // requests that run or are on their way
+	Long    int     // long items among them
 	Pace    float64 // recent time between events in milliseconds; 0 if unknown
 	Steady  float64 // typical time between events without its own load, in milliseconds; 0 if unknown
 	Home    bool    // has read the item's prompt for the same weights
@@ -97,14 +104,21 @@
 	return cmp.Or(e.Steady, t.Steady) * Crowd(e.Running+1, e.Slots)
 }
 
+// Hindered reports whether the time between two events of a run shows that its engine is slower for a moment than it
+// mostly is, with running requests in its slots.
+func Hindered(gap, steady float64, running, slots int) bool {
+	return steady > 0 && gap > hinderedRatio*steady*Crowd(running, slots)
+}
+
 // Crowd returns how many times slower than alone an engine produces events with running requests in its slots.
 func Crowd(running, slots int) float64 {
 	return 1 + crowding*float64(max(running-1, 0))/float64(max(slots, 1))
 }
 
-// load is the share of its slots that an engine uses, less the bonus for a prompt that it has read.
+// load is the share of its slots that an engine uses, less the bonus for a prompt that it has read. Long items count
+// more, so that short ones leave them alone while others have room.
 func (e *Engine) load() float64 {
-	running := float64(e.Running)
+	running := float64(e.Running + longWeight*e.Long)
 	if e.Home {
 		running -= homeBonus
 	}
--- a/internal/scheduling/scheduling_test.go
+++ b/internal/scheduling/scheduling_test.go
@@ -204,3 +204,36 @@
 		typical.Choose(engines, true)
 	}
 }
+
+func TestShortItemsLeaveLongOnesAlone(t *testing.T) {
+	engines := []Engine{
+		{ID: "a", Slots: 8, Running: 2, Long: 2},
+		{ID: "b", Slots: 8, Running: 3},
+	}
+	if got := TypicalOf(engines).Choose(engines, false); got != 1 {
+		t.Errorf("a short item goes to engine %d, beside two long ones", got)
+	}
+	engines[1].Running = 8
+	if got := TypicalOf(engines).Choose(engines, false); got != 0 {
+		t.Errorf("a short item goes to engine %d, though there is room beside the long ones", got)
+	}
+}
+
+func TestHindered(t *testing.T) {
+	for name, tc := range map[string]struct {
+		gap, steady float64
+		running     int
+		want        bool
+	}{
+		"an ordinary event":             {51, 44, 8, false},
+		"one that wavers":               {70, 44, 8, false},
+		"an engine slow for a moment":   {127, 44, 8, true},
+		"the same on an idle engine":    {110, 44, 1, true},
+		"an engine that is not known":   {500, 0, 1, false},
+		"a slow engine as it always is": {66, 57, 8, false},
+	} {
+		if got := Hindered(tc.gap, tc.steady, tc.running, 8); got != tc.want {
+			t.Errorf("%s: got %t", name, got)
+		}
+	}
+}
