A stall of the leader's process is no slowness of its engines

Cause: a process whose processor share is used up reads nothing for a tenth of a second.

Change: when no item at all got an event for 60 ms, or for the time of five events where few items run, the gaps that end then are neither measured nor a reason to move.

--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -158,6 +158,7 @@
 	t.state, t.engine, t.cancel, t.startedAt, t.eventAt, t.moved = running, v.ID, cancel, now, 0, false
 	e := s.engineOf(v)
 	e.running++
+	s.running++
 	if t.startedLong = t.long(); t.startedLong {
 		e.long++
 	}
@@ -193,6 +194,7 @@
 	defer s.mu.Unlock()
 	e := s.engineOf(&v)
 	e.running = max(e.running-1, 0)
+	s.running--
 	if t.startedLong {
 		e.long = max(e.long-1, 0)
 	}
@@ -264,7 +266,8 @@
 	e := s.engineOf(&v)
 	e.failures = 0
 	e.versions[t.batch.Model] = ev.Version
-	if last > 0 {
+	s.stalls.heard(now, s.running, time.Duration(e.pace*float64(time.Millisecond)))
+	if last > 0 && !s.stalls.since(last) {
 		gap := float64((now - last).Microseconds()) / 1000
 		if t.long() && !t.moved && scheduling.Hindered(gap, e.steady, e.running, max(v.Slots, 1)) {
 			s.leaveHindered(t, gap, now)
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -26,6 +26,8 @@
 	order   []*batch        // oldest first
 	seen    map[string]bool // groups of earlier batches
 	engines map[string]*engine
+	running int           // items that run
+	stalls  stallWatch    // of this process
 	signal  chan struct{} // closed when the servers change
 	records chan rollout.Record
 	wake    chan struct{}     // asks for a look at the waiting items
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -104,6 +104,16 @@
 	return boottime.Now()-time.Duration(g.confirmed.Load()) < confirmedFor
 }
 
+// NoteRefusal records that a call with the given ID was refused here, with the configuration that decided it.
+func (g *Gateway) NoteRefusal(id string, err error) {
+	detail := "no configuration"
+	if c := g.configuration.Load(); c != nil {
+		age := boottime.Now() - time.Duration(g.confirmed.Load())
+		detail = fmt.Sprintf("configuration %d, confirmed %s ago", c.Version, age.Round(time.Millisecond))
+	}
+	g.opts.Events.Record(events.Event{Name: events.RequestRefused, Request: id, Detail: detail + ": " + err.Error()})
+}
+
 // Run follows the leader until ctx ends.
 func (g *Gateway) Run(ctx context.Context) {
 	q := coordinator.FollowRequest{VM: g.opts.Name}
