--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := bin
 GO ?= go
 
-.PHONY: all build test lint fmt demo overhead faults soak rolling measure capacity fuzz ci clean
+.PHONY: all build test lint fmt demo overhead faults soak soak-roles rolling measure capacity fuzz ci clean
 
 all: build
 
@@ -40,6 +40,10 @@
 soak: build
 	$(BIN)/soak
 
+# Fifty fresh seeds of the soak of the platform's roles, some eight minutes.
+soak-roles:
+	$(GO) test ./platform -run TestSoak -v -count=1 -timeout 60m -soak.first 0 -soak.seeds 50 -soak.parallel 3 -soak.time 15s
+
 ci: lint build test demo
 
 clean:
