--- a/internal/replica/membership_test.go
+++ b/internal/replica/membership_test.go
@@ -113,19 +113,23 @@
 	g.startAll()
 	g.propose("one")
 	leader := g.leader()
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
 	for _, m := range g.members {
 		if m.Name == leader.self.Name {
 			continue
 		}
+		// A commit needs only a majority, and a follower without heartbeats for an election timeout knows no leader.
+		eventually(t, m.Name+" hears from the leader", func() bool { return g.reachable(m.Address).Status().LeaderAddress == leader.self.Address })
+		ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
 		_, err := g.reachable(m.Address).Propose(ctx, []byte("x"))
+		cancel()
 		hint, ok := LeaderFromError(err)
 		if !errs.Is(err, errs.NotLeader) || !ok || hint.Address != leader.self.Address {
 			t.Errorf("at follower %s: %v, leader %+v", m.Name, err, hint)
 		}
 		g.stop(m.Address)
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
 	if _, err := leader.Propose(ctx, []byte("alone")); !errs.Is(err, errs.OutcomeUnknown) && !errs.Is(err, errs.NotLeader) {
 		t.Errorf("without a quorum: %v", err)
 	}
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -286,6 +286,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	for _, body := range []string{`{"prompt":"p","max_tokens":100000}`, `{"prompt":"p","max_tokens":100000,"stream":true}`, `{"prompt":"p"}`} {
+		count := len(e.Log().Requests)
 		wg.Go(func() {
 			resp, err := post(t, ctx, e, chatPath, "a", body)
 			if err == nil {
@@ -293,7 +294,6 @@
 				resp.Body.Close()
 			}
 		})
-		count := len(e.Log().Requests)
 		waitFor(t, "the request arrived", func() bool { return len(e.Log().Requests) > count })
 	}
 	waitFor(t, "one request waits", func() bool { s := e.State(); return s.Running == 2 && s.Waiting == 1 })
@@ -308,3 +308,29 @@
 		return e.Idle()
 	})
 }
+
+// Guards against an engine that stops generating after the caller of a request was answered while the request still
+// runs: with exchanged answers of unequal length, the caller of the longer one is answered first.
+func TestExchangedAnswersOfUnequalLength(t *testing.T) {
+	e := startEngine(t, Options{})
+	e.faults.Apply(standin.Faults{ExchangeAnswers: 1})
+	client := &http.Client{Timeout: waitTimeout}
+	var wg sync.WaitGroup
+	for i, tokens := range []int{400, 20} {
+		if i > 0 {
+			waitFor(t, "the longer request runs", func() bool { return e.State().Running == 1 })
+		}
+		wg.Go(func() {
+			resp, err := client.Post("http://"+e.Address()+chatPath, "application/json", strings.NewReader(fmt.Sprintf(`{"prompt":"p","max_tokens":%d}`, tokens)))
+			if err != nil {
+				t.Errorf("request with %d tokens: %v", tokens, err)
+				return
+			}
+			defer resp.Body.Close()
+			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+				t.Errorf("request with %d tokens: %v", tokens, err)
+			}
+		})
+	}
+	wg.Wait()
+}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -120,7 +120,8 @@
 }
 
 // PeerGone reports whether the peer of c has closed the connection. It peeks at the socket and leaves its data
-// unread.
+// unread. It does not wait for another goroutine that reads c: once a request is answered, the HTTP server waits there
+// for the next one.
 func PeerGone(c net.Conn) bool {
 	t, ok := c.(*trackedConn)
 	if !ok {
@@ -131,11 +132,10 @@
 		return true
 	}
 	gone := false
-	err = raw.Read(func(fd uintptr) bool {
+	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		gone = n == 0 && err == nil || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
-		return true
 	})
 	return gone || err != nil
 }
