blobs: wait for room when a new segment meets a full disk; test the syncs

Cause: a full disk refuses new files as well as writes. Only writes were repeated; the creation of a segment failed the store for good, and with it the process. Change: createSegment repeats on ENOSPC, as the write does. Sync and the creation of files go through fields that tests replace, as writes do. Ruled out: a failed sync is still final, since the state of the file is unknown after it. Result: TestFullDiskDelaysNewSegment fails before. TestSyncCoversSegmentsAndFolders fails with the sync of segments or of the folders left out; no test did before.

--- a/internal/blobs/blobs.go
+++ b/internal/blobs/blobs.go
@@ -56,6 +56,9 @@
 	folder string
 	// writeAt writes to a segment file; tests replace it to delay or fail writes.
 	writeAt func(f *os.File, value []byte, offset int64) error
+	// createFile creates a segment file, and syncFile syncs a segment file or a folder; tests replace them.
+	createFile func(path string) (*os.File, error)
+	syncFile   func(f *os.File) error
 
 	mu           sync.Mutex
 	changed      sync.Cond // signals changes of queue, pending, writeErr and closed
@@ -99,6 +102,10 @@
 			_, err := f.WriteAt(value, offset)
 			return err
 		},
+		createFile: func(path string) (*os.File, error) {
+			return os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_TRUNC, fileMode)
+		},
+		syncFile: (*os.File).Sync,
 	}
 	s.changed.L = &s.mu
 	if err := os.MkdirAll(s.folder, folderMode); err != nil {
@@ -222,8 +229,16 @@
 	return s.writeErr
 }
 
+// createSegment creates a segment file. On a full disk, which refuses new files too, it waits for room. The caller must
+// hold the mutex, which is released meanwhile.
 func (s *Store) createSegment(number uint64) error {
-	f, err := os.OpenFile(s.path(number), os.O_RDWR|os.O_CREATE|os.O_TRUNC, fileMode)
+	s.mu.Unlock()
+	f, err := s.createFile(s.path(number))
+	for errors.Is(err, syscall.ENOSPC) {
+		time.Sleep(diskFullRetryInterval)
+		f, err = s.createFile(s.path(number))
+	}
+	s.mu.Lock()
 	if err != nil {
 		return storageError(err, "cannot create segment %x", number)
 	}
@@ -342,7 +357,7 @@
 	// A failed sync is not retried, because the state of the file on disk is unknown after it. The process is
 	// expected to exit.
 	for _, f := range files {
-		if err := f.Sync(); err != nil {
+		if err := s.syncFile(f); err != nil {
 			return storageError(err, "cannot sync %s", f.Name())
 		}
 	}
@@ -350,20 +365,20 @@
 		return nil
 	}
 	for _, folder := range []string{s.folder, filepath.Dir(s.folder)} {
-		if err := syncFolder(folder); err != nil {
+		if err := s.syncFolder(folder); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func syncFolder(folder string) error {
+func (s *Store) syncFolder(folder string) error {
 	f, err := os.Open(folder)
 	if err != nil {
 		return storageError(err, "cannot open the folder %s", folder)
 	}
 	defer f.Close()
-	return storageError(f.Sync(), "cannot sync the folder %s", folder)
+	return storageError(s.syncFile(f), "cannot sync the folder %s", folder)
 }
 
 // Retain deletes all segments that are not in used, except the current segment and those with pending writes.
--- a/internal/blobs/blobs_test.go
+++ b/internal/blobs/blobs_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"testing"
 
@@ -231,3 +232,58 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against a Sync that leaves a segment or the directory entry of a new segment unsynced: after a power loss, the
+// values would be missing.
+func TestSyncCoversSegmentsAndFolders(t *testing.T) {
+	folder := t.TempDir()
+	s := openStore(t, folder)
+	var synced []string
+	s.syncFile = func(f *os.File) error {
+		synced = append(synced, f.Name())
+		return nil
+	}
+	large := bytes.Repeat([]byte{1}, SegmentBytes)
+	var want []string
+	for _, value := range [][]byte{large, []byte("small")} { // the second value starts a new segment
+		want = append(want, s.path(appendValue(t, s, value).Segment))
+	}
+	if err := s.Sync(); err != nil {
+		t.Fatal(err)
+	}
+	for _, path := range append(want, s.folder, folder) {
+		if !slices.Contains(synced, path) {
+			t.Errorf("Sync leaves %s unsynced", path)
+		}
+	}
+	synced = nil
+	path := s.path(appendValue(t, s, []byte("more")).Segment)
+	if err := s.Sync(); err != nil || !slices.Contains(synced, path) {
+		t.Errorf("the next Sync leaves %s unsynced: %v", path, err)
+	}
+	s.syncFile = func(*os.File) error { return syscall.EIO }
+	appendValue(t, s, []byte("last"))
+	if err := s.Sync(); !errs.Is(err, errs.StorageFailed) {
+		t.Errorf("a failed sync returns %v", err)
+	}
+}
+
+// Guards against a process that ends because the disk is full when a new segment starts.
+func TestFullDiskDelaysNewSegment(t *testing.T) {
+	s := openStore(t, t.TempDir())
+	create, failures := s.createFile, 2
+	s.createFile = func(path string) (*os.File, error) {
+		if failures > 0 {
+			failures--
+			return nil, &os.PathError{Op: "open", Path: path, Err: syscall.ENOSPC}
+		}
+		return create(path)
+	}
+	ref := appendValue(t, s, []byte("value"))
+	if err := s.Sync(); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := s.Read(ref); err != nil || string(got) != "value" {
+		t.Fatalf("read %q, %v", got, err)
+	}
+}
