forward: one package that sends a request to a service's servers

Cause: the leader will send scorer calls and needs what entry VMs do for callers' requests: the choice of the server, hedging, retries, the record of how each server answered. A second copy of it was to be avoided. Change: forward.go and health.go move from gateway to forward, as Forwarder with a registry and a clock. A request may be marked as repeatable and may forbid idle connections; a response carries its signature, which counts only if the response repeats the request's attempt ID, and the number of earlier responses with status 500. Ruled out: a forwarder inside coordinator, which gateway imports for the calls between VMs; the dependency would point from the entry VMs' forwarding to the leader.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -1,9 +1,12 @@
-package gateway
+// Package forward sends one request to the servers of a service until one of them responds. Entry VMs use it for the
+// requests of callers, the leader for the calls that score finished items.
+package forward
 
 import (
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"filbertledge/internal/api"
@@ -28,6 +31,13 @@
 	Body    []byte
 	// Deadline is when the caller stops waiting for the response.
 	Deadline time.Time
+	// Repeatable allows more than one server to run the request, whatever the kind of its route.
+	Repeatable bool
+	// NewConnection forbids the reuse of an idle connection to a server. A request whose ID was sent before could
+	// otherwise receive a late response to the earlier one.
+	NewConnection bool
+	// ConfigurationVersion is the version of the configuration that determined the route, for the log.
+	ConfigurationVersion uint64
 }
 
 // Response is the complete response of a backend server.
@@ -37,8 +47,16 @@
 	Body    []byte
 	// NotRun is true if the server states that it did not run the request.
 	NotRun bool
-	// Signed is true if the response carries the server's signature header.
-	Signed bool
+	// Signature is the server's signature of the response. It is empty if the response has none, or does not repeat the
+	// ID of the request, so that it may belong to another one.
+	Signature string
+	// EarlierFailures is the number of other servers that ran the request and answered with a signed status 500.
+	EarlierFailures int
+}
+
+// failed reports whether the server ran the request and states that it failed.
+func (r *Response) failed() bool {
+	return r.Signature != "" && !r.NotRun && r.Status == http.StatusInternalServerError
 }
 
 // Exchanger sends requests to backend servers.
@@ -48,6 +66,30 @@
 	Exchange(ctx context.Context, server fleet.Server, r *Request, timeLeft time.Duration) (response *Response, notSent bool, err error)
 }
 
+// Options configures a Forwarder.
+type Options struct {
+	FailureDomain string // of this VM
+	Registry      *fleet.Registry
+	Exchanger     Exchanger
+	Events        *events.Recorder
+	// Clock is the clock of Registry; boottime.Now if it is nil.
+	Clock func() time.Duration
+}
+
+// Forwarder forwards requests and remembers how each server answered. It is safe for concurrent use.
+type Forwarder struct {
+	opts   Options
+	health *healthTracker
+}
+
+// New returns a forwarder.
+func New(o Options) *Forwarder {
+	if o.Clock == nil {
+		o.Clock = boottime.Now
+	}
+	return &Forwarder{opts: o, health: newHealthTracker()}
+}
+
 const (
 	// minHedgeDelay is the shortest time after which a second, hedged attempt of a repeatable request starts. An
 	// ordinary response takes about 20 ms, so a slow one can still arrive before the hedge starts, and the hedge
@@ -88,31 +130,13 @@
 // acceptable reports whether the response is final: the server ran the request, signed the response and reports no
 // failure of its own.
 func (r attemptResult) acceptable() bool {
-	return r.err == nil && !r.response.NotRun && r.response.Signed && r.response.Status < minServerErrorStatus
-}
-
-// MatchRoute returns the route for a host and a path. The error is of kind errs.NotFound only if the leader recently
-// confirmed that the configuration without such a route is the newest, otherwise of kind errs.Unavailable.
-func (g *Gateway) MatchRoute(host, path string) (*routes.Route, error) {
-	c := g.configuration.Load()
-	if c == nil {
-		return nil, errs.New(errs.Unavailable, "call again in a second", "this VM has no configuration yet")
-	}
-	if r := c.Match(host, path); r != nil {
-		return r, nil
-	}
-	if !g.ConfigurationConfirmed() {
-		return nil, errs.New(errs.Unavailable, "call again in a second", "this VM cannot confirm that its configuration is the newest")
-	}
-	return nil, errs.New(errs.NotFound, "check the host and the path", "no route leads to %s%s", host, path)
+	return r.err == nil && !r.response.NotRun && r.response.Signature != "" && r.response.Status < minServerErrorStatus
 }
 
 // Forward sends a request to servers of its route's service until one of them responds. The kind of the error tells
 // whether the request may have run: errs.Unavailable means that it did not; errs.DeadlineExceeded and
 // errs.BackendFailed mean that it may have.
-func (g *Gateway) Forward(ctx context.Context, r *Request, route *routes.Route) (*Response, error) {
-	g.inFlight.Add(1)
-	defer g.inFlight.Add(-1)
+func (f *Forwarder) Forward(ctx context.Context, r *Request, route *routes.Route) (*Response, error) {
 	start := time.Now()
 	deadline := r.Deadline
 	if route.Timeout > 0 && start.Add(route.Timeout).Before(deadline) {
@@ -120,15 +144,15 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline.Add(-responseMargin))
 	defer cancel()
-	f := &forwardState{g: g, request: r, route: route, service: route.PickService(rand.Float64()), deadline: deadline, results: make(chan attemptResult, maxRefusals+defaultMaxAttempts)}
-	response, err := f.run(ctx)
-	g.recordForward(r, route, f, start, response, err)
+	state := &forwardState{forwarder: f, request: r, route: route, service: route.PickService(rand.Float64()), deadline: deadline, results: make(chan attemptResult, maxRefusals+defaultMaxAttempts)}
+	response, err := state.run(ctx)
+	state.record(start, response, err)
 	return response, err
 }
 
 // forwardState is the state of one request while it is forwarded.
 type forwardState struct {
-	g           *Gateway
+	forwarder   *Forwarder
 	request     *Request
 	route       *routes.Route
 	service     string
@@ -137,11 +161,12 @@
 	mayHaveRun  []string // servers that may have run the request
 	refused     []string // servers that did not run it
 	pending     int
+	failures    int // responses with a signed status 500
 	lastFailure attemptResult
 }
 
 func (f *forwardState) maxAttempts() int {
-	if !f.route.Repeatable() {
+	if !f.route.Repeatable() && !f.request.Repeatable {
 		return 1
 	}
 	if f.route.MaxAttempts > 0 {
@@ -161,6 +186,7 @@
 		case result := <-f.results:
 			f.pending--
 			if result.acceptable() {
+				result.response.EarlierFailures = f.failures
 				return result.response, nil
 			}
 			f.recordFailure(result)
@@ -174,7 +200,7 @@
 				return f.failureResponse(ctx)
 			}
 		case <-hedge.C:
-			f.g.health.markOverdue(f.mayHaveRun, boottime.Now())
+			f.forwarder.health.markOverdue(f.mayHaveRun, f.forwarder.opts.Clock())
 			if f.pending == 1 && f.canStartAttempt() {
 				f.startAttempt(ctx)
 			}
@@ -188,6 +214,9 @@
 func (f *forwardState) recordFailure(result attemptResult) {
 	f.lastFailure = result
 	if result.mayHaveRun() {
+		if result.err == nil && result.response.failed() {
+			f.failures++
+		}
 		return
 	}
 	f.refused = append(f.refused, result.server)
@@ -210,7 +239,7 @@
 		return false
 	}
 	if len(f.refused) > 1 && len(f.mayHaveRun) == 0 {
-		sleepWithJitter(ctx, refusalRetryDelay)
+		SleepWithJitter(ctx, refusalRetryDelay)
 	}
 	return f.startAttempt(ctx)
 }
@@ -218,9 +247,9 @@
 // startAttempt sends the request to the server with the lowest expected latency among those that cannot have run it.
 // Each refusal makes a server less preferred. It returns false if there is no such server.
 func (f *forwardState) startAttempt(ctx context.Context) bool {
-	now := boottime.Now()
-	servers := f.g.registry.List(f.service, now)
-	server := f.g.health.choose(servers, f.g.opts.FailureDomain, now, func(id string) int {
+	now := f.forwarder.opts.Clock()
+	servers := f.forwarder.opts.Registry.List(f.service, now)
+	server := f.forwarder.health.choose(servers, f.forwarder.opts.FailureDomain, now, func(id string) int {
 		refusals := 0
 		for _, attempted := range f.mayHaveRun {
 			if attempted == id {
@@ -239,7 +268,7 @@
 	}
 	f.mayHaveRun = append(f.mayHaveRun, server.ID)
 	f.pending++
-	f.g.opts.Events.Record(events.Event{
+	f.forwarder.opts.Events.Record(events.Event{
 		Name: events.RequestDispatched, Request: f.request.ID, Server: api.ServerID(server.ID),
 		Detail: fmt.Sprintf("attempt %d, %s left", len(f.mayHaveRun)+len(f.refused), time.Until(f.deadline).Round(time.Millisecond)),
 	})
@@ -250,11 +279,13 @@
 // exchange sends the request to one server. It is canceled when Forward returns, for example because another server
 // responded first.
 func (f *forwardState) exchange(ctx context.Context, server fleet.Server) {
-	f.g.health.recordStart(server.ID)
-	start := boottime.Now()
-	response, notSent, err := f.g.opts.Exchanger.Exchange(ctx, server, f.request, time.Until(f.deadline))
+	health, clock := f.forwarder.health, f.forwarder.opts.Clock
+	health.recordStart(server.ID)
+	start := clock()
+	response, notSent, err := f.forwarder.opts.Exchanger.Exchange(ctx, server, f.request, time.Until(f.deadline))
 	result := attemptResult{response: response, notSent: notSent, err: err, server: server.ID}
-	f.g.health.recordEnd(server.ID, boottime.Now(), boottime.Now()-start, result, ctx.Err() != nil)
+	now := clock()
+	health.recordEnd(server.ID, now, now-start, result, ctx.Err() != nil)
 	f.results <- result
 }
 
@@ -266,7 +297,10 @@
 		return nil, errs.New(errs.Unavailable, "call again shortly", "no server of %s accepted the request", f.service)
 	case ctx.Err() != nil:
 		return nil, errs.New(errs.DeadlineExceeded, "allow a longer deadline", "no server of %s answered in time", f.service)
-	case f.lastFailure.err == nil && f.lastFailure.response.Signed && !f.lastFailure.response.NotRun && f.lastFailure.response.Status >= minServerErrorStatus:
+	case f.lastFailure.err == nil && f.lastFailure.response.Signature != "" && !f.lastFailure.response.NotRun && f.lastFailure.response.Status >= minServerErrorStatus:
+		if f.lastFailure.response.EarlierFailures = f.failures; f.lastFailure.response.failed() {
+			f.lastFailure.response.EarlierFailures--
+		}
 		return f.lastFailure.response, nil // a signed failure of the server itself is passed on
 	case f.lastFailure.err != nil:
 		return nil, errs.Wrap(f.lastFailure.err, errs.BackendFailed, "call again if the call may be repeated", "server %s failed", f.lastFailure.server)
@@ -275,10 +309,10 @@
 	}
 }
 
-func (g *Gateway) recordForward(r *Request, route *routes.Route, f *forwardState, start time.Time, response *Response, err error) {
-	c := g.configuration.Load()
-	event := events.Event{Name: events.RequestFinished, Request: r.ID, Took: time.Since(start)}
-	detail := fmt.Sprintf("route %s, configuration %d, tried %v, refused %v, %s", route.Name, c.Version, f.mayHaveRun, f.refused, time.Since(start).Round(time.Millisecond))
+// record logs the outcome of the request.
+func (f *forwardState) record(start time.Time, response *Response, err error) {
+	event := events.Event{Name: events.RequestFinished, Request: f.request.ID, Took: time.Since(start)}
+	detail := fmt.Sprintf("route %s, configuration %d, tried %v, refused %v, %s", f.route.Name, f.request.ConfigurationVersion, f.mayHaveRun, f.refused, time.Since(start).Round(time.Millisecond))
 	if err != nil {
 		event.Name = events.RequestFailed
 		if errs.Is(err, errs.Unavailable) {
@@ -289,9 +323,15 @@
 		detail += fmt.Sprintf(", status %d", response.Status)
 	}
 	event.Detail = detail
-	g.opts.Events.Record(event)
+	f.forwarder.opts.Events.Record(event)
 }
 
-func describeVersion(version, term uint64) string {
-	return fmt.Sprintf("version %d from the leader of term %d", version, term)
+// SleepWithJitter sleeps for a random time between d/2 and d, or until ctx ends. Without jitter, all VMs would call
+// again at the same moment after a common failure.
+func SleepWithJitter(ctx context.Context, d time.Duration) {
+	jitter := time.Duration(rand.Int64N(int64(d)/2 + 1))
+	select {
+	case <-ctx.Done():
+	case <-time.After(d/2 + jitter):
+	}
 }
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -1,4 +1,4 @@
-package gateway
+package forward
 
 import (
 	"context"
@@ -24,7 +24,7 @@
 
 func respondWith(status int) serverBehavior {
 	return func(context.Context) (*Response, bool, error) {
-		return &Response{Status: status, Signed: true}, false, nil
+		return &Response{Status: status, Signature: "signed"}, false, nil
 	}
 }
 
@@ -66,24 +66,18 @@
 	return next(ctx)
 }
 
-func newGateway(t *testing.T, behaviors map[string][]serverBehavior) (*Gateway, *fakeServers) {
-	t.Helper()
+var testRoutes = []routes.Route{
+	{Name: "safe", Host: "h", Prefix: "/safe/", Kind: routes.Idempotent, Timeout: 400 * time.Millisecond, MaxAttempts: 2, ServiceWeights: []routes.ServiceWeight{{Service: "app", Weight: 1}}},
+	{Name: "once", Host: "h", Prefix: "/once/", Kind: routes.NonIdempotent, Timeout: 400 * time.Millisecond, MaxAttempts: 2, ServiceWeights: []routes.ServiceWeight{{Service: "app", Weight: 1}}},
+}
+
+func newForwarder(behaviors map[string][]serverBehavior) (*Forwarder, *fakeServers) {
 	f := &fakeServers{behaviors: behaviors}
-	g := New(Options{
-		Name: "vm", FailureDomain: "a", AnnounceInterval: time.Second, Exchanger: f,
-		Events: events.NewLogRecorder(api.VMID("vm"), io.Discard),
-	})
-	g.configuration.Store(&routes.Configuration{
-		Version: 1, Services: []routes.Service{{Name: "app"}},
-		Routes: []routes.Route{
-			{Name: "safe", Host: "h", Prefix: "/safe/", Kind: routes.Idempotent, Timeout: 400 * time.Millisecond, MaxAttempts: 2, ServiceWeights: []routes.ServiceWeight{{Service: "app", Weight: 1}}},
-			{Name: "once", Host: "h", Prefix: "/once/", Kind: routes.NonIdempotent, Timeout: 400 * time.Millisecond, MaxAttempts: 2, ServiceWeights: []routes.ServiceWeight{{Service: "app", Weight: 1}}},
-		},
-	})
+	registry := fleet.NewRegistry(time.Second)
 	for i, zone := range []string{"a", "b", "b"} {
-		g.registry.Announce(fleet.Server{ID: fmt.Sprintf("s%d", i), Service: "app", Address: fmt.Sprintf("10.0.0.%d:1", i), FailureDomain: zone, Incarnation: 1}, boottime.Now())
+		registry.Announce(fleet.Server{ID: fmt.Sprintf("s%d", i), Service: "app", Address: fmt.Sprintf("10.0.0.%d:1", i), FailureDomain: zone, Incarnation: 1}, boottime.Now())
 	}
-	return g, f
+	return New(Options{FailureDomain: "a", Registry: registry, Exchanger: f, Events: events.NewLogRecorder(api.VMID("vm"), io.Discard)}), f
 }
 
 // Guards against a request that is not retried although it may be, that is sent again although the route is not
@@ -113,8 +107,8 @@
 		"once: own failure is passed on":  {1, map[string][]serverBehavior{"s0": {respondWith(500)}}, 500, "", 1},
 	} {
 		t.Run(name, func(t *testing.T) {
-			g, f := newGateway(t, tc.behaviors)
-			route := &g.Configuration().Routes[tc.route]
+			g, f := newForwarder(tc.behaviors)
+			route := &testRoutes[tc.route]
 			started := time.Now()
 			response, err := g.Forward(context.Background(), &Request{ID: "r", Deadline: started.Add(5 * time.Second)}, route)
 			if took := time.Since(started); took > route.Timeout+200*time.Millisecond {
@@ -134,12 +128,12 @@
 
 // Guards against a request that waits for its deadline although its service has no server.
 func TestForwardFailsAtOnceWithoutServers(t *testing.T) {
-	g, _ := newGateway(t, nil)
+	g, _ := newForwarder(nil)
 	for _, id := range []string{"s0", "s1", "s2"} {
-		g.registry.MarkLeaving(id, 0)
+		g.opts.Registry.MarkLeaving(id, 0)
 	}
 	started := time.Now()
-	_, err := g.Forward(context.Background(), &Request{Deadline: started.Add(time.Second)}, &g.Configuration().Routes[0])
+	_, err := g.Forward(context.Background(), &Request{Deadline: started.Add(time.Second)}, &testRoutes[0])
 	if !errs.Is(err, errs.Unavailable) || time.Since(started) > 100*time.Millisecond {
 		t.Fatalf("%v after %s", err, time.Since(started))
 	}
@@ -147,8 +141,8 @@
 
 // Guards against a hedged attempt that tells its server the full time instead of what remains of it.
 func TestForwardPassesRemainingTimeToServers(t *testing.T) {
-	g, f := newGateway(t, map[string][]serverBehavior{"s0": {hang}})
-	if _, err := g.Forward(context.Background(), &Request{Deadline: time.Now().Add(5 * time.Second)}, &g.Configuration().Routes[0]); err != nil {
+	g, f := newForwarder(map[string][]serverBehavior{"s0": {hang}})
+	if _, err := g.Forward(context.Background(), &Request{Deadline: time.Now().Add(5 * time.Second)}, &testRoutes[0]); err != nil {
 		t.Fatal(err)
 	}
 	f.mu.Lock()
@@ -161,13 +155,13 @@
 // Guards against a server that goes on working for a caller that closed its connection.
 func TestForwardCancelsExchangeWhenCallerLeaves(t *testing.T) {
 	ended := make(chan struct{})
-	g, _ := newGateway(t, map[string][]serverBehavior{"s0": {func(ctx context.Context) (*Response, bool, error) {
+	g, _ := newForwarder(map[string][]serverBehavior{"s0": {func(ctx context.Context) (*Response, bool, error) {
 		defer close(ended)
 		return hang(ctx)
 	}}})
 	ctx, leave := context.WithCancel(context.Background())
 	time.AfterFunc(10*time.Millisecond, leave)
-	if _, err := g.Forward(ctx, &Request{Deadline: time.Now().Add(5 * time.Second)}, &g.Configuration().Routes[1]); err == nil {
+	if _, err := g.Forward(ctx, &Request{Deadline: time.Now().Add(5 * time.Second)}, &testRoutes[1]); err == nil {
 		t.Fatal("Forward succeeded after its context was canceled")
 	}
 	select {
@@ -177,29 +171,6 @@
 	}
 }
 
-// Guards against a caller that is told that a route does not exist because this VM has an old configuration.
-func TestMatchRouteReportsNotFoundOnlyWhenConfirmed(t *testing.T) {
-	g, _ := newGateway(t, nil)
-	if _, err := g.MatchRoute("h", "/none/"); !errs.Is(err, errs.Unavailable) {
-		t.Fatalf("an unconfirmed configuration: %v", err)
-	}
-	g.confirmedAt.Store(int64(boottime.Now()))
-	if _, err := g.MatchRoute("h", "/none/"); !errs.Is(err, errs.NotFound) {
-		t.Fatalf("a confirmed configuration: %v", err)
-	}
-	g.confirmedAt.Store(int64(boottime.Now() - confirmationTTL))
-	if _, err := g.MatchRoute("h", "/none/"); !errs.Is(err, errs.Unavailable) {
-		t.Fatalf("a configuration that was confirmed long ago: %v", err)
-	}
-	if r, err := g.MatchRoute("h", "/safe/x"); err != nil || r.Name != "safe" {
-		t.Fatalf("a known route: %v, %v", r, err)
-	}
-	g.configuration.Store(nil)
-	if _, err := g.MatchRoute("h", "/safe/x"); !errs.Is(err, errs.Unavailable) || g.Ready() {
-		t.Fatalf("without a configuration: %v", err)
-	}
-}
-
 // Guards against requests to a server that just failed or is leaving while another one is available.
 func TestChooseAvoidsFailedServer(t *testing.T) {
 	tracker := newHealthTracker()
--- a/internal/forward/health.go
+++ b/internal/forward/health.go
@@ -1,4 +1,4 @@
-package gateway
+package forward
 
 import (
 	"sync"
--- a/internal/gateway/batches.go
+++ b/internal/gateway/batches.go
@@ -7,6 +7,7 @@
 	"filbertledge/internal/coordinator"
 	"filbertledge/internal/errs"
 	"filbertledge/internal/events"
+	"filbertledge/internal/forward"
 	"filbertledge/internal/link"
 	"filbertledge/internal/rollout"
 )
@@ -78,6 +79,6 @@
 		if !notRun || !first {
 			return reply, err
 		}
-		sleepWithJitter(ctx, leaderRetryDelay)
+		forward.SleepWithJitter(ctx, leaderRetryDelay)
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -16,6 +15,7 @@
 	"filbertledge/internal/errs"
 	"filbertledge/internal/events"
 	"filbertledge/internal/fleet"
+	"filbertledge/internal/forward"
 	"filbertledge/internal/link"
 	"filbertledge/internal/routes"
 )
@@ -47,16 +47,16 @@
 	Seeds         []string // addresses of VMs that hold the state; they may be out of date
 	// AnnounceInterval is the time between two announcements of a backend server.
 	AnnounceInterval time.Duration
-	Exchanger        Exchanger
+	Exchanger        forward.Exchanger
 	Events           *events.Recorder
 }
 
 // Gateway forwards the requests and batch calls of an entry VM. Its methods are safe for concurrent use.
 type Gateway struct {
-	opts     Options
-	client   *link.Client
-	registry *fleet.Registry
-	health   *healthTracker
+	opts      Options
+	client    *link.Client
+	registry  *fleet.Registry
+	forwarder *forward.Forwarder
 
 	configuration atomic.Pointer[routes.Configuration]
 	confirmedAt   atomic.Int64 // when the last answered follow call was sent, in nanoseconds since boot
@@ -71,9 +71,10 @@
 
 // New returns a gateway without a configuration. Run obtains one.
 func New(o Options) *Gateway {
+	registry := fleet.NewRegistry(o.AnnounceInterval)
 	return &Gateway{
-		opts: o, client: link.NewClient(), registry: fleet.NewRegistry(o.AnnounceInterval), health: newHealthTracker(),
-		seeds: o.Seeds, leaderFound: make(chan struct{}),
+		opts: o, client: link.NewClient(), registry: registry, seeds: o.Seeds, leaderFound: make(chan struct{}),
+		forwarder: forward.New(forward.Options{FailureDomain: o.FailureDomain, Registry: registry, Exchanger: o.Exchanger, Events: o.Events}),
 	}
 }
 
@@ -107,6 +108,32 @@
 	return boottime.Now()-time.Duration(g.confirmedAt.Load()) < confirmationTTL
 }
 
+// MatchRoute returns the route for a host and a path. The error is of kind errs.NotFound only if the leader recently
+// confirmed that the configuration without such a route is the newest, otherwise of kind errs.Unavailable.
+func (g *Gateway) MatchRoute(host, path string) (*routes.Route, error) {
+	c := g.configuration.Load()
+	if c == nil {
+		return nil, errs.New(errs.Unavailable, "call again in a second", "this VM has no configuration yet")
+	}
+	if r := c.Match(host, path); r != nil {
+		return r, nil
+	}
+	if !g.ConfigurationConfirmed() {
+		return nil, errs.New(errs.Unavailable, "call again in a second", "this VM cannot confirm that its configuration is the newest")
+	}
+	return nil, errs.New(errs.NotFound, "check the host and the path", "no route leads to %s%s", host, path)
+}
+
+// Forward sends a request to servers of its route's service, as forward.Forwarder.Forward does.
+func (g *Gateway) Forward(ctx context.Context, r *forward.Request, route *routes.Route) (*forward.Response, error) {
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
+	if c := g.configuration.Load(); c != nil {
+		r.ConfigurationVersion = c.Version
+	}
+	return g.forwarder.Forward(ctx, r, route)
+}
+
 // RecordRefusal records an event for a refused call, with the version of the configuration that was in force.
 func (g *Gateway) RecordRefusal(id string, err error) {
 	detail := "no configuration"
@@ -136,7 +163,7 @@
 				lostAt = time.Now()
 				g.opts.Events.Record(events.Event{Name: events.DependencyLost, Detail: "leader at " + leader + ": " + err.Error()})
 			}
-			sleepWithJitter(ctx, leaderRetryDelay)
+			forward.SleepWithJitter(ctx, leaderRetryDelay)
 			continue
 		}
 		g.confirmedAt.Store(int64(sentAt))
@@ -324,12 +351,6 @@
 	}
 }
 
-// sleepWithJitter sleeps for a random time between d/2 and d, or until ctx ends. Without jitter, all entry VMs would
-// call at the same moment after the leader is lost.
-func sleepWithJitter(ctx context.Context, d time.Duration) {
-	jitter := time.Duration(rand.Int64N(int64(d)/2 + 1))
-	select {
-	case <-ctx.Done():
-	case <-time.After(d/2 + jitter):
-	}
+func describeVersion(version, term uint64) string {
+	return fmt.Sprintf("version %d from the leader of term %d", version, term)
 }
--- a/internal/gateway/refusal_test.go
+++ b/internal/gateway/refusal_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bytes"
+	"io"
 	"strings"
 	"testing"
 
 	"filbertledge/internal/api"
+	"filbertledge/internal/boottime"
+	"filbertledge/internal/errs"
 	"filbertledge/internal/events"
 	"filbertledge/internal/routes"
 )
@@ -27,3 +30,27 @@
 		}
 	}
 }
+
+// Guards against a caller that is told that a route does not exist because this VM has an old configuration.
+func TestMatchRouteReportsNotFoundOnlyWhenConfirmed(t *testing.T) {
+	g := New(Options{Name: "vm", Events: events.NewLogRecorder(api.VMID("vm"), io.Discard)})
+	g.configuration.Store(&routes.Configuration{Version: 1, Routes: []routes.Route{{Name: "safe", Host: "h", Prefix: "/safe/", Kind: routes.Idempotent}}})
+	if _, err := g.MatchRoute("h", "/none/"); !errs.Is(err, errs.Unavailable) {
+		t.Fatalf("an unconfirmed configuration: %v", err)
+	}
+	g.confirmedAt.Store(int64(boottime.Now()))
+	if _, err := g.MatchRoute("h", "/none/"); !errs.Is(err, errs.NotFound) {
+		t.Fatalf("a confirmed configuration: %v", err)
+	}
+	g.confirmedAt.Store(int64(boottime.Now() - confirmationTTL))
+	if _, err := g.MatchRoute("h", "/none/"); !errs.Is(err, errs.Unavailable) {
+		t.Fatalf("a configuration that was confirmed long ago: %v", err)
+	}
+	if r, err := g.MatchRoute("h", "/safe/x"); err != nil || r.Name != "safe" {
+		t.Fatalf("a known route: %v, %v", r, err)
+	}
+	g.configuration.Store(nil)
+	if _, err := g.MatchRoute("h", "/safe/x"); !errs.Is(err, errs.Unavailable) || g.Ready() {
+		t.Fatalf("without a configuration: %v", err)
+	}
+}
