Reward calls: score the texts of items before they are listed

Cause: items that name a scorer call were listed without a score.

Change: an item may name a call (host, path, body, ID). When its text is complete, the leader sends the call to a server of its route (internal/coordinator/scoring.go, through package forward: hedged, retried, each server's health recorded), and commits the result with the signature of the successful response in one command. Progress records that a text is complete, so the next leader scores it without running it again. Which call goes first, how many run at once and when one is repeated are pure functions (internal/scheduling/calls.go). Responses with status 500 are counted apart from failed generations; after the larger of the two routes' max-attempts the item is given up. platform/ decodes scorer-url and encodes sample-score.

Ruled out: using the kept score of a carried-over text (its call belongs to the ended batch; it is scored again with the new call). Counting refusals, resets and time-outs as failures. Reusing a connection for a repeated call, on which a late answer to the earlier one may arrive. internal/scoring, the JSON scoring client of `serve`, has another protocol (URL, number as result); the two share no code but the idea of a call with bounded attempts.

--- a/internal/coordinator/fakes_test.go
+++ b/internal/coordinator/fakes_test.go
@@ -28,6 +28,9 @@
 	testService = "llm"
 	testModel   = "m"
 	testHost    = "h.example"
+
+	testScorerService      = "scorer"
+	testOtherScorerService = "scorer-2"
 )
 
 // fakeEngines is an EngineClient with engines in memory. The output of an item depends only on its ID, as with a
@@ -37,12 +40,13 @@
 	versions      map[string]uint64 // by server
 	sequence      map[string]uint64
 	orders        []receivedOrder
-	started       map[string]int  // number of runs by item
-	resumedAfter  map[string]int  // highest event after which a run continued, by item
-	unresponsive  map[string]bool // servers that do not answer
-	failingRuns   map[string]int  // number of next runs that fail on the server, by item
-	unprocessable map[string]bool // items that no engine can run
-	activeStreams int             // streams that are open
+	started       map[string]int       // number of runs by item
+	resumedAfter  map[string]int       // highest event after which a run continued, by item
+	unresponsive  map[string]bool      // servers that do not answer
+	failingRuns   map[string]int       // number of next runs that fail on the server, by item
+	unprocessable map[string]bool      // items that no engine can run
+	lastEventAt   map[string]time.Time // when the last event of an item was generated
+	activeStreams int                  // streams that are open
 	eventsPerItem int
 	eventInterval time.Duration  // time between events
 	slowdown      map[string]int // factor of the event interval, by server
@@ -56,7 +60,7 @@
 func newFakeEngines() *fakeEngines {
 	return &fakeEngines{
 		versions: map[string]uint64{}, sequence: map[string]uint64{}, started: map[string]int{}, resumedAfter: map[string]int{},
-		unresponsive: map[string]bool{}, slowdown: map[string]int{}, failingRuns: map[string]int{}, unprocessable: map[string]bool{}, eventsPerItem: 5, eventInterval: time.Millisecond,
+		unresponsive: map[string]bool{}, slowdown: map[string]int{}, failingRuns: map[string]int{}, unprocessable: map[string]bool{}, lastEventAt: map[string]time.Time{}, eventsPerItem: 5, eventInterval: time.Millisecond,
 	}
 }
 
@@ -137,6 +141,9 @@
 		return StreamEvent{}, io.EOF
 	}
 	ev := StreamEvent{Number: s.nextEvent, Data: eventText(s.id, s.nextEvent), Version: s.engines.version(s.server)}
+	s.engines.mu.Lock()
+	s.engines.lastEventAt[s.id] = time.Now()
+	s.engines.mu.Unlock()
 	s.nextEvent++
 	return ev, nil
 }
@@ -161,6 +168,7 @@
 type cluster struct {
 	t         *testing.T
 	engines   *fakeEngines
+	scorers   *fakeScorers
 	mu        sync.Mutex // guards nodes and stops
 	nodes     []*Node
 	stops     []context.CancelFunc
@@ -171,7 +179,7 @@
 
 func startCluster(t *testing.T, size int) *cluster {
 	t.Helper()
-	c := &cluster{t: t, engines: newFakeEngines()}
+	c := &cluster{t: t, engines: newFakeEngines(), scorers: newFakeScorers()}
 	for range size {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -201,7 +209,7 @@
 	n, err := New(Options{
 		Name: name, FailureDomain: fmt.Sprintf("zone-%d", i), Address: c.addresses[i], Seeds: c.addresses[:seedCount], Bootstrap: bootstrap,
 		DataDir: c.dataDirs[i], FaultTolerance: 1, AnnounceInterval: 200 * time.Millisecond, OrderHandoverDelay: 300 * time.Millisecond,
-		EnginesEnforceFencing: true, Retention: time.Minute, EngineClient: c.engines,
+		EnginesEnforceFencing: true, Retention: time.Minute, EngineClient: c.engines, Exchanger: c.scorers,
 		Events: events.NewLogRecorder(api.VMID(name), io.Discard), Fatal: func(err error) { c.t.Error(err) },
 	})
 	if err != nil {
@@ -283,21 +291,29 @@
 	})
 }
 
-func (c *cluster) configure(version uint64) {
+// configure commits a configuration with the route of the batches and the given other routes.
+func (c *cluster) configure(version uint64, other ...routes.Route) {
 	c.t.Helper()
 	c.callLeader("the commit of the configuration", func(ctx context.Context, n *Node) error {
 		return n.Configure(ctx, &routes.Configuration{
-			Version: version, Document: fmt.Appendf(nil, "v%d", version), Services: []routes.Service{{Name: testService, Models: []string{testModel}}},
-			Routes: []routes.Route{{
+			Version: version, Document: fmt.Appendf(nil, "v%d", version),
+			Services: []routes.Service{{Name: testService, Models: []string{testModel}}, {Name: testScorerService}, {Name: testOtherScorerService}},
+			Routes: append([]routes.Route{{
 				Name: "r", Host: testHost, Prefix: "/p/", Kind: routes.Rollout, MaxAttempts: 2, ItemLifetime: time.Minute,
 				ServiceWeights: []routes.ServiceWeight{{Service: testService, Weight: 1}},
-			}},
+			}}, other...),
 		})
 	})
 }
 
 // announceServers announces count servers repeatedly until the test ends.
 func (c *cluster) announceServers(count, slots int) {
+	c.t.Helper()
+	c.announceService(testService, "s", count, slots)
+}
+
+// announceService announces count servers of a service, whose IDs begin with prefix, repeatedly until the test ends.
+func (c *cluster) announceService(service, prefix string, count, slots int) {
 	c.t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
@@ -305,10 +321,12 @@
 	wg.Go(func() {
 		for sequence := uint64(1); ctx.Err() == nil; sequence++ {
 			for s := range count {
-				id := fmt.Sprintf("s%d", s)
+				id := fmt.Sprintf("%s%d", prefix, s)
 				v := fleet.Server{
-					ID: id, Service: testService, Address: fmt.Sprintf("10.0.0.%d:80", s), FailureDomain: "z", Incarnation: 1, Sequence: sequence, Slots: slots,
-					Models: []fleet.LoadedModel{{Name: testModel, Version: c.engines.version(id)}},
+					ID: id, Service: service, Address: fmt.Sprintf("10.0.%d.%d:80", prefix[0], s), FailureDomain: "z", Incarnation: 1, Sequence: sequence, Slots: slots,
+				}
+				if service == testService {
+					v.Models = []fleet.LoadedModel{{Name: testModel, Version: c.engines.version(id)}}
 				}
 				for _, n := range c.runningNodes() {
 					callCtx, cancel := context.WithTimeout(ctx, time.Second)
@@ -326,10 +344,19 @@
 
 func (c *cluster) submitBatch(id string, items int, minVersion uint64) *rollout.Batch {
 	c.t.Helper()
+	return c.submit(newBatch(id, items, minVersion))
+}
+
+func newBatch(id string, items int, minVersion uint64) *rollout.Batch {
 	b := &rollout.Batch{ID: id, Host: testHost, Path: "/p/x", Model: testModel, MinVersion: minVersion}
 	for i := range items {
 		b.Items = append(b.Items, rollout.Item{ID: fmt.Sprintf("%s-%d", id, i), Path: "/p/i", Body: []byte("body"), Group: fmt.Sprintf("%s-g%d", id, i/itemsPerGroup)})
 	}
+	return b
+}
+
+func (c *cluster) submit(b *rollout.Batch) *rollout.Batch {
+	c.t.Helper()
 	c.callLeader("the submission of the batch", func(ctx context.Context, n *Node) error {
 		_, err := callLeader(ctx, n, MethodSubmitBatch, (*session).submit, b)
 		return err
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -15,6 +15,7 @@
 	"filbertledge/internal/errs"
 	"filbertledge/internal/events"
 	"filbertledge/internal/fleet"
+	"filbertledge/internal/forward"
 	"filbertledge/internal/link"
 	"filbertledge/internal/raft"
 	"filbertledge/internal/replica"
@@ -78,6 +79,7 @@
 	// Retention is how long after its submission an ended batch stays readable.
 	Retention    time.Duration
 	EngineClient EngineClient
+	Exchanger    forward.Exchanger // sends the scorer calls
 	Events       *events.Recorder
 	// Fatal ends the process after a disk failure.
 	Fatal func(error)
@@ -90,6 +92,7 @@
 	texts        *blobs.Store
 	state        *rollout.State
 	registry     *fleet.Registry
+	forwarder    *forward.Forwarder // sends the scorer calls while this VM leads
 	client       *link.Client
 	server       *link.Server
 	session      atomic.Pointer[session] // set while this VM leads
@@ -109,6 +112,7 @@
 	n.server.OnMalformedFrame = func(remote string, err error) {
 		o.Events.Log().WithField("remote", remote).WithError(err).Warn("another VM sent a malformed frame")
 	}
+	n.forwarder = forward.New(forward.Options{FailureDomain: o.FailureDomain, Registry: n.registry, Exchanger: o.Exchanger, Events: o.Events})
 	n.state.OnApplied = n.onApplied
 	n.state.OnFailure = o.Fatal
 	self := raft.Member{Name: o.Name, FailureDomain: o.FailureDomain, Address: o.Address}
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -225,7 +225,7 @@
 	}
 	if err == nil {
 		e.failures = 0
-		s.finishItem(t, rollout.Result{Item: t.item, Completed: true, Text: t.text, Versions: t.versions})
+		s.completeText(t)
 		return
 	}
 	t.state = taskWaiting
@@ -402,9 +402,13 @@
 	select {
 	case s.results <- rollout.BatchResult{Batch: t.batch.ID, Result: r}:
 	default:
-		// The queue holds more results than all engines produce in a second. If it is full, the item runs again.
+		// The queue holds more results than all engines produce in a second. If it is full, the item runs or is scored
+		// again.
 		t.state, t.completed = taskWaiting, false
 		t.group.unfinished++
+		if t.textComplete {
+			s.waitForScore(t)
+		}
 	}
 }
 
@@ -423,9 +427,10 @@
 		late := timeOfDay.After(b.giveUpAt)
 		for _, t := range b.tasks {
 			switch {
-			case late && t.state == taskWaiting:
+			case late && (t.state == taskWaiting || s.unscored[t]):
+				delete(s.unscored, t)
 				s.finishItem(t, rollout.Result{Item: t.item})
-			case late && t.state == taskRunning:
+			case late && (t.state == taskRunning || t.state == taskScoring):
 				t.cancel()
 			case t.state == taskRunning && !t.moving:
 				s.checkRun(t, now, medians, freeSlots)
@@ -557,6 +562,7 @@
 		// If the item has started again since, the committed text is not part of its current text.
 		if t.restarts == restarts[i] {
 			t.committedBytes = max(t.committedBytes, list[i].Offset+len(list[i].Text))
+			t.completeCommitted = t.completeCommitted || list[i].Complete
 		}
 	}
 	return true
@@ -568,12 +574,12 @@
 	defer s.mu.Unlock()
 	for _, b := range s.batchesByAge {
 		for _, t := range b.tasks {
-			if t.state == taskFinished || len(t.text) == t.committedBytes {
+			if t.state == taskFinished || len(t.text) == t.committedBytes && t.textComplete == t.completeCommitted {
 				continue
 			}
 			tasks, restarts = append(tasks, t), append(restarts, t.restarts)
 			list = append(list, rollout.Progress{
-				Batch: b.ID, Item: t.item, Offset: t.committedBytes, Text: slices.Clone(t.text[t.committedBytes:]), Events: t.events, Versions: t.versions,
+				Batch: b.ID, Item: t.item, Offset: t.committedBytes, Text: slices.Clone(t.text[t.committedBytes:]), Events: t.events, Versions: t.versions, Complete: t.textComplete,
 			})
 		}
 	}
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -32,12 +32,15 @@
 	serversSignal  chan struct{}            // closed and replaced when the servers change
 	results        chan rollout.BatchResult // results to commit
 	schedulerWake  chan struct{}            // makes scheduleLoop check the waiting items
+	scorerWake     chan struct{}            // makes scoreLoop check the texts that wait for a score
+	unscored       map[*task]bool           // tasks in taskScoring without a call in progress
+	runningCalls   map[string]int           // scorer calls in progress by service
 	loaderWake     chan struct{}            // makes loadLoop check the versions of the engines
 	promptCachedOn map[string]string        // prompt key to the ID of the server whose engine has processed the prompt
 	// publishedAt is when the newest version of each model was published, if that was during this leadership.
 	publishedAt map[string]time.Duration
 	// reusableTexts holds the texts of unfinished groups of ended batches, by item ID.
-	reusableTexts map[string]reusableText
+	reusableTexts map[string]rollout.Partial
 }
 
 // batch is a batch that has not ended.
@@ -63,6 +66,7 @@
 const (
 	taskWaiting taskState = iota
 	taskRunning
+	taskScoring // the text is complete and its score is missing
 	taskFinished
 )
 
@@ -89,21 +93,26 @@
 	// committedBytes is how many bytes of the text are in the replicated state.
 	committedBytes int
 	restarts       int  // number of times the text was discarded
-	completed      bool // the text is complete
+	textComplete   bool // the text ends with its last event
+	// completeCommitted is true if the replicated state records that the text is complete.
+	completeCommitted bool
+	completed         bool // the result was queued as completed
+
+	calls        int // scorer calls so far, not counting hedged attempts
+	callFailures int // responses of scorers that report a failure of their own
+	callBackoff  time.Duration
+	callAfter    time.Time // no call is sent before
+	// missingRouteLogged is true if the log says that no route leads to the scorer.
+	missingRouteLogged bool
 }
 
 // discardText drops the text, so that the item starts again from the beginning.
 func (t *task) discardText() {
 	t.text, t.events, t.versions, t.committedBytes = nil, 0, nil, 0
+	t.textComplete, t.completeCommitted = false, false
 	t.restarts++
 }
 
-// reusableText is the text of an item of an ended batch, for a later batch that contains the same item.
-type reusableText struct {
-	rollout.Partial
-	complete bool
-}
-
 // engineState is what the leader knows of a server's engine besides the server's announcements.
 type engineState struct {
 	incarnation      int64 // identifies the start of the server
@@ -131,9 +140,10 @@
 	return &session{
 		node: n, ctx: ctx, term: term,
 		batches: map[string]*batch{}, seenGroups: map[string]bool{}, engines: map[string]*engineState{}, promptCachedOn: map[string]string{},
-		reusableTexts: map[string]reusableText{}, publishedAt: map[string]time.Duration{},
+		reusableTexts: map[string]rollout.Partial{}, publishedAt: map[string]time.Duration{},
 		serversSignal: make(chan struct{}), results: make(chan rollout.BatchResult, resultQueueSize),
-		schedulerWake: make(chan struct{}, 1), loaderWake: make(chan struct{}, 1),
+		schedulerWake: make(chan struct{}, 1), loaderWake: make(chan struct{}, 1), scorerWake: make(chan struct{}, 1),
+		unscored: map[*task]bool{}, runningCalls: map[string]int{},
 	}
 }
 
@@ -152,6 +162,7 @@
 	}
 	s.addOpenBatches()
 	go s.scheduleLoop()
+	go s.scoreLoop()
 	go s.resultLoop()
 	go s.progressLoop()
 	go s.loadLoop()
@@ -216,9 +227,15 @@
 		}
 		if p, ok := open.Partials[i]; ok {
 			t.text, t.events, t.versions, t.committedBytes = p.Text, p.Events, p.Versions, len(p.Text)
+			t.textComplete, t.completeCommitted = p.Complete, p.Complete
 		}
 		b.tasks = append(b.tasks, t)
 	}
+	for _, t := range b.tasks {
+		if t.textComplete && t.state == taskWaiting {
+			s.completeText(t)
+		}
+	}
 	s.reuseTexts(b)
 	if len(s.seenGroups) > maxSeenGroups {
 		clear(s.seenGroups) // a group recurs only in the next few steps
@@ -249,10 +266,10 @@
 		t.text, t.events, t.versions = reusable.Text, reusable.Events, reusable.Versions
 		s.record(events.Event{
 			Name: events.ItemReused, Request: id,
-			Detail: fmt.Sprintf("batch %s, %d events of versions %v, complete %t", b.ID, reusable.Events, reusable.Versions, reusable.complete),
+			Detail: fmt.Sprintf("batch %s, %d events of versions %v, complete %t", b.ID, reusable.Events, reusable.Versions, reusable.Complete),
 		})
-		if reusable.complete {
-			s.finishItem(t, rollout.Result{Item: t.item, Completed: true, Text: t.text, Versions: t.versions})
+		if reusable.Complete {
+			s.completeText(t) // a score that the text has from the earlier batch is not used again
 		}
 	}
 }
@@ -265,9 +282,8 @@
 	for _, t := range b.tasks {
 		failed := t.state == taskFinished && !t.completed
 		if t.group.unfinished > 0 && t.events > 0 && !failed && len(b.Items[t.item].Group) > 0 {
-			s.reusableTexts[b.Items[t.item].ID] = reusableText{
-				Partial:  rollout.Partial{Text: slices.Clone(t.text), Events: t.events, Versions: slices.Clone(t.versions)},
-				complete: t.completed,
+			s.reusableTexts[b.Items[t.item].ID] = rollout.Partial{
+				Text: slices.Clone(t.text), Events: t.events, Versions: slices.Clone(t.versions), Complete: t.textComplete,
 			}
 		}
 	}
@@ -303,6 +319,7 @@
 		s.wakeLoader()
 	case c.Configure != nil:
 		s.wakeScheduler()
+		s.wakeScorer()
 		s.wakeLoader()
 	case c.Depart != nil:
 		s.signalServers()
@@ -326,10 +343,11 @@
 	}
 	s.keepReusableTexts(b)
 	for _, t := range b.tasks {
-		if t.state == taskRunning {
+		if t.cancel != nil {
 			t.cancel()
 		}
 		t.state = taskFinished
+		delete(s.unscored, t)
 	}
 	for name := range b.groups {
 		delete(s.promptCachedOn, promptKey(b, name))
@@ -345,6 +363,14 @@
 	}
 }
 
+// wakeScorer makes scoreLoop check the texts that wait for a score.
+func (s *session) wakeScorer() {
+	select {
+	case s.scorerWake <- struct{}{}:
+	default:
+	}
+}
+
 // wakeLoader makes loadLoop check the versions of the engines.
 func (s *session) wakeLoader() {
 	select {
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -87,12 +87,15 @@
 	ConfigurationRefused  Name = "config.refused"
 	BatchAccepted         Name = "batch.accepted"
 	BatchEnded            Name = "batch.ended"
-	ItemPlaced            Name = "item.placed"        // started on an engine
-	ItemResumed           Name = "item.resumed"       // continued on an engine from its partial text
-	ItemRefused           Name = "item.refused"       // its run on an engine failed
-	ItemMoved             Name = "item.moved"         // its run was canceled, to be continued on another engine
-	ItemReused            Name = "item.reused"        // begins with the text that an earlier batch left unfinished
-	ItemListed            Name = "item.listed"        // its result was added to the results of the batch
+	ItemPlaced            Name = "item.placed"          // started on an engine
+	ItemResumed           Name = "item.resumed"         // continued on an engine from its partial text
+	ItemRefused           Name = "item.refused"         // its run on an engine failed
+	ItemMoved             Name = "item.moved"           // its run was canceled, to be continued on another engine
+	ItemReused            Name = "item.reused"          // begins with the text that an earlier batch left unfinished
+	ItemListed            Name = "item.listed"          // its result was added to the results of the batch
+	ScoreRequested        Name = "item.score_requested" // the scorer call of a complete text was sent
+	ScoreReceived         Name = "item.scored"
+	ScoreFailed           Name = "item.score_failed"  // no score; the call is sent again, or the item is given up
 	LabelRefused          Name = "item.label_refused" // the engine reported weights older than the batch allows
 )
 
@@ -216,7 +219,7 @@
 // requests.
 func levelOf(n Name) logrus.Level {
 	switch n {
-	case RequestReceived, RequestDispatched, RequestFinished, SampleFinished, SampleDelivered, SampleAcknowledged:
+	case RequestReceived, RequestDispatched, RequestFinished, ScoreRequested, SampleFinished, SampleDelivered, SampleAcknowledged:
 		return logrus.DebugLevel
 	case RequestRefused, RequestFailed, CallUnknown, TableLeaseExpired, VMLost, SwapFailed, CredentialRefused, ReplicaRefused:
 		return logrus.WarnLevel
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -34,6 +34,7 @@
 	Completed bool      `cbor:"2,keyasint,omitempty"`
 	Versions  []uint64  `cbor:"3,keyasint,omitempty"`
 	Ref       blobs.Ref `cbor:"4,keyasint,omitempty"`
+	Score     string    `cbor:"5,keyasint,omitempty"`
 }
 
 // batchState is a batch with its results and its unfinished texts.
@@ -225,7 +226,7 @@
 		batch.hasResult[r.Result.Item] = true
 		batch.Batch.Items[r.Result.Item].dropRequest()
 		delete(batch.Partials, r.Result.Item)
-		batch.Results = append(batch.Results, storedResult{Item: r.Result.Item, Completed: r.Result.Completed, Versions: r.Result.Versions, Ref: ref})
+		batch.Results = append(batch.Results, storedResult{Item: r.Result.Item, Completed: r.Result.Completed, Versions: r.Result.Versions, Ref: ref, Score: r.Result.Score})
 		o.Changed = true
 	}
 	return o
@@ -256,7 +257,7 @@
 		if batch.Partials == nil {
 			batch.Partials = map[int]Partial{}
 		}
-		batch.Partials[p.Item] = Partial{Text: text, Events: p.Events, Versions: p.Versions}
+		batch.Partials[p.Item] = Partial{Text: text, Events: p.Events, Versions: p.Versions, Complete: p.Complete}
 	}
 	return Outcome{Found: true}
 }
@@ -492,7 +493,7 @@
 		if err != nil {
 			return Page{}, found, err
 		}
-		p.Results = append(p.Results, Result{Item: r.Item, Completed: r.Completed, Text: text, Versions: r.Versions})
+		p.Results = append(p.Results, Result{Item: r.Item, Completed: r.Completed, Text: text, Versions: r.Versions, Score: r.Score})
 	}
 	return p, found, nil
 }
--- a/internal/rollout/state_test.go
+++ b/internal/rollout/state_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
+	"os"
 	"testing"
 	"time"
 
@@ -274,3 +276,99 @@
 		t.Fatal("a result was stored without its text")
 	}
 }
+
+// unsyncedTextStore fails every Sync.
+type unsyncedTextStore struct{ TextStore }
+
+func (unsyncedTextStore) Sync() error { return errDisk }
+
+// Guards against a snapshot that refers to texts that a power loss can still take away.
+func TestSnapshotNeedsSyncedTexts(t *testing.T) {
+	s := newState(t)
+	applyCommand(t, s, Command{Accept: newBatch("b")})
+	s.texts = unsyncedTextStore{s.texts}
+	if _, err := s.Snapshot(); !errors.Is(err, errDisk) {
+		t.Fatalf("a snapshot whose texts are not synced: %v", err)
+	}
+}
+
+// Guards against a score that is visible without its result or replaced later, and against the loss of a score, or of
+// the mark that a text is complete, with a snapshot.
+func TestScoresAreStoredWithTheirResults(t *testing.T) {
+	s := newState(t)
+	b := newBatch("b")
+	for i := range b.Items {
+		b.Items[i].Scorer = &ScorerCall{ID: "call", Host: "h", Path: "/score/", Body: []byte("x")}
+	}
+	applyCommand(t, s, Command{Accept: b})
+	applyCommand(t, s, Command{Progress: []Progress{
+		{Batch: "b", Item: 0, Text: []byte("zero"), Events: 1, Complete: true}, {Batch: "b", Item: 1, Text: []byte("o"), Events: 1},
+	}})
+	if p, _, _ := s.ReadResults("b", 0, 1<<20); len(p.Results) != 0 {
+		t.Fatalf("a complete text without a score is listed: %+v", p.Results)
+	}
+	partials := s.OpenBatches()[0].Partials
+	if !partials[0].Complete || partials[1].Complete {
+		t.Fatalf("complete texts: %t and %t, want only the first", partials[0].Complete, partials[1].Complete)
+	}
+	applyCommand(t, s, Command{Results: []BatchResult{{"b", Result{Item: 0, Completed: true, Offset: 4, Score: "first"}}}})
+	applyCommand(t, s, Command{Results: []BatchResult{{"b", Result{Item: 0, Completed: true, Offset: 4, Score: "second"}}}})
+	snapshot, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := NewState(s.texts)
+	if err := restored.Restore(snapshot); err != nil {
+		t.Fatal(err)
+	}
+	for name, state := range map[string]*State{"applied": s, "restored": restored} {
+		p, _, err := state.ReadResults("b", 0, 1<<20)
+		if err != nil || len(p.Results) != 1 || p.Results[0].Score != "first" || string(p.Results[0].Text) != "zero" {
+			t.Errorf("%s: got %+v, %v, want one result with the first score", name, p.Results, err)
+		}
+		if items := state.OpenBatches()[0].Batch.Items; items[0].Scorer != nil || items[1].Scorer == nil || string(items[1].Scorer.Body) != "x" {
+			t.Errorf("%s: scorer calls %+v and %+v, want only the one of the item without a result", name, items[0].Scorer, items[1].Scorer)
+		}
+	}
+	// A text that runs again replaces a complete one.
+	applyCommand(t, s, Command{Progress: []Progress{{Batch: "b", Item: 1, Offset: 1, Text: []byte("ne"), Events: 2, Complete: true}}})
+	applyCommand(t, s, Command{Progress: []Progress{{Batch: "b", Item: 1, Text: []byte("again"), Events: 1}}})
+	if p := s.OpenBatches()[0].Partials[1]; p.Complete || string(p.Text) != "again" {
+		t.Errorf("after a restart of the text: %q, complete %t", p.Text, p.Complete)
+	}
+}
+
+// Guards against a log or a snapshot of a build without scores that cannot be read any more. The files in testdata were
+// written by such a build: the commands in their order, and the snapshot after them.
+func TestReadsStateWithoutScores(t *testing.T) {
+	s := newState(t)
+	for i := range 6 {
+		data, err := os.ReadFile(fmt.Sprintf("testdata/command-without-scores-%d.cbor", i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if o, err := DecodeOutcome(s.Apply(uint64(i+1), data)); err != nil || !o.Found {
+			t.Fatalf("command %d: %+v, %v", i, o, err)
+		}
+	}
+	if got := readText(t, s, "b", 0); got != "one\ntwo" {
+		t.Errorf("got text %q", got)
+	}
+	data, err := os.ReadFile("testdata/snapshot-without-scores.cbor")
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := NewState(s.texts)
+	if err := restored.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	for name, state := range map[string]*State{"log": s, "snapshot": restored} {
+		open := state.OpenBatches()
+		if len(open) != 1 || open[0].HasResult[1] || string(open[0].Partials[1].Text) != "uno" || open[0].Partials[1].Complete || string(open[0].Batch.Items[1].Body) != "body1" {
+			t.Errorf("%s: open batches %+v", name, open)
+		}
+		if c := state.Configuration(); c == nil || c.Version != 3 || state.Versions()["m"] != 2 || len(state.Servers()) != 1 {
+			t.Errorf("%s: configuration %+v, versions %v, servers %v", name, c, state.Versions(), state.Servers())
+		}
+	}
+}
--- a/internal/rollout/types.go
+++ b/internal/rollout/types.go
@@ -24,10 +24,21 @@
 	Group   string   `cbor:"6,keyasint,omitempty"` // items of the same group share their prompt
 	// LengthHint is the caller's estimate of the number of output tokens; 0 means unknown.
 	LengthHint int `cbor:"7,keyasint,omitempty"`
+	// Scorer is the call that scores the text of the item; nil if the text needs no score.
+	Scorer *ScorerCall `cbor:"8,keyasint,omitempty"`
 }
 
-// dropRequest clears the fields that are only needed to run the item.
-func (i *Item) dropRequest() { i.Path, i.Headers, i.Body = "", nil, nil }
+// ScorerCall is a request to a service that scores the text of an item. It is sent after the text is complete and may
+// run more than once. The signature of a successful response is the score.
+type ScorerCall struct {
+	ID   string `cbor:"1,keyasint"` // attempt ID
+	Host string `cbor:"2,keyasint"`
+	Path string `cbor:"3,keyasint"`
+	Body []byte `cbor:"4,keyasint,omitempty"`
+}
+
+// dropRequest clears the fields that are only needed to run and to score the item.
+func (i *Item) dropRequest() { i.Path, i.Headers, i.Body, i.Scorer = "", nil, nil, nil }
 
 // Batch is the set of generation requests for one trainer step.
 type Batch struct {
@@ -52,6 +63,8 @@
 	Versions  []uint64 `cbor:"4,keyasint,omitempty"` // weight versions that produced the text, ascending
 	// Offset is the number of bytes of the text already committed as progress; Text holds the bytes after them.
 	Offset int `cbor:"5,keyasint,omitempty"`
+	// Score is the score that a scorer gave to exactly this text; empty if the item needs none.
+	Score string `cbor:"6,keyasint,omitempty"`
 }
 
 // Progress is a chunk of the text of a running item. It is replicated so that a new leader can resume the item.
@@ -65,6 +78,8 @@
 	// consists of and the weight versions that produced it.
 	Events   int      `cbor:"5,keyasint"`
 	Versions []uint64 `cbor:"6,keyasint,omitempty"`
+	// Complete is true if the text ends with this chunk. The next leader then scores the item without running it again.
+	Complete bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Partial is the committed text of an unfinished item.
@@ -72,6 +87,7 @@
 	Text     []byte   `cbor:"1,keyasint"`
 	Events   int      `cbor:"2,keyasint"`
 	Versions []uint64 `cbor:"3,keyasint,omitempty"`
+	Complete bool     `cbor:"4,keyasint,omitempty"` // the text is complete; only its score is missing
 }
 
 // BatchResult is a result to be stored in the batch with ID Batch.
