Orders end with the lease, and given-up requests are reset

Three ways were found by reading: the lease was checked before the connection to the engine was made, not before the order was written; an order could take 0.8 s and so arrive after the end of the lease, while the next leader counts its delay from there; and a canceled request closed its connection in order, so that the kernel went on delivering its bytes, in a partition until it healed.

Change: permission is asked again right before an order is written; an order is aborted with the lease at the latest; a canceled or failed exchange resets its connection, which discards what the server has not received; without fencing the next leader waits a lease longer, for a former leader that transferred its leadership.

Result: TestCanceledRequestResetsConnection, TestRequestWithoutPermissionIsNotSent and TestOrdersOfTwoLeadersDoNotOverlap pass.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -384,3 +385,70 @@
 		}
 	}
 }
+
+// openRaw sends a POST request to addr and returns its result.
+func openRaw(ctx context.Context, addr string, permitted func() bool) (*Exchange, error) {
+	return New(Options{}).Open(ctx, RawRequest{Address: addr, Method: "POST", URI: "/", Host: "h", Body: []byte("body"), Permitted: permitted})
+}
+
+// Guards against bytes of a request that was given up and that the server receives later: after an orderly close the
+// kernel keeps trying to deliver them. A reset discards them.
+func TestCanceledRequestResetsConnection(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	returned := make(chan error, 1)
+	go func() {
+		_, err := openRaw(ctx, ln.Addr().String(), nil)
+		returned <- err
+	}()
+	server, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	if _, err := server.Read(make([]byte, 1)); err != nil { // the request has been written
+		t.Fatal(err)
+	}
+	cancel()
+	if err := <-returned; err == nil {
+		t.Fatal("the canceled request succeeded")
+	}
+	if _, err := io.Copy(io.Discard, server); !errors.Is(err, syscall.ECONNRESET) {
+		t.Fatalf("the server sees %v at the end of the connection, want a reset", err)
+	}
+}
+
+// Guards against a request that is written although the permission to send it ended while the connection was made.
+func TestRequestWithoutPermissionIsNotSent(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	received := make(chan int, 1)
+	go func() {
+		server, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		n, _ := server.Read(make([]byte, 1))
+		received <- n
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	_, err = openRaw(ctx, ln.Addr().String(), func() bool { return false })
+	if err == nil || !FailureOf(err).NotSent {
+		t.Fatalf("got %v, want a failure of the kind not sent", err)
+	}
+	select {
+	case n := <-received:
+		if n > 0 {
+			t.Fatal("the server received a byte of the request")
+		}
+	case <-ctx.Done():
+	}
+}
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -173,17 +173,22 @@
 	r := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(r)
 	req.fill(ctx, r)
-	return c.start(ctx, req.Address, req.NewConnection, r)
+	return c.start(ctx, req.Address, req.NewConnection, nil, r)
 }
 
-// start writes r to a connection to addr and reads the header of the response.
-func (c *Client) start(ctx context.Context, addr string, fresh bool, r *fasthttp.Request) (*exchange, error) {
+// start writes r to a connection to addr and reads the header of the response. permitted may be nil; if it returns
+// false once there is a connection, nothing is written.
+func (c *Client) start(ctx context.Context, addr string, fresh bool, permitted func() bool, r *fasthttp.Request) (*exchange, error) {
 	cn, err := c.connect(ctx, addr, fresh)
 	if err != nil {
 		return nil, err
 	}
+	if permitted != nil && !permitted() {
+		c.pool.put(cn)
+		return nil, &Failure{NotSent: true, Err: errs.New(errs.Canceled, "resend the request if it is still wanted", "permission to send the request ended before it was written")}
+	}
 	ex := &exchange{client: c, ctx: ctx, conn: cn, method: string(r.Header.Method())}
-	ex.stopWatching = context.AfterFunc(ctx, func() { cn.Close() })
+	ex.stopWatching = context.AfterFunc(ctx, cn.abort)
 	if err := ex.write(r); err != nil {
 		ex.release(false)
 		return nil, ex.classifyError(err)
@@ -308,11 +313,14 @@
 
 // release stops watching ctx and returns the connection to the pool, or closes it.
 func (ex *exchange) release(reusable bool) {
-	if ex.stopWatchingContext() && reusable && !ex.header.ConnectionClose() {
+	switch {
+	case !ex.stopWatchingContext() || !reusable:
+		ex.conn.abort()
+	case ex.header.ConnectionClose():
+		ex.conn.Close()
+	default:
 		ex.client.pool.put(ex.conn)
-		return
 	}
-	ex.conn.Close()
 }
 
 // classifyError turns an error of the exchange into a *Failure.
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -41,6 +41,17 @@
 	return n, err
 }
 
+// abort closes the connection with a reset. The kernel then discards the bytes that the server has not received: after
+// an orderly close it would deliver them later, for example once a partition heals, and the server would run a request
+// that was given up.
+func (c *conn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		// Without the option, the connection is closed in order; nothing else can be done here.
+		_ = tcp.SetLinger(0)
+	}
+	c.Close()
+}
+
 func (c *conn) written() int64 { return c.bytesWritten.Load() }
 
 // alive reports whether an idle connection is open and has nothing to read. If the server has closed the connection or
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -19,6 +19,9 @@
 	Header        []Header
 	Body          []byte
 	NewConnection bool // forbids the reuse of an idle connection
+	// Permitted, if not nil, is asked immediately before the request is written, after a connection may have taken its
+	// time. If it returns false, the request is not sent.
+	Permitted func() bool
 }
 
 // Exchange is a sent request whose response header has arrived. Release must be called.
@@ -40,7 +43,7 @@
 		r.Header.Add(h.Name, h.Value)
 	}
 	r.SetBodyRaw(request.Body)
-	ex, err := c.start(ctx, request.Address, request.NewConnection, r)
+	ex, err := c.start(ctx, request.Address, request.NewConnection, request.Permitted, r)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -167,6 +168,40 @@
 	}
 }
 
+// TestOrdersOfTwoLeadersDoNotOverlap guards against engines that do not check fencing tokens and get orders of a former
+// leader while the next one sends its own: an order is written only with the lease and ends with it, and the next leader
+// waits until then and for the handover delay.
+func TestOrdersOfTwoLeadersDoNotOverlap(t *testing.T) {
+	c := newCluster(t, 3)
+	c.enginesIgnoreFencing = true
+	c.startAll()
+	c.configure(1)
+	c.announceServers(4, 4)
+	publish := func(version uint64) {
+		c.callLeader(fmt.Sprintf("the publication of version %d", version), func(ctx context.Context, n *Node) error {
+			return n.Publish(ctx, rollout.ModelVersion{Model: testModel, Version: version})
+		})
+		c.waitUntil(fmt.Sprintf("version %d on an engine", version), func() bool { return c.engines.version("s0") == version })
+	}
+	publish(2)
+	before := c.leader()
+	c.stop(before)
+	c.waitUntil("another leader", func() bool { return c.leader() != before })
+	publish(3)
+	c.engines.mu.Lock()
+	defer c.engines.mu.Unlock()
+	var last receivedOrder
+	for _, o := range c.engines.orders {
+		if !o.permitted || o.timeLeft <= 0 || o.timeLeft > leaderLease {
+			t.Errorf("an order of %s was sent with permission %t and is aborted after %s, want at most %s", o.holder, o.permitted, o.timeLeft, leaderLease)
+		}
+		if gap := o.at.Sub(last.at); last.holder != "" && o.holder != last.holder && gap < testHandoverDelay+leaderLease {
+			t.Errorf("the first order of %s came %s after the last one of %s, want at least %s", o.holder, gap, last.holder, testHandoverDelay+leaderLease)
+		}
+		last = o
+	}
+}
+
 // TestUnfinishedTextsAreReusedInNextBatch guards against lost work on a group that one batch leaves unfinished and the
 // next batch contains again.
 func TestUnfinishedTextsAreReusedInNextBatch(t *testing.T) {
--- a/internal/coordinator/engine.go
+++ b/internal/coordinator/engine.go
@@ -94,6 +94,8 @@
 	ExpectedSequence uint64
 	// DrainFirst makes the engine finish its running generations with their version before it changes the version.
 	DrainFirst bool
+	// Permitted must be asked immediately before the order is written. If it returns false, the order must not be sent.
+	Permitted func() bool
 }
 
 // OrderResult is the answer of an engine to an order.
--- a/internal/coordinator/fakes_test.go
+++ b/internal/coordinator/fakes_test.go
@@ -28,6 +28,8 @@
 	testService = "llm"
 	testModel   = "m"
 	testHost    = "h.example"
+	// testHandoverDelay is Options.OrderHandoverDelay of the nodes.
+	testHandoverDelay = 300 * time.Millisecond
 
 	testScorerService      = "scorer"
 	testOtherScorerService = "scorer-2"
@@ -55,6 +57,9 @@
 type receivedOrder struct {
 	server, holder string
 	version, token uint64
+	at             time.Time
+	timeLeft       time.Duration // until the order is aborted
+	permitted      bool
 }
 
 func newFakeEngines() *fakeEngines {
@@ -100,13 +105,17 @@
 	return EngineReport{Models: []fleet.LoadedModel{{Name: testModel, Version: max(f.versions[v.ID], 1)}}, Sequence: f.sequence[v.ID]}, nil
 }
 
-func (f *fakeEngines) Load(_ context.Context, v fleet.Server, o LoadOrder) (OrderResult, error) {
+func (f *fakeEngines) Load(ctx context.Context, v fleet.Server, o LoadOrder) (OrderResult, error) {
+	order := receivedOrder{server: v.ID, holder: o.Holder, version: o.Version, token: o.FencingToken, at: time.Now(), permitted: o.Permitted()}
+	if deadline, ok := ctx.Deadline(); ok {
+		order.timeLeft = time.Until(deadline)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.unresponsive[v.ID] {
 		return OrderRefused, errUnresponsive
 	}
-	f.orders = append(f.orders, receivedOrder{v.ID, o.Holder, o.Version, o.FencingToken})
+	f.orders = append(f.orders, order)
 	if o.ExpectedSequence != f.sequence[v.ID] {
 		return OrderConflict, nil
 	}
@@ -166,9 +175,12 @@
 
 // cluster is a replication group of nodes in this process, which communicate over the loopback interface.
 type cluster struct {
-	t         *testing.T
-	engines   *fakeEngines
-	scorers   *fakeScorers
+	t       *testing.T
+	engines *fakeEngines
+	scorers *fakeScorers
+	// enginesIgnoreFencing is the opposite of Options.EnginesEnforceFencing of the nodes that start.
+	enginesIgnoreFencing bool
+
 	mu        sync.Mutex // guards nodes and stops
 	nodes     []*Node
 	stops     []context.CancelFunc
@@ -178,6 +190,14 @@
 }
 
 func startCluster(t *testing.T, size int) *cluster {
+	t.Helper()
+	c := newCluster(t, size)
+	c.startAll()
+	return c
+}
+
+// newCluster returns a cluster whose nodes are not started.
+func newCluster(t *testing.T, size int) *cluster {
 	t.Helper()
 	c := &cluster{t: t, engines: newFakeEngines(), scorers: newFakeScorers()}
 	for range size {
@@ -192,15 +212,19 @@
 	c.nodes = make([]*Node, size)
 	c.stops = make([]context.CancelFunc, size)
 	c.done = make([]chan struct{}, size)
-	for i := range size {
+	return c
+}
+
+func (c *cluster) startAll() {
+	c.t.Helper()
+	for i := range c.nodes {
 		c.start(i, true)
 	}
-	t.Cleanup(func() {
+	c.t.Cleanup(func() {
 		for i := range c.nodes {
 			c.stop(i)
 		}
 	})
-	return c
 }
 
 func (c *cluster) start(i int, bootstrap bool) {
@@ -208,8 +232,8 @@
 	name := fmt.Sprintf("vm-%d", i)
 	n, err := New(Options{
 		Name: name, FailureDomain: fmt.Sprintf("zone-%d", i), Address: c.addresses[i], Seeds: c.addresses[:seedCount], Bootstrap: bootstrap,
-		DataDir: c.dataDirs[i], FaultTolerance: 1, AnnounceInterval: 200 * time.Millisecond, OrderHandoverDelay: 300 * time.Millisecond,
-		EnginesEnforceFencing: true, Retention: time.Minute, EngineClient: c.engines, Exchanger: c.scorers,
+		DataDir: c.dataDirs[i], FaultTolerance: 1, AnnounceInterval: 200 * time.Millisecond, OrderHandoverDelay: testHandoverDelay,
+		EnginesEnforceFencing: !c.enginesIgnoreFencing, Retention: time.Minute, EngineClient: c.engines, Exchanger: c.scorers,
 		Events: events.NewLogRecorder(api.VMID(name), io.Discard), Fatal: func(err error) { c.t.Error(err) },
 	})
 	if err != nil {
--- a/internal/coordinator/scoring_test.go
+++ b/internal/coordinator/scoring_test.go
@@ -233,11 +233,15 @@
 		_, err := callLeader(ctx, n, MethodEndBatch, (*session).end, EndBatchRequest{Batch: "b"})
 		return err
 	})
+	ended := time.Now()
 	c.waitUntil("the end of the calls in progress", func() bool {
 		c.scorers.mu.Lock()
 		defer c.scorers.mu.Unlock()
 		return c.scorers.active == 0
 	})
+	if took := time.Since(ended); took > scorerCallTimeout/2 {
+		t.Errorf("calls went on for %s after the end of their batch", took)
+	}
 	sent := c.scorers.callCount()
 	c.scorers.setHold(nil)
 	c.submit(addScorers(newBatch("later", 4, 0)))
@@ -333,6 +337,21 @@
 	}
 }
 
+// TestUnsignedResponseIsNoScore guards against a score from a response that its server did not sign.
+func TestUnsignedResponseIsNoScore(t *testing.T) {
+	s, _ := newStandaloneSession(t, nil)
+	s.addBatch(rollout.OpenBatch{Batch: *addScorers(newBatch("b", 1, 0)), HasResult: []bool{false}})
+	task := s.batches["b"].tasks[0]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.completeText(task)
+	delete(s.unscored, task) // its call is in progress
+	s.finishCall(task, &routes.Route{}, &forward.Response{Status: http.StatusOK}, nil, 0)
+	if task.state != taskScoring || !s.unscored[task] || len(s.results) != 0 {
+		t.Fatalf("state %d, %d results, want %d, waiting for another call", task.state, len(s.results), taskScoring)
+	}
+}
+
 // TestRestartedTextNeedsNewScore guards against a text that counts as complete, and keeps its score, after it was
 // discarded and runs again.
 func TestRestartedTextNeedsNewScore(t *testing.T) {
--- a/internal/coordinator/weights.go
+++ b/internal/coordinator/weights.go
@@ -63,7 +63,8 @@
 // waitForOrderHandover waits until the engines no longer receive orders from the former leader. If the engines enforce
 // fencing, a former leader that was killed, suspended or cut off can send no more orders that they accept.
 func (s *session) waitForOrderHandover() {
-	delay := s.node.opts.OrderHandoverDelay
+	// A leader that transfers its leadership may hold its lease, and have an order in flight, for up to leaderLease.
+	delay := s.node.opts.OrderHandoverDelay + leaderLease
 	if s.node.opts.EnginesEnforceFencing {
 		delay = s.formerLeaderDelay()
 	}
@@ -308,10 +309,11 @@
 	if s.checkLeadership() != nil {
 		return false
 	}
-	orderCtx, cancelOrder := context.WithTimeout(ctx, orderTimeout)
+	// The order is aborted with the lease at the latest: the next leader counts its delay from then on.
+	orderCtx, cancelOrder := context.WithTimeout(ctx, min(orderTimeout, s.node.replica.LeaseLeft()))
 	result, err := client.Load(orderCtx, l.server, LoadOrder{
 		Model: l.model, Version: l.version, Holder: s.node.opts.Name, FencingToken: s.term, ExpectedSequence: sequence,
-		DrainFirst: s.mustDrainFirst(service.Name),
+		DrainFirst: s.mustDrainFirst(service.Name), Permitted: func() bool { return s.checkLeadership() == nil },
 	})
 	cancelOrder()
 	s.mu.Lock()
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -151,6 +151,11 @@
 	return int64(r.opts.Clock()) < r.leaseUntil.Load()
 }
 
+// LeaseLeft returns how long this replica may still act as leader if the lease is not renewed; 0 if it does not hold it.
+func (r *Replica) LeaseLeft() time.Duration {
+	return max(time.Duration(r.leaseUntil.Load())-r.opts.Clock(), 0)
+}
+
 // Close stops the replica and closes its files. A leader first transfers its leadership.
 func (r *Replica) Close() error {
 	r.stopOnce.Do(func() { close(r.stopRequested) })
