Divide the engines among models by the work of their steps

Cause: engines were divided by count.

Change: scheduling.DivideEngines gives each model a stretch of the engines, in the order of their IDs, in proportion to the moving average of the work of its steps (the callers' length hints); an engine at a border serves both models.

Ruled out: whole engines in proportion to work: on twelve engines one of the five large models would still get one. Work per second instead of work per step: a trainer that falls behind sends fewer steps and would get fewer engines.

--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -39,6 +39,8 @@
 	promptCachedOn map[string]string        // prompt key to the ID of the server whose engine has processed the prompt
 	// publishedAt is when the newest version of each model was published, if that was during this leadership.
 	publishedAt map[string]time.Duration
+	stepWork    map[string]float64   // moving average of the work of a step by model, in output tokens
+	divisions   map[string]*division // by service
 	// reusableTexts holds the texts of unfinished groups of ended batches, by item ID.
 	reusableTexts map[string]rollout.Partial
 }
@@ -124,13 +126,12 @@
 	baselineInterval float64           // median of the time between events of a single running request, in ms
 	blockedUntil     time.Duration     // the engine gets no items until then
 	failures         int               // consecutive failures
-	// assignedModel is the only model whose weights the engine is made to load; empty means any.
-	assignedModel string
-	loadingModel  string        // model of the order in progress; empty if there is none
-	sequence      uint64        // number of orders that the engine has accepted
-	sequenceKnown bool          // sequence is up to date
-	nextOrderAt   time.Duration // the engine gets no order until then
-	orderFailures int           // consecutive failures of orders
+	models           []string          // whose weights the engine is made to load; empty means all
+	loadingModel     string            // model of the order in progress; empty if there is none
+	sequence         uint64            // number of orders that the engine has accepted
+	sequenceKnown    bool              // sequence is up to date
+	nextOrderAt      time.Duration     // the engine gets no order until then
+	orderFailures    int               // consecutive failures of orders
 }
 
 // resultQueueSize limits the results that wait to be committed.
@@ -143,7 +144,7 @@
 		reusableTexts: map[string]rollout.Partial{}, publishedAt: map[string]time.Duration{},
 		serversSignal: make(chan struct{}), results: make(chan rollout.BatchResult, resultQueueSize),
 		schedulerWake: make(chan struct{}, 1), loaderWake: make(chan struct{}, 1), scorerWake: make(chan struct{}, 1),
-		unscored: map[*task]bool{}, runningCalls: map[string]int{},
+		stepWork: map[string]float64{}, divisions: map[string]*division{}, unscored: map[*task]bool{}, runningCalls: map[string]int{},
 	}
 }
 
@@ -236,6 +237,7 @@
 			s.completeText(t)
 		}
 	}
+	s.recordStepWork(b)
 	s.reuseTexts(b)
 	if len(s.seenGroups) > maxSeenGroups {
 		clear(s.seenGroups) // a group recurs only in the next few steps
--- a/internal/coordinator/weights.go
+++ b/internal/coordinator/weights.go
@@ -154,7 +154,7 @@
 // too old to serve a new step, then for the models with the fewest engines that can serve one, then on the engines with
 // the fewest running items. The caller holds the mutex.
 func (s *session) dueLoads(service *routes.Service, servers []fleet.Server, versions map[string]uint64, now time.Duration) []plannedLoad {
-	s.assignModels(service, servers, versions)
+	s.assignModels(service, servers)
 	required := s.requiredVersions()
 	var out []plannedLoad
 	for i := range servers {
@@ -169,7 +169,7 @@
 			if hasWaiting && loaded >= minVersion || now-s.publishedAt[model] < publicationSettleDelay && newest-min(loaded, newest) <= maxServableLag {
 				continue // the engine can serve the step that begins, and would reject its items while it loads
 			}
-			if (e.assignedModel == "" || e.assignedModel == model) && e.versions[model] < newest {
+			if e.serves(model) && e.versions[model] < newest {
 				out = append(out, plannedLoad{server: servers[i], engine: e, model: model, version: newest, versionsBehind: newest - e.versions[model]})
 			}
 		}
@@ -217,46 +217,67 @@
 	return count
 }
 
-// assignModels divides the engines among the models of a service. An engine without an assignment, as after a change of
-// the leader, starts from the model that it lags behind the least.
-func (s *session) assignModels(service *routes.Service, servers []fleet.Server, versions map[string]uint64) {
-	var usable []scheduling.AssignableEngine
+// assignModels divides the engines among the models of a service, again only if the engines or the work have changed.
+// The caller holds the mutex.
+func (s *session) assignModels(service *routes.Service, servers []fleet.Server) {
+	var usable []string
 	var engines []*engineState
 	for i := range servers {
 		e := s.engineFor(&servers[i])
 		if servers[i].Silent || e.failures >= unreachableFailures || len(e.versions) == 0 {
 			continue
 		}
-		if e.assignedModel == "" {
-			e.assignedModel = nearestModel(service.Models, e.versions, versions)
-		}
-		usable = append(usable, scheduling.AssignableEngine{ID: servers[i].ID, Model: e.assignedModel})
+		usable = append(usable, servers[i].ID)
 		engines = append(engines, e)
 	}
-	models := scheduling.AssignModels(usable, service.Models)
+	work := make([]scheduling.ModelWork, 0, len(service.Models))
+	for _, model := range service.Models {
+		work = append(work, scheduling.ModelWork{Model: model, Work: s.stepWork[model]})
+	}
+	d := s.divisions[service.Name]
+	shifted := d == nil || scheduling.WorkHasShifted(d.work, work)
+	if !shifted {
+		work = d.work
+	}
+	if shifted || !slices.Equal(d.engines, usable) {
+		d = &division{engines: usable, work: work, models: scheduling.DivideEngines(usable, work)}
+		s.divisions[service.Name] = d
+		s.record(events.Event{Name: events.EnginesDivided, Detail: fmt.Sprintf("%d engines of service %s, work %v", len(usable), service.Name, work)})
+	}
 	for i, e := range engines {
-		e.assignedModel = ""
-		if models != nil {
-			e.assignedModel = models[i]
+		e.models = nil
+		if d.models != nil {
+			e.models = d.models[i]
 		}
 	}
 }
 
-// nearestModel returns the model that an engine lags behind the least, or an empty string if it lags behind all by the
-// same number of versions.
-func nearestModel(models []string, loaded, newest map[string]uint64) string {
-	nearest, least, most := "", uint64(0), uint64(0)
-	for _, m := range models {
-		behind := newest[m] - min(loaded[m], newest[m])
-		if nearest == "" || behind < least {
-			nearest, least = m, behind
-		}
-		most = max(most, behind)
+// division is the last division of a service's engines.
+type division struct {
+	engines []string // server IDs
+	work    []scheduling.ModelWork
+	models  [][]string // by index in engines
+}
+
+// stepWorkWeight is the weight of a new step in the moving average of the work of a trainer's steps.
+const stepWorkWeight = 0.4
+
+// recordStepWork adds the work of a new batch, in output tokens, to the average of its model. The caller holds the
+// mutex.
+func (s *session) recordStepWork(b *batch) {
+	work := 0.0
+	for i := range b.Items {
+		work += float64(max(b.Items[i].LengthHint, 1))
 	}
-	if least == most {
-		return ""
+	if s.stepWork[b.Model] == 0 {
+		s.stepWork[b.Model] = work
 	}
-	return nearest
+	s.stepWork[b.Model] += stepWorkWeight * (work - s.stepWork[b.Model])
+}
+
+// serves reports whether the engine is made to load the versions of a model.
+func (e *engineState) serves(model string) bool {
+	return len(e.models) == 0 || slices.Contains(e.models, model)
 }
 
 // runLoad sends one order and waits for its effect.
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -93,6 +93,7 @@
 	ItemMoved             Name = "item.moved"           // its run was canceled, to be continued on another engine
 	ItemReused            Name = "item.reused"          // begins with the text that an earlier batch left unfinished
 	ItemListed            Name = "item.listed"          // its result was added to the results of the batch
+	EnginesDivided        Name = "engines.divided"      // among the models of a service
 	ScoreRequested        Name = "item.score_requested" // the scorer call of a complete text was sent
 	ScoreReceived         Name = "item.scored"
 	ScoreFailed           Name = "item.score_failed"  // no score; the call is sent again, or the item is given up
