Bound every reader against servers that send bytes without end

Cause: three readers had no end but their caller's time: interim responses, the trailer of a chunked body, and the text of an item, which grew with each event. Ruled out: the head of a response (16 KiB, the read buffer), one event (1 MiB) and skipped responses (discarded, and bounded by the time without an event) were bounded before. Result: TestEndlessResponsesAreCutOff (nine places), TestBufferedBodiesAreLimited, TestEndlessStreamIsBroken.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -8,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -452,3 +454,107 @@
 	case <-ctx.Done():
 	}
 }
+
+// endlessServer accepts one connection, reads a request, sends head and then repeats part until the client closes the
+// connection. The channel receives the number of bytes written.
+func endlessServer(t *testing.T, head, part string) (addr string, written chan int) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	written = make(chan int, 1)
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
+		total := 0
+		for n, err := io.WriteString(conn, head); err == nil; n, err = io.WriteString(conn, part) {
+			total += n
+		}
+		written <- total
+	}()
+	return ln.Addr().String(), written
+}
+
+// Guards against a client that reads bytes without end, from a server in trouble, into memory or for ever. The server
+// must see the end of the connection soon after the limit.
+func TestEndlessResponsesAreCutOff(t *testing.T) {
+	const (
+		limit = 1 << 20
+		// socketBytes is what the kernel's buffers of both sides may take on top.
+		socketBytes = 16 << 20
+	)
+	line := strings.Repeat("x", 1000) + "\r\n"
+	for name, tc := range map[string]struct{ head, part string }{
+		"head":              {"HTTP/1.1 200 X\r\n", "X-Header: " + line},
+		"one header":        {"HTTP/1.1 200 X\r\nX-Header: ", "xxxxxxxxxxxxxxxx"},
+		"no response":       {"", "\x00\x01 no response "},
+		"interim responses": {"", "HTTP/1.1 102 X\r\n\r\n"},
+		"chunked body":      {"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n", fmt.Sprintf("%x\r\n%s\r\n", len(line), line)},
+		"one chunk":         {"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n7fffffff\r\n", line},
+		"trailer":           {"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Trailer: " + line},
+		"body with length":  {"HTTP/1.1 200 X\r\nContent-Length: 9000000000\r\n\r\n", line},
+		"body without one":  {"HTTP/1.1 200 X\r\n\r\n", line},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, written := endlessServer(t, tc.head, tc.part)
+			ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+			defer cancel()
+			ex, err := New(Options{AcceptCloseDelimitedBody: true}).Open(ctx, RawRequest{Address: addr, Method: "GET", URI: "/", Host: "h"})
+			if err == nil {
+				var body []byte
+				if body, err = ex.ReadAll(limit); err == nil {
+					t.Errorf("got a complete body of %d bytes", len(body))
+				}
+				ex.Release(false, 0)
+			}
+			if ctx.Err() != nil {
+				t.Fatalf("the client reads until its context ends: %v", err)
+			}
+			select {
+			case n := <-written:
+				if n > limit+socketBytes {
+					t.Errorf("the server sent %d bytes, the client may read %d", n, limit)
+				}
+			case <-ctx.Done():
+				t.Fatal("the server does not see the end of the connection")
+			}
+		})
+	}
+}
+
+// Guards against responses that are each within their limit but together exhaust the memory, and against a limit that
+// is not restored when the responses have been read.
+func TestBufferedBodiesAreLimited(t *testing.T) {
+	const budget = 512 << 10
+	body := strings.Repeat("x", 300<<10)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) }))
+	defer server.Close()
+	client := New(Options{MaxBufferedBytes: budget})
+	defer client.Close()
+	open := func() *Exchange {
+		ex, err := client.Open(context.Background(), RawRequest{Address: server.Listener.Addr().String(), Method: "GET", URI: "/", Host: "h"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return ex
+	}
+	for range 3 {
+		first, second := open(), open()
+		if got, err := first.ReadAll(1 << 20); err != nil || len(got) != len(body) {
+			t.Fatalf("the first body: %d bytes, %v", len(got), err)
+		}
+		if _, err := second.ReadAll(1 << 20); err == nil {
+			t.Fatal("two bodies are buffered although only one fits")
+		}
+		second.Release(false, 0)
+		first.Release(true, 0)
+	}
+}
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -29,6 +30,11 @@
 	defaultDialTimeout = time.Second
 	defaultIdleTimeout = 5 * time.Second // shorter than the idle timeout of servers
 	writeBufferSize    = 8 << 10
+	// maxInterimResponses limits the interim (1xx) responses before a response. Each of them is bounded by
+	// maxHeaderBytes, but a server in trouble may send them without end.
+	maxInterimResponses = 16
+	// bodyChunkBytes is the size of the parts in which a body is read and counted against MaxBufferedBytes.
+	bodyChunkBytes = 64 << 10
 )
 
 // Options configures a Client. The zero value is usable.
@@ -37,6 +43,9 @@
 	IdleTimeout time.Duration // after which idle connections are closed; default 5 s
 	// AcceptCloseDelimitedBody accepts bodies without a length that end with the orderly close of the connection.
 	AcceptCloseDelimitedBody bool
+	// MaxBufferedBytes limits the total size of the bodies that Exchange.ReadAll reads at the same time; 0 means no
+	// limit. It keeps servers that send bytes without end from exhausting the memory.
+	MaxBufferedBytes int64
 }
 
 // Client sends requests to backend servers. It is safe for concurrent use.
@@ -44,6 +53,8 @@
 	opts   Options
 	dialer net.Dialer
 	pool   connPool
+	// bufferedBytes is the total size of the bodies that are being read by Exchange.ReadAll.
+	bufferedBytes atomic.Int64
 }
 
 // New returns a client.
@@ -261,7 +272,7 @@
 
 // readHeader reads the header of the response. It skips interim (1xx) responses.
 func (ex *exchange) readHeader() error {
-	for {
+	for interim := 0; ; interim++ {
 		ex.header.Reset()
 		if err := ex.header.Read(ex.conn.br); err != nil {
 			return err
@@ -269,6 +280,9 @@
 		if ex.header.StatusCode() >= fasthttp.StatusOK {
 			break
 		}
+		if interim == maxInterimResponses {
+			return errs.New(errs.BackendFailed, "check the backend server", "more than %d interim responses precede the response", maxInterimResponses)
+		}
 	}
 	ex.body = bodyReader(ex.method, &ex.header, ex.conn.br, ex.client.opts.AcceptCloseDelimitedBody)
 	return nil
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -215,8 +215,9 @@
 	return n, io.EOF
 }
 
+// skipTrailer reads the trailer, of at most maxHeaderBytes.
 func (c *chunkedReader) skipTrailer() error {
-	for {
+	for size := 0; ; {
 		line, err := c.br.ReadSlice('\n')
 		if errors.Is(err, io.EOF) {
 			return io.ErrUnexpectedEOF
@@ -227,5 +228,8 @@
 		if len(line) <= len("\r\n") {
 			return nil
 		}
+		if size += len(line); size > maxHeaderBytes {
+			return errs.New(errs.BackendFailed, "check the backend server", "trailer of the response exceeds %d bytes", maxHeaderBytes)
+		}
 	}
 }
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"slices"
 	"time"
 
@@ -77,6 +78,9 @@
 	// command on a connection or a disk: the progress of one second, two megabytes, would take longer than the leader
 	// lease on a disk that is 30 times slower than usual.
 	maxProgressBytes = 64 << 10
+	// maxTextBytes limits the text of an item, so that a server that streams without end does not exhaust the memory. A
+	// page of results, of at most a megabyte, must hold it.
+	maxTextBytes = 900 << 10
 	// resultBatchDelay is how long a result waits for others to share its commit.
 	resultBatchDelay = 4 * time.Millisecond
 	// resultRetryInterval is the time after which a failed commit of results is repeated.
@@ -264,10 +268,25 @@
 		if ev.Number != t.events+1 {
 			return &RunError{Kind: StreamBroken, Err: errs.New(errs.BackendFailed, "run the item again", "the stream skips or repeats an event: event %d follows event %d", ev.Number, t.events)}
 		}
+		if limit := t.maxEvents(); ev.Number > limit || len(t.text)+len(ev.Data) > maxTextBytes {
+			s.mu.Lock()
+			t.discardText()
+			s.mu.Unlock()
+			return &RunError{Kind: StreamBroken, Err: errs.New(errs.BackendFailed, "run the item again", "the stream exceeds %d events or %d bytes", limit, maxTextBytes)}
+		}
 		last = s.addEvent(t, v, ev, last)
 	}
 }
 
+// maxEvents returns the maximum number of events of the item: each holds at least one of the tokens that the caller
+// states.
+func (t *task) maxEvents() int {
+	if n := t.batch.Items[t.item].Tokens; n > 0 {
+		return n
+	}
+	return math.MaxInt
+}
+
 // addEvent appends an event to the text and measures the time since the previous event of the run, at time last. It
 // returns the time of the event.
 func (s *session) addEvent(t *task, v fleet.Server, ev StreamEvent, last time.Duration) time.Duration {
--- a/internal/coordinator/session_test.go
+++ b/internal/coordinator/session_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"sync"
@@ -146,3 +147,50 @@
 		remaining = remaining[n:]
 	}
 }
+
+// endlessStream repeats events without end.
+type endlessStream struct {
+	number int
+	data   []byte
+}
+
+func (s *endlessStream) Version() uint64 { return 1 }
+
+func (s *endlessStream) Next() (StreamEvent, error) {
+	s.number++
+	return StreamEvent{Number: s.number, Data: s.data, Version: 1}, nil
+}
+
+func (s *endlessStream) Close() {}
+
+// endlessEngines is an EngineClient whose engines stream without end.
+type endlessEngines struct {
+	fakeEngines
+	data []byte
+}
+
+func (e *endlessEngines) Start(context.Context, fleet.Server, GenerationRequest) (Stream, error) {
+	return &endlessStream{data: e.data}, nil
+}
+
+// TestEndlessStreamIsBroken guards against an engine that streams without end: its text must not grow beyond what the
+// item can have, and must not become the item's result.
+func TestEndlessStreamIsBroken(t *testing.T) {
+	for name, tc := range map[string]struct {
+		item rollout.Item
+		data []byte
+	}{
+		"more events than tokens": {rollout.Item{ID: "i", Tokens: 40}, []byte("x")},
+		"more text than a page":   {rollout.Item{ID: "i"}, make([]byte, 10<<10)},
+	} {
+		s, _ := newStandaloneSession(t, &endlessEngines{data: tc.data})
+		s.addBatch(rollout.OpenBatch{Batch: rollout.Batch{ID: "b", Items: []rollout.Item{tc.item}}, HasResult: []bool{false}})
+		task := s.batches["b"].tasks[0]
+		task.state = taskRunning
+		err := s.readStream(s.ctx, task, fleet.Server{ID: "s", Slots: 4}, GenerationRequest{}, &routes.Route{})
+		var run *RunError
+		if !errors.As(err, &run) || run.Kind != StreamBroken || len(task.text) != 0 || task.events != 0 {
+			t.Errorf("%s: got %v with %d events and %d bytes of text left, want a broken stream without text", name, err, task.events, len(task.text))
+		}
+	}
+}
