Follow calls tell how long they were held, so that 404 is confirmed

Cause: an entry VM counted the confirmation of its configuration from the moment it sent a follow call, which the leader holds for up to a second. By the time of the reply the confirmation was a second old, and before the next one up to two: for a tenth to a fifth of the time it had exceeded the 1.8 s for which a VM may answer that a route does not exist. Change: the reply says how long the leader held the call before it read the state, and the confirmation counts from then. Ruled out: shorter follow calls, which cost the leader a call for each VM more often. Result: TestConfirmationTime, TestFollowTellsHowLongItWasHeld. An old leader's reply counts as before.

--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -149,11 +149,12 @@
 }
 
 func (s *session) follow(ctx context.Context, q FollowRequest) (FollowReply, error) {
+	arrived := boottime.Now()
 	timeout := time.NewTimer(FollowPollTimeout)
 	defer timeout.Stop()
 	for waiting := true; ; {
 		configured, servers := s.node.state.Changed(), s.serversChanged()
-		r := FollowReply{Term: s.term, ServersRevision: s.node.registry.Revision()}
+		r := FollowReply{Term: s.term, ServersRevision: s.node.registry.Revision(), Held: boottime.Now() - arrived}
 		if c := s.node.state.Configuration(); c != nil && c.Version > q.ConfigurationVersion {
 			r.Configuration = c
 		}
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -168,6 +168,26 @@
 	}
 }
 
+// TestFollowTellsHowLongItWasHeld guards against a reply that confirms the configuration for a time before the leader
+// read it.
+func TestFollowTellsHowLongItWasHeld(t *testing.T) {
+	c := startCluster(t, 3)
+	c.configure(1)
+	var reply FollowReply
+	c.callLeader("a reply to a held follow call", func(_ context.Context, n *Node) error {
+		s, err := n.currentSession()
+		if err != nil {
+			return err
+		}
+		started := time.Now()
+		reply, err = s.follow(context.Background(), FollowRequest{Term: s.term, ServersRevision: n.registry.Revision(), ConfigurationVersion: skipConfiguration})
+		if took := time.Since(started); err == nil && (reply.Held > took || reply.Held < FollowPollTimeout/2) {
+			t.Errorf("the call took %s and was held for %s, want nearly as long", took, reply.Held)
+		}
+		return err
+	})
+}
+
 // TestOrdersOfTwoLeadersDoNotOverlap guards against engines that do not check fencing tokens and get orders of a former
 // leader while the next one sends its own: an order is written only with the lease and ends with it, and the next leader
 // waits until then and for the handover delay.
--- a/internal/coordinator/wire.go
+++ b/internal/coordinator/wire.go
@@ -47,6 +47,8 @@
 	Servers         []fleet.Server        `cbor:"5,keyasint,omitempty"`
 	ServersRevision uint64                `cbor:"6,keyasint,omitempty"`
 	Replicas        []string              `cbor:"7,keyasint,omitempty"` // link addresses
+	// Held is how long the leader held the request before it read the state that the reply confirms.
+	Held time.Duration `cbor:"8,keyasint,omitempty"`
 }
 
 // FollowPollTimeout is how long the leader delays the reply to a follow request if nothing changes. It is at most half
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,7 +59,7 @@
 	forwarder *forward.Forwarder
 
 	configuration atomic.Pointer[routes.Configuration]
-	confirmedAt   atomic.Int64 // when the last answered follow call was sent, in nanoseconds since boot
+	confirmedAt   atomic.Int64 // confirmationTime of the last answered follow call, in nanoseconds since boot
 	inFlight      atomic.Int64
 
 	mu          sync.Mutex
@@ -166,7 +166,7 @@
 			forward.SleepWithJitter(ctx, leaderRetryDelay)
 			continue
 		}
-		g.confirmedAt.Store(int64(sentAt))
+		g.confirmedAt.Store(int64(confirmationTime(sentAt, boottime.Now(), reply.Held)))
 		q.Term, q.ServersRevision = reply.Term, reply.ServersRevision
 		g.applyReply(reply, &q)
 		if g.setLeader(leader, reply.Replicas) {
@@ -176,6 +176,12 @@
 	g.client.Close()
 }
 
+// confirmationTime returns a time at which the state in a reply to a follow call was certainly the newest: the leader
+// read it after it had held the call for the given time.
+func confirmationTime(sentAt, receivedAt, held time.Duration) time.Duration {
+	return min(sentAt+max(held, 0), receivedAt)
+}
+
 func (g *Gateway) follow(ctx context.Context, leader string, q coordinator.FollowRequest) (coordinator.FollowReply, error) {
 	if leader == "" {
 		return coordinator.FollowReply{}, errs.New(errs.Unavailable, "check the VMs that hold the state", "no VM is the leader")
--- a/internal/gateway/refusal_test.go
+++ b/internal/gateway/refusal_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"strings"
 	"testing"
+	"time"
 
 	"filbertledge/internal/api"
 	"filbertledge/internal/boottime"
@@ -54,3 +55,20 @@
 		t.Fatalf("without a configuration: %v", err)
 	}
 }
+
+// Guards against callers that are told to come back, instead of that there is no such route, because the confirmation of
+// the configuration counts from the start of a follow call that the leader held for a second; and against one that
+// counts from the future.
+func TestConfirmationTime(t *testing.T) {
+	const sent, received = 10 * time.Second, 11 * time.Second
+	for _, tc := range []struct{ held, want time.Duration }{
+		{0, sent},
+		{990 * time.Millisecond, sent + 990*time.Millisecond},
+		{5 * time.Second, received},
+		{-time.Second, sent},
+	} {
+		if got := confirmationTime(sent, received, tc.held); got != tc.want {
+			t.Errorf("held for %s: got %s, want %s", tc.held, got, tc.want)
+		}
+	}
+}
