A new leader keeps the division of the engines

Ruled out: keeping the division in the replicated state, which the versions of the engines already tell. Result: TestNewLeaderKeepsDivision fails before (every engine gets the model of its place in the order of IDs).

--- a/internal/coordinator/session_test.go
+++ b/internal/coordinator/session_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -194,3 +195,33 @@
 		}
 	}
 }
+
+// TestNewLeaderKeepsDivision guards against a change of the leader after which engines load models that they did not
+// serve before, while the trainers wait: the division must follow from the versions that the engines have.
+func TestNewLeaderKeepsDivision(t *testing.T) {
+	service := &routes.Service{Name: testService, Models: []string{"x", "y", "z"}}
+	versions := map[string]uint64{"x": 7, "y": 9, "z": 8}
+	// The fleet has changed since the first division, so that the models do not follow the IDs of the engines.
+	loaded := map[string]map[string]uint64{
+		"s0": {"x": 1, "y": 9, "z": 2}, "s1": {"x": 6, "y": 1, "z": 1}, "s2": {"x": 3, "y": 8, "z": 7}, "s3": {"x": 1, "y": 2, "z": 8},
+		"s4": {"x": 7, "y": 5, "z": 1}, "s5": {"x": 1, "y": 9, "z": 4}, "s6": {"x": 1, "y": 1, "z": 7}, "s7": {"x": 7, "y": 1, "z": 1},
+	}
+	want := map[string][]string{"s0": {"y"}, "s1": {"x"}, "s2": {"y", "z"}, "s3": {"z"}, "s4": {"x"}, "s5": {"y"}, "s6": {"z"}, "s7": {"x"}}
+	s, _ := newStandaloneSession(t, nil)
+	var servers []fleet.Server
+	for id, models := range loaded {
+		v := fleet.Server{ID: id, Service: testService, Incarnation: 1, Slots: 4}
+		for name, version := range models {
+			v.Models = append(v.Models, fleet.LoadedModel{Name: name, Version: version})
+		}
+		servers = append(servers, v)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.assignModels(service, servers, versions)
+	for i := range servers {
+		if got := s.engineFor(&servers[i]).models; !slices.Equal(got, want[servers[i].ID]) {
+			t.Errorf("engine %s serves %v under the new leader, want %v", servers[i].ID, got, want[servers[i].ID])
+		}
+	}
+}
--- a/internal/coordinator/weights.go
+++ b/internal/coordinator/weights.go
@@ -154,7 +154,7 @@
 // too old to serve a new step, then for the models with the fewest engines that can serve one, then on the engines with
 // the fewest running items. The caller holds the mutex.
 func (s *session) dueLoads(service *routes.Service, servers []fleet.Server, versions map[string]uint64, now time.Duration) []plannedLoad {
-	s.assignModels(service, servers)
+	s.assignModels(service, servers, versions)
 	required := s.requiredVersions()
 	var out []plannedLoad
 	for i := range servers {
@@ -217,8 +217,10 @@
 	return count
 }
 
-// assignModels divides the engines among the models of a service. The caller holds the mutex.
-func (s *session) assignModels(service *routes.Service, servers []fleet.Server) {
+// assignModels divides the engines among the models of a service. An engine that this session has not assigned yet, as
+// after a change of the leader, counts as serving the models whose versions it was made to load last. The caller holds
+// the mutex.
+func (s *session) assignModels(service *routes.Service, servers []fleet.Server, versions map[string]uint64) {
 	var usable []scheduling.AssignableEngine
 	var engines []*engineState
 	for i := range servers {
@@ -226,7 +228,11 @@
 		if servers[i].Silent || e.failures >= unreachableFailures || len(e.versions) == 0 {
 			continue
 		}
-		usable = append(usable, scheduling.AssignableEngine{ID: servers[i].ID, Models: e.models})
+		serving := e.models
+		if len(serving) == 0 {
+			serving = freshModels(service.Models, e.versions, versions)
+		}
+		usable = append(usable, scheduling.AssignableEngine{ID: servers[i].ID, Models: serving})
 		engines = append(engines, e)
 	}
 	work := make([]scheduling.ModelWork, 0, len(service.Models))
@@ -250,6 +256,21 @@
 	}
 }
 
+// freshModels returns the models of which an engine has the newest or the last but one version, or none if it has these
+// of all models, as before the first orders.
+func freshModels(models []string, loaded, newest map[string]uint64) []string {
+	var fresh []string
+	for _, m := range models {
+		if loaded[m]+maxServableLag >= newest[m] {
+			fresh = append(fresh, m)
+		}
+	}
+	if len(fresh) == len(models) {
+		return nil
+	}
+	return fresh
+}
+
 // stepWorkWeight is the weight of a new step in the moving average of the work of a trainer's steps.
 const stepWorkWeight = 0.4
 
