Large configurations: packed once for all VMs, and an index for the search of a route

The leader answered the follow calls of 249 entry VMs and 23 state VMs each with its own encoding of the whole configuration, with the operator's document, at the same moment; each next leader met the same. VMs that start ask three state VMs for it at once. And each pass of the scheduler searched the route of each waiting item in all routes.

Change: replies hold the configuration without its document, compressed, and it is encoded once for each version. VMs of an older build, which do not ask for the packed form, get it unpacked and without the document. Configuration.Match looks the prefixes of the path up in an index.

Ruled out: sending changed routes only, which needs the version that each VM holds at the leader.

--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -59,8 +59,14 @@
 
 // handlePeek returns what this VM holds, without confirmation by a leader, for an entry VM that starts while there is
 // no leader.
-func (n *Node) handlePeek(context.Context, Empty) (PeekReply, error) {
-	r := PeekReply{Configuration: n.state.Configuration(), Servers: n.registry.List("", boottime.Now())}
+func (n *Node) handlePeek(_ context.Context, q PeekRequest) (PeekReply, error) {
+	r := PeekReply{Servers: n.registry.List("", boottime.Now())}
+	if c := n.state.Configuration(); c != nil {
+		var err error
+		if r.Configuration, r.Packed, err = n.packed.forReply(c, q.AcceptsPacked); err != nil {
+			return r, err
+		}
+	}
 	if len(r.Servers) == 0 {
 		r.Servers = n.state.Servers()
 	}
@@ -72,7 +78,11 @@
 
 // PeekState asks the VM at address for the configuration and the servers that it holds, which may be out of date.
 func PeekState(ctx context.Context, c *link.Client, address string) (PeekReply, error) {
-	return link.Call[Empty, PeekReply](ctx, c, address, methodPeek, Empty{})
+	r, err := link.Call[PeekRequest, PeekReply](ctx, c, address, methodPeek, PeekRequest{AcceptsPacked: true})
+	if err == nil && len(r.Packed) > 0 {
+		r.Configuration, err = UnpackConfiguration(r.Packed)
+	}
+	return r, err
 }
 
 // callLeader runs a call on this VM if it is the leader, otherwise it forwards the call to the leader once.
@@ -156,12 +166,15 @@
 		configured, servers := s.node.state.Changed(), s.serversChanged()
 		r := FollowReply{Term: s.term, ServersRevision: s.node.registry.Revision(), Held: boottime.Now() - arrived}
 		if c := s.node.state.Configuration(); c != nil && c.Version > q.ConfigurationVersion {
-			r.Configuration = c
+			var err error
+			if r.Configuration, r.Packed, err = s.node.packed.forReply(c, q.AcceptsPacked); err != nil {
+				return r, err
+			}
 		}
 		if q.Term != s.term || q.ServersRevision != r.ServersRevision {
 			r.ServersSent, r.Servers = true, s.servers()
 		}
-		if r.Configuration != nil || r.ServersSent || !waiting {
+		if r.Configuration != nil || r.Packed != nil || r.ServersSent || !waiting {
 			r.Replicas = s.node.replicas()
 			return r, s.checkLeadership()
 		}
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -93,6 +93,7 @@
 	state        *rollout.State
 	registry     *fleet.Registry
 	forwarder    *forward.Forwarder // sends the scorer calls while this VM leads
+	packed       packedConfiguration
 	client       *link.Client
 	server       *link.Server
 	session      atomic.Pointer[session] // set while this VM leads
--- a/internal/coordinator/wire.go
+++ b/internal/coordinator/wire.go
@@ -37,18 +37,22 @@
 	Term                 uint64 `cbor:"2,keyasint,omitempty"`
 	ConfigurationVersion uint64 `cbor:"3,keyasint,omitempty"` // newest version that the VM holds
 	ServersRevision      uint64 `cbor:"4,keyasint,omitempty"` // revision of the servers that the VM holds, in that term
+	// AcceptsPacked is true if the VM reads FollowReply.Packed.
+	AcceptsPacked bool `cbor:"5,keyasint,omitempty"`
 }
 
 // FollowReply confirms that its sender was the leader when it sent the reply.
 type FollowReply struct {
 	Term            uint64                `cbor:"1,keyasint"`
-	Configuration   *routes.Configuration `cbor:"2,keyasint,omitempty"` // nil if the VM holds the newest
+	Configuration   *routes.Configuration `cbor:"2,keyasint,omitempty"` // nil if the VM holds the newest, or Packed is set
 	ServersSent     bool                  `cbor:"4,keyasint,omitempty"` // Servers is the current list, even if it is empty
 	Servers         []fleet.Server        `cbor:"5,keyasint,omitempty"`
 	ServersRevision uint64                `cbor:"6,keyasint,omitempty"`
 	Replicas        []string              `cbor:"7,keyasint,omitempty"` // link addresses
 	// Held is how long the leader held the request before it read the state that the reply confirms.
 	Held time.Duration `cbor:"8,keyasint,omitempty"`
+	// Packed is the configuration as PackConfiguration encodes it.
+	Packed []byte `cbor:"9,keyasint,omitempty"`
 }
 
 // FollowPollTimeout is how long the leader delays the reply to a follow request if nothing changes. It is at most half
@@ -123,10 +127,16 @@
 	SinceLeader time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
+// PeekRequest asks for what a VM knows.
+type PeekRequest struct {
+	AcceptsPacked bool `cbor:"1,keyasint,omitempty"` // the caller reads PeekReply.Packed
+}
+
 // PeekReply holds what a VM knows, which may be out of date.
 type PeekReply struct {
-	Configuration *routes.Configuration `cbor:"1,keyasint,omitempty"`
+	Configuration *routes.Configuration `cbor:"1,keyasint,omitempty"` // nil if Packed is set
 	Servers       []fleet.Server        `cbor:"2,keyasint,omitempty"`
+	Packed        []byte                `cbor:"3,keyasint,omitempty"` // as in FollowReply
 }
 
 // TextsRequest asks for a chunk of a segment of generated texts.
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -4,6 +4,7 @@
 
 import (
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"filbertledge/internal/errs"
@@ -72,8 +73,16 @@
 	Services []Service `cbor:"3,keyasint,omitempty"`
 	// Document is the configuration exactly as the operator sent it, returned unchanged on reads.
 	Document []byte `cbor:"4,keyasint,omitempty"`
+
+	// index is built by the first Match. Routes must not change after it.
+	index atomic.Pointer[routeIndex]
 }
 
+// routeIndex maps the lower-case host and the prefix of each route to its position in Configuration.Routes.
+type routeIndex map[hostPrefix]int
+
+type hostPrefix struct{ host, prefix string }
+
 // Validate returns an error of the kind errs.InvalidArgument that describes the first problem found.
 func (c *Configuration) Validate() error {
 	services := map[string]bool{}
@@ -124,14 +133,30 @@
 
 // Match returns the route of host with the longest prefix of path, or nil if no route matches.
 func (c *Configuration) Match(host, path string) *Route {
-	var best *Route
+	index := c.index.Load()
+	if index == nil {
+		index = c.buildIndex()
+		c.index.Store(index)
+	}
+	host = strings.ToLower(host)
+	// A prefix ends with a slash, so only the parts of the path up to one of its slashes can match.
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if i, found := (*index)[hostPrefix{host, path[:end+1]}]; found {
+			return &c.Routes[i]
+		}
+	}
+	return nil
+}
+
+func (c *Configuration) buildIndex() *routeIndex {
+	index := make(routeIndex, len(c.Routes))
 	for i := range c.Routes {
-		r := &c.Routes[i]
-		if strings.EqualFold(r.Host, host) && strings.HasPrefix(path, r.Prefix) && (best == nil || len(r.Prefix) > len(best.Prefix)) {
-			best = r
+		key := hostPrefix{strings.ToLower(c.Routes[i].Host), c.Routes[i].Prefix}
+		if _, taken := index[key]; !taken {
+			index[key] = i
 		}
 	}
-	return best
+	return &index
 }
 
 // HasHost reports whether host has a route of the given kind.
--- a/internal/routes/routes_test.go
+++ b/internal/routes/routes_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"filbertledge/internal/errs"
+	"pgregory.net/rapid"
 )
 
 func validConfiguration() *Configuration {
@@ -78,3 +79,40 @@
 		t.Fatal("Allows does not follow the weights")
 	}
 }
+
+// TestMatchEqualsLinearSearch guards against an index that finds another route than a search of all routes: the longest
+// prefix of the path, for the host in any case.
+func TestMatchEqualsLinearSearch(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := []string{"a.example", "A.example", "b.example"}
+		part := rapid.SampledFrom([]string{"", "x", "y", "xx"})
+		var c Configuration
+		seen := map[string]bool{}
+		for range rapid.IntRange(0, 8).Draw(t, "routes") {
+			prefix := "/"
+			for range rapid.IntRange(0, 3).Draw(t, "parts") {
+				prefix += part.Draw(t, "part") + "/"
+			}
+			r := Route{Host: rapid.SampledFrom(hosts).Draw(t, "host"), Prefix: prefix}
+			if key := strings.ToLower(r.Host) + prefix; !seen[key] {
+				seen[key] = true
+				c.Routes = append(c.Routes, r)
+			}
+		}
+		path := ""
+		for range rapid.IntRange(0, 4).Draw(t, "path parts") {
+			path += "/" + part.Draw(t, "path part")
+		}
+		host := rapid.SampledFrom(append(hosts, "c.example")).Draw(t, "request host")
+		var want *Route
+		for i := range c.Routes {
+			r := &c.Routes[i]
+			if strings.EqualFold(r.Host, host) && strings.HasPrefix(path, r.Prefix) && (want == nil || len(r.Prefix) > len(want.Prefix)) {
+				want = r
+			}
+		}
+		if got := c.Match(host, path); got != want {
+			t.Fatalf("%s%s: got route %+v, want %+v", host, path, got, want)
+		}
+	})
+}
