Lower the leader's load with many servers and VMs

Each announcement, a thousand a second, and each end of an item or a load woke a pass over all items and engines under the session's mutex; for each waiting item the candidates were collected again from all servers; each server that started or fell silent made the leader encode the whole list of servers again for every VM.

Change: an announcement wakes the scheduler only if it tells something new; passes pause for 3 ms at least and five times as long as they took; the candidates of a batch are collected once a pass; a VM gets the list of servers at most every 150 ms, and the list is packed once for each revision.

Ruled out: sending changes of the list only, which needs the history of revisions at the leader.

Result: TestFollowSendsServers (40 servers that start at once).

--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -22,7 +22,7 @@
 	link.Handle(n.server, methodLeader, n.handleLeader)
 	link.Handle(n.server, methodTexts, n.handleTexts)
 	link.Handle(n.server, methodPeek, n.handlePeek)
-	handleOnLeader(n, MethodFollow, (*session).follow)
+	handleOnLeader(n, methodFollow, (*session).follow)
 	handleOnLeader(n, MethodSubmitBatch, (*session).submit)
 	handleOnLeader(n, MethodReadBatch, (*session).read)
 	handleOnLeader(n, MethodItemBody, (*session).body)
@@ -163,7 +163,9 @@
 	timeout := time.NewTimer(FollowPollTimeout)
 	defer timeout.Stop()
 	for waiting := true; ; {
-		configured, servers := s.node.state.Changed(), s.serversChanged()
+		configured := s.node.state.Changed()
+		var servers <-chan struct{} = s.serversChanged()
+		var interval <-chan time.Time // ends when a changed list of servers may be sent
 		r := FollowReply{Term: s.term, ServersRevision: s.node.registry.Revision(), Held: boottime.Now() - arrived}
 		if c := s.node.state.Configuration(); c != nil && c.Version > q.ConfigurationVersion {
 			var err error
@@ -171,16 +173,24 @@
 				return r, err
 			}
 		}
-		if q.Term != s.term || q.ServersRevision != r.ServersRevision {
-			r.ServersSent, r.Servers = true, s.servers()
+		changed := q.Term != s.term || q.ServersRevision != r.ServersRevision
+		if changed && (q.Term != s.term || r.Held >= minServersInterval) {
+			s.addServers(&r, q.AcceptsPacked)
+		}
+		if !r.ServersSent {
+			r.ServersRevision = q.ServersRevision
 		}
 		if r.Configuration != nil || r.Packed != nil || r.ServersSent || !waiting {
 			r.Replicas = s.node.replicas()
 			return r, s.checkLeadership()
 		}
+		if changed {
+			servers, interval = nil, time.After(minServersInterval-r.Held)
+		}
 		select {
 		case <-configured:
 		case <-servers:
+		case <-interval:
 		case <-timeout.C:
 			waiting = false
 		case <-ctx.Done():
@@ -191,6 +201,29 @@
 	}
 }
 
+// minServersInterval is the shortest time between two lists of servers for one VM. When many servers start, leave or
+// fall silent at once, each of them changes the list, which every VM gets whole.
+const minServersInterval = 150 * time.Millisecond
+
+// addServers adds the list of servers to a reply. Its packed form is made once for each revision.
+func (s *session) addServers(r *FollowReply, acceptsPacked bool) {
+	if !acceptsPacked {
+		r.ServersSent, r.Servers = true, s.servers()
+		return
+	}
+	s.packedMu.Lock()
+	defer s.packedMu.Unlock()
+	if s.packedList == nil || s.packedRevision != r.ServersRevision {
+		packed, err := packServers(s.servers())
+		if err != nil {
+			s.node.opts.Events.Log().WithError(err).Error("cannot encode the list of servers; the VMs keep the last one")
+			return
+		}
+		s.packedList, s.packedRevision = packed, r.ServersRevision
+	}
+	r.ServersSent, r.PackedServers = true, s.packedList
+}
+
 // servers returns all servers, without the fields that only the leader needs.
 func (s *session) servers() []fleet.Server {
 	list := s.node.registry.List("", boottime.Now())
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -332,8 +332,7 @@
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, FollowPollTimeout+callTimeout)
-		reply, err := link.Call[FollowRequest, FollowReply](callCtx, n.client, leader, MethodFollow,
-			FollowRequest{VM: n.opts.Name, Term: term, ServersRevision: revision, ConfigurationVersion: skipConfiguration})
+		reply, err := Follow(callCtx, n.client, leader, FollowRequest{VM: n.opts.Name, Term: term, ServersRevision: revision, ConfigurationVersion: skipConfiguration})
 		cancel()
 		if err != nil {
 			sleep(ctx, leaderRetryInterval)
--- a/internal/coordinator/packed.go
+++ b/internal/coordinator/packed.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"filbertledge/internal/errs"
+	"filbertledge/internal/fleet"
 	"filbertledge/internal/routes"
 )
 
@@ -19,39 +20,51 @@
 // configuration at the same time: with 1,500 routes and 270 VMs, separate and uncompressed replies with the document took
 // more than the 294 MB that a leader may use.
 func PackConfiguration(c *routes.Configuration) ([]byte, error) {
-	data, err := cbor.Marshal(&routes.Configuration{Version: c.Version, Routes: c.Routes, Services: c.Services})
+	return pack(&routes.Configuration{Version: c.Version, Routes: c.Routes, Services: c.Services})
+}
+
+// UnpackConfiguration decodes the output of PackConfiguration.
+func UnpackConfiguration(packed []byte) (*routes.Configuration, error) {
+	c := &routes.Configuration{}
+	return c, unpack(packed, c)
+}
+
+func packServers(servers []fleet.Server) ([]byte, error) { return pack(servers) }
+
+func unpackServers(packed []byte) (servers []fleet.Server, err error) {
+	err = unpack(packed, &servers)
+	return servers, err
+}
+
+// pack encodes and compresses a value.
+func pack(value any) ([]byte, error) {
+	const remedy = "report this fault"
+	data, err := cbor.Marshal(value)
 	if err != nil {
-		return nil, errs.Wrap(err, errs.Internal, "report this fault", "cannot encode configuration %d", c.Version)
+		return nil, errs.Wrap(err, errs.Internal, remedy, "cannot encode a %T", value)
 	}
 	var out bytes.Buffer
 	w, err := flate.NewWriter(&out, flate.BestSpeed)
-	if err != nil {
-		return nil, errs.Wrap(err, errs.Internal, "report this fault", "cannot compress configuration %d", c.Version)
-	}
-	if _, err := w.Write(data); err != nil {
-		return nil, errs.Wrap(err, errs.Internal, "report this fault", "cannot compress configuration %d", c.Version)
+	if err == nil {
+		_, err = w.Write(data)
 	}
-	if err := w.Close(); err != nil {
-		return nil, errs.Wrap(err, errs.Internal, "report this fault", "cannot compress configuration %d", c.Version)
+	if err == nil {
+		err = w.Close()
 	}
-	return out.Bytes(), nil
+	return out.Bytes(), errs.Wrap(err, errs.Internal, remedy, "cannot compress a %T of %d bytes", value, len(data))
 }
 
-// UnpackConfiguration decodes the output of PackConfiguration.
-func UnpackConfiguration(packed []byte) (*routes.Configuration, error) {
+// unpack decodes the output of pack.
+func unpack(packed []byte, value any) error {
 	const remedy = "use the same version of filbertledge on all VMs"
 	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxUnpackedBytes+1))
 	if err != nil {
-		return nil, errs.Wrap(err, errs.Internal, remedy, "cannot decompress a configuration of %d bytes", len(packed))
+		return errs.Wrap(err, errs.Internal, remedy, "cannot decompress %d bytes", len(packed))
 	}
 	if len(data) > maxUnpackedBytes {
-		return nil, errs.New(errs.Internal, remedy, "configuration exceeds %d bytes", maxUnpackedBytes)
-	}
-	c := &routes.Configuration{}
-	if err := cbor.Unmarshal(data, c); err != nil {
-		return nil, errs.Wrap(err, errs.Internal, remedy, "cannot decode a configuration of %d bytes", len(data))
+		return errs.New(errs.Internal, remedy, "a message of %d compressed bytes exceeds %d bytes", len(packed), maxUnpackedBytes)
 	}
-	return c, nil
+	return errs.Wrap(cbor.Unmarshal(data, value), errs.Internal, remedy, "cannot decode %d bytes", len(data))
 }
 
 // packedConfiguration keeps the packed form of the newest configuration, so that it is made once for all VMs.
--- a/internal/coordinator/packed_test.go
+++ b/internal/coordinator/packed_test.go
@@ -72,7 +72,7 @@
 			var err error
 			if i%2 == 0 {
 				var r FollowReply
-				r, err = link.Call[FollowRequest, FollowReply](ctx, client, address, MethodFollow, FollowRequest{VM: fmt.Sprint(i), AcceptsPacked: true})
+				r, err = link.Call[FollowRequest, FollowReply](ctx, client, address, methodFollow, FollowRequest{VM: fmt.Sprint(i), AcceptsPacked: true})
 				packed = r.Packed
 			} else {
 				var r PeekReply
@@ -91,3 +91,50 @@
 		t.Errorf("replies to %d VMs allocate %d MB, a VM with the state may use %d MB", largeFollowers, allocated>>20, largeMemoryLimit>>20)
 	}
 }
+
+// TestFollowSendsServers guards against a VM that keeps an old list of servers, or believes that it has a list that it
+// was not sent, and against a list for each change when many servers change at once.
+func TestFollowSendsServers(t *testing.T) {
+	c := startCluster(t, 3)
+	c.configure(1)
+	const servers = 40
+	address := c.addresses[c.leader()]
+	client := link.NewClient()
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	q := FollowRequest{VM: "entry"}
+	follow := func() FollowReply {
+		r, err := Follow(ctx, client, address, q)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r.ServersSent != (r.ServersRevision != q.ServersRevision || r.Term != q.Term) {
+			t.Fatalf("revision %d after %d, list sent %t", r.ServersRevision, q.ServersRevision, r.ServersSent)
+		}
+		q.Term, q.ServersRevision = r.Term, r.ServersRevision
+		if r.Configuration != nil {
+			q.ConfigurationVersion = r.Configuration.Version
+		}
+		return r
+	}
+	if r := follow(); r.Configuration == nil || r.Configuration.Version != 1 || !r.ServersSent {
+		t.Fatalf("the first reply has configuration %v, list sent %t", r.Configuration, r.ServersSent)
+	}
+	c.announceServers(servers, 4)
+	lists, known := 0, 0
+	for known < servers {
+		if r := follow(); r.ServersSent {
+			lists, known = lists+1, len(r.Servers)
+		}
+		if ctx.Err() != nil {
+			t.Fatalf("%d of %d servers are known", known, servers)
+		}
+	}
+	if lists > servers/2 {
+		t.Errorf("%d lists were sent for %d servers that started at once", lists, servers)
+	}
+	if r := follow(); r.ServersSent || r.Held < FollowPollTimeout/2 {
+		t.Errorf("without a change a list was sent after %s", r.Held)
+	}
+}
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -24,6 +24,11 @@
 const (
 	// scheduleInterval is the time between checks of the running items.
 	scheduleInterval = 100 * time.Millisecond
+	// minPassPause is the shortest pause between two passes over the waiting items or the engines to load, and
+	// passPauseRatio the ratio of the pause to the duration of the pass. Each end of an item or of a load asks for a pass,
+	// which looks at all engines and holds the mutex that the events of the running items need.
+	minPassPause   = 3 * time.Millisecond
+	passPauseRatio = 5
 	// firstEventTimeout is how long a run may take to its first output event, and eventTimeout to each later one,
 	// before its item is moved to another engine. Engines produce the first event within some tens of milliseconds and
 	// a later one every 50 ms; a slow engine takes ten times as long.
@@ -102,10 +107,17 @@
 		case <-ticker.C:
 			s.checkRuns()
 		}
+		started := boottime.Now()
 		s.startWaitingItems()
+		pauseAfterPass(s.ctx, started)
 	}
 }
 
+// pauseAfterPass pauses after a pass over the waiting items or the engines that started at the given boot time.
+func pauseAfterPass(ctx context.Context, started time.Duration) {
+	sleep(ctx, max(minPassPause, passPauseRatio*(boottime.Now()-started)))
+}
+
 // startWaitingItems starts waiting items while engines have room for them.
 func (s *session) startWaitingItems() {
 	if s.checkLeadership() != nil {
@@ -120,6 +132,11 @@
 	now := boottime.Now()
 	medians := s.medianIntervals(now)
 	servers := map[string][]fleet.Server{}
+	type batchService struct {
+		batch   *batch
+		service string
+	}
+	byBatch := map[batchService]*candidates{}
 	type requirement struct {
 		batch, service string
 		traits         scheduling.ItemTraits
@@ -142,13 +159,17 @@
 		if servers[service] == nil {
 			servers[service] = s.node.registry.List(service, now)
 		}
-		engines, candidateServers := s.candidates(t, servers[service], now)
-		i := medians.ChooseEngine(engines, key.traits)
+		list := byBatch[batchService{t.batch, service}]
+		if list == nil {
+			list = s.candidatesFor(t.batch, servers[service], now)
+			byBatch[batchService{t.batch, service}] = list
+		}
+		i := list.choose(t, medians, key.traits, s.promptCachedOn[t.promptKey()], now)
 		if i < 0 {
 			full[key] = true
 			continue
 		}
-		s.startRun(t, candidateServers[i], route, now)
+		s.startRun(t, list.servers[i], route, now)
 	}
 }
 
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -41,6 +41,11 @@
 	publishedAt map[string]time.Duration
 	stepWork    map[string]float64 // moving average of the work of a step by model, in output tokens
 	runTimes    runTimes
+
+	packedMu       sync.Mutex
+	packedList     []byte // the servers at packedRevision of the registry, packed
+	packedRevision uint64
+
 	// reusableTexts holds the texts of unfinished groups of ended batches, by item ID.
 	reusableTexts map[string]rollout.Partial
 }
@@ -444,12 +449,20 @@
 	return e
 }
 
-// recordVersions records the weight versions that a server announced.
+// recordVersions records the weight versions that a server announced. It wakes the scheduler only if the announcement
+// tells something new: a thousand servers announce themselves about as often in a second.
 func (s *session) recordVersions(v fleet.Server) {
 	s.mu.Lock()
+	e := s.engines[v.ID]
+	isNew := e == nil || e.incarnation != v.Incarnation
+	for _, m := range v.Models {
+		isNew = isNew || m.Version > e.versions[m.Name]
+	}
 	s.engineFor(&v)
 	s.mu.Unlock()
-	s.wakeScheduler()
+	if isNew {
+		s.wakeScheduler()
+	}
 }
 
 func describeBatch(b *rollout.Batch, fresh bool) string {
@@ -464,27 +477,44 @@
 	return fmt.Sprintf("%s version %d", v.Model, v.Version)
 }
 
-// candidates returns the engines that may run an item, and their servers in the same order. The caller holds the mutex.
-func (s *session) candidates(t *task, servers []fleet.Server, now time.Duration) ([]scheduling.Engine, []*fleet.Server) {
-	var list []scheduling.Engine
-	var candidateServers []*fleet.Server
-	promptCachedOn := s.promptCachedOn[t.promptKey()]
+// candidates holds the engines that may run the items of a batch during one pass of the scheduler, and their servers and
+// states in the same order.
+type candidates struct {
+	engines []scheduling.Engine
+	servers []*fleet.Server
+	states  []*engineState
+}
+
+// candidatesFor returns the candidates for the items of a batch. The caller holds the mutex.
+func (s *session) candidatesFor(b *batch, servers []fleet.Server, now time.Duration) *candidates {
+	c := &candidates{}
 	for i := range servers {
 		v := &servers[i]
 		e := s.engineFor(v)
-		if v.Leaving || e.blockedUntil > now || e.loadingModel != "" && e.loadingModel == t.batch.Model {
+		if v.Leaving || e.blockedUntil > now || e.loadingModel != "" && e.loadingModel == b.Model {
 			continue
 		}
-		if t.batch.MinVersion > 0 && e.versions[t.batch.Model] < t.batch.MinVersion {
+		if b.MinVersion > 0 && e.versions[b.Model] < b.MinVersion {
 			continue
 		}
-		list = append(list, scheduling.Engine{
-			ID: v.ID, Slots: max(v.Slots, 1), Running: e.running, RunningLong: e.runningLong, RecentInterval: e.usableRecentInterval(now), BaselineInterval: e.baselineInterval,
-			PromptCached: promptCachedOn == v.ID, Avoid: v.Silent || t.avoidUntil[v.ID] > now || e.failures > 0,
+		c.engines = append(c.engines, scheduling.Engine{
+			ID: v.ID, Slots: max(v.Slots, 1), RecentInterval: e.usableRecentInterval(now), BaselineInterval: e.baselineInterval,
 		})
-		candidateServers = append(candidateServers, v)
+		c.servers = append(c.servers, v)
+		c.states = append(c.states, e)
+	}
+	return c
+}
+
+// choose returns the index of the engine that should run an item, or -1 if the item should wait.
+func (c *candidates) choose(t *task, medians scheduling.MedianIntervals, traits scheduling.ItemTraits, promptCachedOn string, now time.Duration) int {
+	for i := range c.engines {
+		e, state := &c.engines[i], c.states[i]
+		e.Running, e.RunningLong = state.running, state.runningLong
+		e.PromptCached = promptCachedOn == e.ID
+		e.Avoid = c.servers[i].Silent || state.failures > 0 || t.avoidUntil[e.ID] > now
 	}
-	return list, candidateServers
+	return medians.ChooseEngine(c.engines, traits)
 }
 
 // promptKey identifies the prompt of the task's group.
--- a/internal/coordinator/weights.go
+++ b/internal/coordinator/weights.go
@@ -56,7 +56,9 @@
 		case <-s.loaderWake:
 		case <-ticker.C:
 		}
+		started := boottime.Now()
 		s.startLoads()
+		pauseAfterPass(s.ctx, started)
 	}
 }
 
--- a/internal/coordinator/wire.go
+++ b/internal/coordinator/wire.go
@@ -1,16 +1,18 @@
 package coordinator
 
 import (
+	"context"
 	"time"
 
 	"filbertledge/internal/fleet"
+	"filbertledge/internal/link"
 	"filbertledge/internal/rollout"
 	"filbertledge/internal/routes"
 )
 
 // Names of the remote calls between VMs, which use package link.
 const (
-	MethodFollow      = "follow"
+	methodFollow      = "follow"
 	MethodSubmitBatch = "batch.submit"
 	MethodReadBatch   = "batch.read"
 	MethodItemBody    = "batch.body"
@@ -53,6 +55,31 @@
 	Held time.Duration `cbor:"8,keyasint,omitempty"`
 	// Packed is the configuration as PackConfiguration encodes it.
 	Packed []byte `cbor:"9,keyasint,omitempty"`
+	// PackedServers is the list of servers, instead of Servers, as packServers encodes it.
+	PackedServers []byte `cbor:"10,keyasint,omitempty"`
+}
+
+// unpack decodes Packed and PackedServers into Configuration and Servers.
+func (r *FollowReply) unpack() (err error) {
+	if len(r.Packed) > 0 {
+		if r.Configuration, err = UnpackConfiguration(r.Packed); err != nil {
+			return err
+		}
+	}
+	if len(r.PackedServers) > 0 {
+		r.Servers, err = unpackServers(r.PackedServers)
+	}
+	return err
+}
+
+// Follow sends a follow request to the VM at address.
+func Follow(ctx context.Context, c *link.Client, address string, q FollowRequest) (FollowReply, error) {
+	q.AcceptsPacked = true
+	r, err := link.Call[FollowRequest, FollowReply](ctx, c, address, methodFollow, q)
+	if err == nil {
+		err = r.unpack()
+	}
+	return r, err
 }
 
 // FollowPollTimeout is how long the leader delays the reply to a follow request if nothing changes. It is at most half
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -146,7 +146,7 @@
 
 // Run finds the leader and receives configurations and server lists from it until ctx ends.
 func (g *Gateway) Run(ctx context.Context) {
-	q := coordinator.FollowRequest{VM: g.opts.Name, AcceptsPacked: true}
+	q := coordinator.FollowRequest{VM: g.opts.Name}
 	lostAt := time.Now()
 	for ctx.Err() == nil {
 		leader := g.currentLeader()
@@ -188,11 +188,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, coordinator.FollowPollTimeout+followTimeoutMargin)
 	defer cancel()
-	reply, err := link.Call[coordinator.FollowRequest, coordinator.FollowReply](ctx, g.client, leader, coordinator.MethodFollow, q)
-	if err == nil && len(reply.Packed) > 0 {
-		reply.Configuration, err = coordinator.UnpackConfiguration(reply.Packed)
-	}
-	return reply, err
+	return coordinator.Follow(ctx, g.client, leader, q)
 }
 
 // applyReply applies the servers and the configuration that the leader sent, and sets the version in the next
