A leader that falls behind does not move items for its own delay

The leader was at its share of a core, read events late and took that for slow engines. Ruled out: a limit of moves a second, which on the small deployments would hold back moves that are right. Result: TestSlowShareAllowsMoves, TestDelayedLeaderDoesNotMoveItems.

--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -62,6 +62,8 @@
 	maxBackoffDoublings = 8
 	// recentIntervalWeight is the weight of a new measurement in the moving average of the time between events.
 	recentIntervalWeight = 0.12
+	// slowShareWeight is the weight of an interval in the moving share of slow ones.
+	slowShareWeight = 1.0 / 300
 	// baselineStep is the relative change of the baseline interval with each event. The baseline halves or doubles
 	// within 35 events, which one run produces in two seconds, and varies by a few percent.
 	baselineStep = 0.02
@@ -339,7 +341,9 @@
 	s.stalls.recordEvent(now, s.runningItems, time.Duration(e.recentInterval*float64(time.Millisecond)))
 	if last > 0 && !s.stalls.stalledSince(last) {
 		interval := float64((now - last).Microseconds()) / 1000 // in milliseconds
-		if t.isLong() && !t.moving && scheduling.IsTransientSlowdown(interval, e.baselineInterval, e.running, max(v.Slots, 1)) {
+		slow := scheduling.IsTransientSlowdown(interval, e.baselineInterval, e.running, max(v.Slots, 1))
+		s.recordSlow(slow)
+		if slow && t.isLong() && !t.moving && scheduling.SlowShareAllowsMoves(s.slowShare, len(s.engines)) {
 			s.moveFromSlowEngine(t, interval, now)
 		}
 		e.recordInterval(interval, max(v.Slots, 1), now)
@@ -347,6 +351,14 @@
 	return now
 }
 
+// recordSlow counts an interval in slowShare. The caller holds the mutex.
+func (s *session) recordSlow(slow bool) {
+	s.slowShare *= 1 - slowShareWeight
+	if slow {
+		s.slowShare += slowShareWeight
+	}
+}
+
 // moveFromSlowEngine moves a long item away from an engine that is transiently slow, if another engine has room. The
 // caller holds the mutex.
 func (s *session) moveFromSlowEngine(t *task, interval float64, now time.Duration) {
--- a/internal/coordinator/session_test.go
+++ b/internal/coordinator/session_test.go
@@ -225,3 +225,44 @@
 		}
 	}
 }
+
+// TestDelayedLeaderDoesNotMoveItems guards against a leader that reads events late and moves long items away from sound
+// engines, which costs it more runs and delays it further; a single engine that turns slow must still lose its items.
+func TestDelayedLeaderDoesNotMoveItems(t *testing.T) {
+	const engines, slots, normal, delayed = 40, 8, 40 * time.Millisecond, 200 * time.Millisecond
+	s, _ := newStandaloneSession(t, nil)
+	s.addBatch(rollout.OpenBatch{Batch: rollout.Batch{ID: "b", Items: []rollout.Item{{ID: "long", LengthHint: 900}, {ID: "short", LengthHint: 10}, {ID: "short too", LengthHint: 10}}}, HasResult: make([]bool, 3)})
+	var servers []fleet.Server
+	for i := range engines {
+		v := fleet.Server{ID: fmt.Sprintf("s%d", i), Address: fmt.Sprintf("10.0.0.%d:80", i), Service: testService, Incarnation: 1, Slots: slots}
+		s.node.registry.Announce(v, boottime.Now())
+		servers = append(servers, v)
+		s.engineFor(&v).baselineInterval = float64(normal.Milliseconds())
+	}
+	task := s.batches["b"].tasks[0]
+	moved := false
+	task.cancel = func() { moved = true }
+	event := func(server int, interval time.Duration) {
+		task.state, task.moving, task.engine = taskRunning, false, servers[server].ID
+		now := boottime.Now()
+		task.startedAt = now - time.Hour
+		task.lastEventAt = now
+		s.addEvent(task, servers[server], StreamEvent{Number: task.events + 1, Version: 1}, now-interval)
+	}
+	for i := range 50 * engines {
+		event(i%engines, normal)
+	}
+	if event(0, delayed); !moved {
+		t.Fatal("an item stays on an engine that has turned slow")
+	}
+	for i := range 20 * engines {
+		event(i%engines, []time.Duration{normal, normal, normal, delayed}[i%4])
+	}
+	moved = false
+	for i := range engines {
+		event(i, delayed)
+	}
+	if moved {
+		t.Fatal("items are moved although a quarter of all intervals is long")
+	}
+}
--- a/internal/scheduling/choose.go
+++ b/internal/scheduling/choose.go
@@ -144,6 +144,21 @@
 	return baseline > 0 && interval > transientSlowdownRatio*baseline*LoadSlowdown(running, slots)
 }
 
+const (
+	// maxSlowShare is the share of intervals that look like a transient slowdown above which the observer, and not the
+	// engines, is slow. Engines are transiently slow for one or two percent of the time.
+	maxSlowShare = 0.08
+	// slowEnginesToMove is the number of engines that may be slow at once, which on a small fleet is a larger share.
+	slowEnginesToMove = 1.5
+)
+
+// SlowShareAllowsMoves reports whether items may be moved for transient slowdowns, given the share of the recent intervals
+// of all engines that look like one. It is designed for a leader that reads thousands of events a second on half a core:
+// when it falls behind, all engines seem to be slow by turns, and each move would cost it another run.
+func SlowShareAllowsMoves(slowShare float64, engines int) bool {
+	return slowShare <= max(maxSlowShare, slowEnginesToMove/float64(max(engines, 1)))
+}
+
 // LoadSlowdown returns how many times slower an engine produces events with the given number of running requests than
 // with a single one.
 func LoadSlowdown(running, slots int) float64 {
--- a/internal/scheduling/scheduling_test.go
+++ b/internal/scheduling/scheduling_test.go
@@ -99,6 +99,20 @@
 	}
 }
 
+// TestSlowShareAllowsMoves guards against a leader that falls behind, takes its own delay for slow engines and moves half
+// of the items, and against one that never moves an item on a small fleet, where one slow engine is a large share.
+func TestSlowShareAllowsMoves(t *testing.T) {
+	for _, tc := range []struct {
+		share   float64
+		engines int
+		want    bool
+	}{{0.02, 97, true}, {0.12, 97, false}, {0.12, 45, false}, {0.12, 8, true}, {0.3, 8, false}, {0, 0, true}} {
+		if got := SlowShareAllowsMoves(tc.share, tc.engines); got != tc.want {
+			t.Errorf("share %.2f on %d engines: got %t, want %t", tc.share, tc.engines, got, tc.want)
+		}
+	}
+}
+
 // TestChooseEngineForLongItem guards against long items that run on a slow engine while a faster one has room.
 func TestChooseEngineForLongItem(t *testing.T) {
 	for name, tc := range map[string]struct {
