Replicas beyond 3f+2 stand by; ports of the coordinator's tests cannot be taken

Cause, first: the leader of the large deployment sends its whole log, with the bodies of all batches and the progress of all items, to 23 to 26 other state VMs over a link of 600 Mbit/s. Cause, second: TestConfigurationSurvivesRestartOfAllNodes failed with "bind: address already in use": its nodes took ports of the range from which the kernel gives outgoing connections theirs, also to other tests, while the nodes are stopped.

Change: the leader adds a replica that replaces no voter only while fewer than 3f+2 members answer, or if its failure domain has none. Others stand by: they ask again each second, know the leader and forward calls to it, can be retired, and do not answer questions about their state. The tests' nodes use ports below the kernel's range. Ruled out: a smaller share of state VMs in deploy/system.toml. A share that leaves 12 of 45 there leaves 4 of 13 on the grown deployment, which needs 5 voters. A limit of the bytes for learners: they would fall behind. Result: TestFurtherReplicasStandBy. Deployments with at most 3f+2 state VMs are not affected.

--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -60,6 +60,9 @@
 // handlePeek returns what this VM holds, without confirmation by a leader, for an entry VM that starts while there is
 // no leader.
 func (n *Node) handlePeek(_ context.Context, q PeekRequest) (PeekReply, error) {
+	if n.replica.StandsBy() {
+		return PeekReply{}, nil
+	}
 	r := PeekReply{Servers: n.registry.List("", boottime.Now())}
 	if c := n.state.Configuration(); c != nil {
 		var err error
@@ -396,6 +399,12 @@
 			remaining++
 		}
 	}
+	for _, vm := range status.Standby {
+		known = known || vm == q.VM
+		if vm != q.VM && !retired[vm] {
+			remaining++ // it joins when a member is retired
+		}
+	}
 	if retired[q.VM] {
 		return Empty{}, s.checkLeadership()
 	}
--- a/internal/coordinator/fakes_test.go
+++ b/internal/coordinator/fakes_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"sync"
@@ -201,12 +202,7 @@
 	t.Helper()
 	c := &cluster{t: t, engines: newFakeEngines(), scorers: newFakeScorers()}
 	for range size {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		c.addresses = append(c.addresses, ln.Addr().String())
-		ln.Close()
+		c.addresses = append(c.addresses, unusedAddress(t))
 		c.dataDirs = append(c.dataDirs, t.TempDir())
 	}
 	c.nodes = make([]*Node, size)
@@ -215,6 +211,23 @@
 	return c
 }
 
+// unusedAddress returns an address whose port no outgoing connection of any process gets: the kernel chooses those from
+// 32768 on. A port that is free between two starts of a node could otherwise be taken.
+func unusedAddress(t *testing.T) string {
+	t.Helper()
+	const firstPort, ports, attempts = 20000, 12000, 100
+	var err error
+	for range attempts {
+		var ln net.Listener
+		if ln, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))); err == nil {
+			defer ln.Close()
+			return ln.Addr().String()
+		}
+	}
+	t.Fatalf("no free port in %d attempts, the last: %v", attempts, err)
+	return ""
+}
+
 func (c *cluster) startAll() {
 	c.t.Helper()
 	for i := range c.nodes {
--- a/internal/replica/bootstrap.go
+++ b/internal/replica/bootstrap.go
@@ -46,6 +46,8 @@
 // JoinReply reports that the leader has appended the new membership to its log.
 type JoinReply struct {
 	Replaces uint64 `cbor:"1,keyasint,omitempty"` // ID of the voter that is being replaced
+	// Standby is true if the group has enough members: the replica was not added and asks again.
+	Standby bool `cbor:"2,keyasint,omitempty"`
 }
 
 // bootstrapState prevents a replica from taking part in two groups created by two instances of the bootstrap
@@ -102,6 +104,11 @@
 		if r.tryJoin(ctx) {
 			return
 		}
+		if r.standby.Load() != nil {
+			ticker.Reset(standbyInterval)
+		} else {
+			ticker.Reset(bootstrapInterval)
+		}
 		select {
 		case <-ticker.C:
 		case <-r.stopped:
@@ -164,7 +171,11 @@
 	if !r.opts.ManageVoters {
 		return list
 	}
-	for _, m := range r.Status().Members {
+	members := r.Status().Members
+	if standby := r.standby.Load(); standby != nil {
+		members = standby.members
+	}
+	for _, m := range members {
 		known := func(p raft.Member) bool { return p.Address == m.Address }
 		if m.Address != r.self.Address && !slices.ContainsFunc(list, known) {
 			list = append(list, raft.Member{Address: m.Address})
@@ -209,7 +220,11 @@
 func (r *Replica) startParticipating(ctx context.Context, state *raft.DurableState, source raft.Member) bool {
 	ok := false
 	err := r.runInLoop(ctx, func() { ok = r.startParticipatingInLoop(state, source) })
-	return err == nil && ok
+	if err != nil || !ok {
+		return false
+	}
+	r.standby.Store(nil)
+	return true
 }
 
 func (r *Replica) startParticipatingInLoop(state *raft.DurableState, source raft.Member) bool {
@@ -249,8 +264,12 @@
 			continue
 		}
 		joinCtx, cancel := context.WithTimeout(ctx, joinTimeout)
-		_, err := r.opts.Join(joinCtx, address, JoinRequest{Member: r.self, ReplaceVoter: r.opts.ReplaceVoter})
+		joined, err := r.opts.Join(joinCtx, address, JoinRequest{Member: r.self, ReplaceVoter: r.opts.ReplaceVoter})
 		cancel()
+		if err == nil && joined.Standby {
+			r.standBy(address, reply.Members)
+			return false
+		}
 		if err == nil {
 			return r.startParticipating(ctx, nil, reply.Member) && r.joined()
 		}
@@ -297,6 +316,9 @@
 	if err := checkReplacement(s.Configuration.Voters, old, q.Member); err != nil && !r.opts.ManageVoters {
 		return JoinReply{}, err
 	}
+	if r.opts.ManageVoters && old.ID == 0 && r.hasEnoughMembers(s.Configuration, q.Member) {
+		return JoinReply{Standby: true}, nil
+	}
 	if err := r.loop.node.AddLearner(l); err != nil {
 		return JoinReply{}, errNotProposed(err)
 	}
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -74,6 +74,7 @@
 
 // loopState is the state that only the replica's own goroutine, which executes Run, may use once Run has started.
 type loopState struct {
+	standbySince       map[string]time.Duration // time of the last request of each VM that stands by
 	node               *raft.Node
 	applied            uint64
 	snapshotIndex      uint64        // index of the newest snapshot
--- a/internal/replica/membership_test.go
+++ b/internal/replica/membership_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -227,3 +228,45 @@
 		d.decode(small[0][:i])
 	}
 }
+
+// Guards against a leader whose link is taken by the log for replicas that nobody needs, against a VM that stands by and
+// cannot forward calls to the leader, and against one that does not join when a member is lost.
+func TestFurtherReplicasStandBy(t *testing.T) {
+	g := newGroup(t, "a", "b", "c")
+	manage := func(o *Options) { o.ManageVoters, o.FaultTolerance = true, 1 }
+	for _, m := range g.members {
+		g.start(m, m.Name, manage)
+	}
+	g.propose("one")
+	limit := maxMembers(1)
+	var further []raft.Member
+	for i := range limit - len(g.members) + 2 {
+		name := fmt.Sprint("x", i)
+		m := raft.Member{Name: name, FailureDomain: "domain-" + g.members[i%2].Name, Address: name}
+		further = append(further, m)
+		t.Cleanup(func() { g.stop(name) })
+		g.start(m, name, func(o *Options) { manage(o); o.JoinOnly = true })
+	}
+	members := func() int { return len(g.leader().Status().Members) }
+	eventually(t, "the group is complete and two replicas stand by", func() bool {
+		return members() == limit && len(g.leader().Status().Standby) == 2
+	})
+	leader := g.leader()
+	standby := leader.Status().Standby
+	for _, name := range standby {
+		if got := g.reachable(name).Status().LeaderAddress; got != leader.self.Address {
+			t.Errorf("%s, which stands by, knows leader %q, want %q", name, got, leader.self.Address)
+		}
+	}
+	// A replica in a failure domain without a member is needed.
+	other := raft.Member{Name: "y", FailureDomain: "domain-y", Address: "y"}
+	t.Cleanup(func() { g.stop("y") })
+	g.start(other, "y", func(o *Options) { manage(o); o.JoinOnly = true })
+	eventually(t, "the replica in another failure domain is a member", func() bool { return members() == limit+1 })
+	for _, m := range further {
+		if _, standing := slices.BinarySearch(standby, m.Name); !standing {
+			g.stop(m.Address) // two members are lost
+		}
+	}
+	eventually(t, "a replica that stood by has joined", func() bool { return len(g.leader().Status().Standby) < 2 })
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -55,6 +55,7 @@
 	participating atomic.Bool  // the raft node handles messages and requests
 	leaseUntil    atomic.Int64 // end of the leader lease on Options.Clock, in nanoseconds
 	status        atomic.Pointer[Status]
+	standby       atomic.Pointer[standbyState] // set while the group does not need this replica
 	addresses     addressBook
 	bootstrap     bootstrapState
 
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -48,12 +48,17 @@
 	HoldsLease        bool
 	Joined            bool // the group has committed this replica as a member
 	PlacementProblems []PlacementProblem
+	// Standby lists the VMs that asked to join lately and were not needed. Only the leader knows them.
+	Standby []string
 }
 
 // Status returns the status as of the last processed event, with the current state of the lease.
 func (r *Replica) Status() Status {
 	s := *r.status.Load()
 	s.HoldsLease = r.HoldsLease()
+	if standby := r.standby.Load(); standby != nil && s.LeaderAddress == "" {
+		s.LeaderAddress = standby.leader
+	}
 	return s
 }
 
@@ -73,6 +78,7 @@
 	for _, m := range n.Configuration.Members() {
 		s.Members = append(s.Members, r.memberStatus(n.Configuration, m))
 	}
+	s.Standby = r.standbyVMs()
 	if len(n.Configuration.Voters) > 0 {
 		s.PlacementProblems = CheckPlacement(n.Configuration.Voters)
 	}
