An item without a scorer does not wait for a score when the queue of results is full

Cause: finishItem put every item with a complete text back to wait for its score if its result did not fit into the queue. The next pass would then have sent a scorer call that the item does not have, and ended the process. Change: only items with a scorer wait for one. The event engines.divided counts engines that serve other models than before, also for a new leader, and not those that this leader has not recorded yet. Ruled out: nothing. Result: TestFullResultQueueKeepsItems fails before.

--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -465,7 +465,7 @@
 		// again.
 		t.state, t.completed = taskWaiting, false
 		t.group.unfinished++
-		if t.textComplete {
+		if t.textComplete && t.batch.Items[t.item].Scorer != nil {
 			s.waitForScore(t)
 		}
 	}
--- a/internal/coordinator/session_test.go
+++ b/internal/coordinator/session_test.go
@@ -15,6 +15,7 @@
 	"filbertledge/internal/errs"
 	"filbertledge/internal/events"
 	"filbertledge/internal/fleet"
+	"filbertledge/internal/forward"
 	"filbertledge/internal/rollout"
 	"filbertledge/internal/routes"
 )
@@ -266,3 +267,30 @@
 		t.Fatal("items are moved although a quarter of all intervals is long")
 	}
 }
+
+// TestFullResultQueueKeepsItems guards against an item that is lost, or that waits for a score although it needs none,
+// because its result does not fit into the queue of results to commit.
+func TestFullResultQueueKeepsItems(t *testing.T) {
+	s, _ := newStandaloneSession(t, nil)
+	s.results = make(chan rollout.BatchResult) // full
+	b := newBatch("b", 2, 0)
+	addScorers(b)
+	b.Items[0].Scorer = nil
+	s.addBatch(rollout.OpenBatch{Batch: *b, HasResult: make([]bool, 2)})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	tasks := s.batches["b"].tasks
+	s.completeText(tasks[0])
+	if tasks[0].state != taskWaiting || s.unscored[tasks[0]] {
+		t.Errorf("an item without a scorer is in state %d, waits for a score %t; want %d", tasks[0].state, s.unscored[tasks[0]], taskWaiting)
+	}
+	s.completeText(tasks[1])
+	delete(s.unscored, tasks[1]) // its call is in progress
+	s.finishCall(tasks[1], &routes.Route{}, &forward.Response{Status: 200, Signature: "score"}, nil, 0)
+	if tasks[1].state != taskScoring || !s.unscored[tasks[1]] {
+		t.Errorf("a scored item is in state %d, waits for a score %t; want %d", tasks[1].state, s.unscored[tasks[1]], taskScoring)
+	}
+	if left := s.batches["b"].groups[b.Items[0].Group].unfinished; left != 2 {
+		t.Errorf("%d items of the group are unfinished, want 2", left)
+	}
+}
--- a/internal/coordinator/weights.go
+++ b/internal/coordinator/weights.go
@@ -248,10 +248,10 @@
 		if models != nil {
 			assigned = models[i]
 		}
-		if !slices.Equal(e.models, assigned) {
-			e.models = assigned
+		if !slices.Equal(usable[i].Models, assigned) {
 			changed++
 		}
+		e.models = assigned
 	}
 	if changed > 0 {
 		s.record(events.Event{Name: events.EnginesDivided, Detail: fmt.Sprintf("%d of %d engines of service %s change their models, work %v", changed, len(usable), service.Name, work)})
