LIMIT: read the limits that servers state, and log them

No line of the logs told which limit a server stated, which VM learned it and when, so that a VM that ignores a limit could not be told from one that keeps it alone.

platform decodes the header once into ratelimit.Statement; the table of limits orders the statements (responses that overlap may arrive in another order; the stricter holds between them), and the forwarder writes server.limit_named, server.limit_withdrawn and server.limit_unreadable. Nothing acts on the table yet.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -62,6 +62,15 @@
 // Header returns the value of a response header, or an empty string.
 func (x *Exchange) Header(name string) string { return string(x.ex.header.Peek(name)) }
 
+// HeaderValues returns all values of a response header, in their order.
+func (x *Exchange) HeaderValues(name string) []string {
+	var out []string
+	for _, value := range x.ex.header.PeekAll(name) {
+		out = append(out, string(value))
+	}
+	return out
+}
+
 // Headers returns the response headers that are not hop-by-hop.
 func (x *Exchange) Headers() []Header {
 	var out []Header
--- a/internal/coordinator/engine.go
+++ b/internal/coordinator/engine.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"filbertledge/internal/fleet"
+	"filbertledge/internal/ratelimit"
 	"filbertledge/internal/rollout"
 )
 
@@ -36,6 +37,8 @@
 type Stream interface {
 	// Version returns the version of the weights that the engine started with, zero if the engine did not report it.
 	Version() uint64
+	// Limit returns what the engine stated about the rate of requests that it accepts.
+	Limit() ratelimit.Statement
 	// Next returns the next event, or io.EOF after a complete stream.
 	Next() (StreamEvent, error)
 	// Close cancels the generation if it has not ended.
@@ -65,6 +68,8 @@
 type RunError struct {
 	Kind FailureKind
 	Err  error
+	// Limit is what the engine stated about the rate of requests that it accepts, if it answered.
+	Limit ratelimit.Statement
 }
 
 // Error returns the message of the cause.
--- a/internal/coordinator/fakes_test.go
+++ b/internal/coordinator/fakes_test.go
@@ -15,6 +15,7 @@
 	"filbertledge/internal/api"
 	"filbertledge/internal/events"
 	"filbertledge/internal/fleet"
+	"filbertledge/internal/ratelimit"
 	"filbertledge/internal/rollout"
 	"filbertledge/internal/routes"
 )
@@ -53,6 +54,7 @@
 	eventsPerItem int
 	eventInterval time.Duration  // time between events
 	slowdown      map[string]int // factor of the event interval, by server
+	limits        map[string]ratelimit.Statement
 }
 
 type receivedOrder struct {
@@ -66,7 +68,7 @@
 func newFakeEngines() *fakeEngines {
 	return &fakeEngines{
 		versions: map[string]uint64{}, sequence: map[string]uint64{}, started: map[string]int{}, resumedAfter: map[string]int{},
-		unresponsive: map[string]bool{}, slowdown: map[string]int{}, failingRuns: map[string]int{}, unprocessable: map[string]bool{}, lastEventAt: map[string]time.Time{}, eventsPerItem: 5, eventInterval: time.Millisecond,
+		unresponsive: map[string]bool{}, slowdown: map[string]int{}, failingRuns: map[string]int{}, unprocessable: map[string]bool{}, lastEventAt: map[string]time.Time{}, eventsPerItem: 5, eventInterval: time.Millisecond, limits: map[string]ratelimit.Statement{},
 	}
 }
 
@@ -97,6 +99,15 @@
 	return max(f.versions[server], 1)
 }
 
+func (f *fakeEngines) limit(server string) ratelimit.Statement {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s, ok := f.limits[server]; ok {
+		return s
+	}
+	return ratelimit.Statement{Kind: ratelimit.Unlimited}
+}
+
 func (f *fakeEngines) Report(_ context.Context, v fleet.Server) (EngineReport, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -134,6 +145,8 @@
 
 func (s *fakeStream) Version() uint64 { return s.engines.version(s.server) }
 
+func (s *fakeStream) Limit() ratelimit.Statement { return s.engines.limit(s.server) }
+
 func (s *fakeStream) Next() (StreamEvent, error) {
 	s.engines.mu.Lock()
 	unresponsive, last := s.engines.unresponsive[s.server], s.engines.eventsPerItem
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -269,11 +269,17 @@
 
 // readStream appends the output of an engine to the text of the task.
 func (s *session) readStream(ctx context.Context, t *task, v fleet.Server, g GenerationRequest, route *routes.Route) error {
+	sentAt := boottime.Now()
 	stream, err := s.node.opts.EngineClient.Start(ctx, v, g)
 	if err != nil {
+		var run *RunError
+		if errors.As(err, &run) {
+			s.node.forwarder.ObserveLimit(v.ID, g.ID, run.Limit, sentAt)
+		}
 		return err
 	}
 	defer stream.Close()
+	s.node.forwarder.ObserveLimit(v.ID, g.ID, stream.Limit(), sentAt)
 	if first := stream.Version(); first != 0 && first < t.batch.MinVersion {
 		return weightVersionError{first}
 	}
--- a/internal/coordinator/session_test.go
+++ b/internal/coordinator/session_test.go
@@ -16,6 +16,7 @@
 	"filbertledge/internal/events"
 	"filbertledge/internal/fleet"
 	"filbertledge/internal/forward"
+	"filbertledge/internal/ratelimit"
 	"filbertledge/internal/rollout"
 	"filbertledge/internal/routes"
 )
@@ -27,6 +28,7 @@
 		opts:  Options{Name: "vm", EngineClient: engines, Events: events.NewLogRecorder(api.VMID("vm"), io.Discard)},
 		state: rollout.NewState(nil), registry: fleet.NewRegistry(time.Second),
 	}
+	n.forwarder = forward.New(forward.Options{Registry: n.registry, Events: n.opts.Events})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	return newSession(n, ctx, 1), cancel
@@ -158,6 +160,8 @@
 
 func (s *endlessStream) Version() uint64 { return 1 }
 
+func (s *endlessStream) Limit() ratelimit.Statement { return ratelimit.Statement{} }
+
 func (s *endlessStream) Next() (StreamEvent, error) {
 	s.number++
 	return StreamEvent{Number: s.number, Data: s.data, Version: 1}, nil
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -81,6 +81,9 @@
 	DependencyRegained    Name = "vm.dependency_regained"    // the leader is reached again
 	AnnouncementStale     Name = "server.announcement_stale" // older than the announcement that is known
 	ServerBlocked         Name = "server.blocked"            // not used for a while after repeated failures
+	LimitNamed            Name = "server.limit_named"        // its response states a new limit of requests a second
+	LimitWithdrawn        Name = "server.limit_withdrawn"    // its response states no limit any more
+	LimitUnreadable       Name = "server.limit_unreadable"   // the limit in its response is no decimal number
 	ConfigurationAccepted Name = "config.accepted"
 	ConfigurationIgnored  Name = "config.ignored" // not newer than the known one
 	ConfigurationInForce  Name = "config.in_force"
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -14,6 +14,7 @@
 	"filbertledge/internal/errs"
 	"filbertledge/internal/events"
 	"filbertledge/internal/fleet"
+	"filbertledge/internal/ratelimit"
 	"filbertledge/internal/routes"
 )
 
@@ -50,6 +51,8 @@
 	// Signature is the server's signature of the response. It is empty if the response has none, or does not repeat the
 	// ID of the request, so that it may belong to another one.
 	Signature string
+	// Limit is what the server stated about the rate of requests that it accepts.
+	Limit ratelimit.Statement
 	// EarlierFailures is the number of other servers that ran the request and answered with a signed status 500.
 	EarlierFailures int
 }
@@ -74,6 +77,8 @@
 	Events        *events.Recorder
 	// Clock is the clock of Registry; boottime.Now if it is nil.
 	Clock func() time.Duration
+	// Limits records the limits that servers state. An empty table is used if it is nil.
+	Limits *ratelimit.Table
 }
 
 // Forwarder forwards requests and remembers how each server answered. It is safe for concurrent use.
@@ -87,6 +92,9 @@
 	if o.Clock == nil {
 		o.Clock = boottime.Now
 	}
+	if o.Limits == nil {
+		o.Limits = ratelimit.NewTable()
+	}
 	return &Forwarder{opts: o, health: newHealthTracker()}
 }
 
@@ -284,6 +292,9 @@
 	start := clock()
 	response, notSent, err := f.forwarder.opts.Exchanger.Exchange(ctx, server, f.request, time.Until(f.deadline))
 	result := attemptResult{response: response, notSent: notSent, err: err, server: server.ID}
+	if response != nil {
+		f.forwarder.ObserveLimit(server.ID, f.request.ID, response.Limit, start)
+	}
 	now := clock()
 	health.recordEnd(server.ID, now, now-start, result, ctx.Err() != nil)
 	f.results <- result
@@ -326,6 +337,22 @@
 	f.forwarder.opts.Events.Record(event)
 }
 
+// ObserveLimit records what the response to a request, sent at boot time sentAt, says about the limit of its server.
+func (f *Forwarder) ObserveLimit(server, request string, s ratelimit.Statement, sentAt time.Duration) {
+	event := events.Event{Request: request, Server: api.ServerID(server)}
+	switch {
+	case s.Kind == ratelimit.Malformed:
+		event.Name, event.Detail = events.LimitUnreadable, "the limit stated last remains"
+	case !f.opts.Limits.Observe(server, s, sentAt, f.opts.Clock()):
+		return
+	case s.Kind == ratelimit.Limited:
+		event.Name, event.Detail = events.LimitNamed, fmt.Sprintf("%g requests a second from all VMs", s.PerSecond)
+	default:
+		event.Name, event.Detail = events.LimitWithdrawn, "the response states no limit"
+	}
+	f.opts.Events.Record(event)
+}
+
 // SleepWithJitter sleeps for a random time between d/2 and d, or until ctx ends. Without jitter, all VMs would call
 // again at the same moment after a common failure.
 func SleepWithJitter(ctx context.Context, d time.Duration) {
