--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -105,6 +105,8 @@
 type Failure struct {
 	// NotSent is true if no byte of the request was written, so that it did not run.
 	NotSent bool
+	// NotPermitted is true if the request was not sent because its permission had ended.
+	NotPermitted bool
 	// DialFailed is true if no connection to the server could be established.
 	DialFailed bool
 	// ConnectionLost is true if the connection broke after bytes were written, for example because the server crashed.
@@ -196,7 +198,7 @@
 	}
 	if permitted != nil && !permitted() {
 		c.pool.put(cn)
-		return nil, &Failure{NotSent: true, Err: errs.New(errs.Canceled, "resend the request if it is still wanted", "permission to send the request ended before it was written")}
+		return nil, &Failure{NotSent: true, NotPermitted: true, Err: errs.New(errs.Canceled, "resend the request if it is still wanted", "permission to send the request ended before it was written")}
 	}
 	ex := &exchange{client: c, ctx: ctx, conn: cn, method: string(r.Header.Method())}
 	ex.stopWatching = context.AfterFunc(ctx, cn.abort)
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -32,6 +32,8 @@
 	handleOnLeader(n, methodConfigure, (*session).configure)
 	handleOnLeader(n, methodConfig, (*session).configuration)
 	handleOnLeader(n, methodPublish, (*session).publish)
+	handleOnLeader(n, MethodPermission, (*session).permission)
+	handleOnLeader(n, MethodLimits, (*session).reportLimits)
 	handleOnLeader(n, methodRetire, (*session).retire)
 	handleOnLeader(n, methodRetired, (*session).retired)
 }
@@ -163,6 +165,9 @@
 
 func (s *session) follow(ctx context.Context, q FollowRequest) (FollowReply, error) {
 	arrived := boottime.Now()
+	if q.Forwards {
+		s.limits.Contact(q.VM, q.SinceContact, q.Members, arrived)
+	}
 	timeout := time.NewTimer(FollowPollTimeout)
 	defer timeout.Stop()
 	for waiting := true; ; {
@@ -176,14 +181,22 @@
 				return r, err
 			}
 		}
-		changed := q.Term != s.term || q.ServersRevision != r.ServersRevision
-		if changed && (q.Term != s.term || r.Held >= minServersInterval) {
-			s.addServers(&r, q.AcceptsPacked)
+		serversChanged := q.Term != s.term || q.ServersRevision != r.ServersRevision
+		limitsChanged := q.Term != s.term || q.LimitsRevision != s.node.limits.Revision()
+		changed := serversChanged || limitsChanged
+		if mayChange := q.Term != s.term || r.Held >= minServersInterval; mayChange {
+			if serversChanged {
+				s.addServers(&r, q.AcceptsPacked)
+			}
+			if limitsChanged {
+				r.LimitsSent = true
+			}
 		}
 		if !r.ServersSent {
 			r.ServersRevision = q.ServersRevision
 		}
-		if r.Configuration != nil || r.Packed != nil || r.ServersSent || !waiting {
+		if r.Configuration != nil || r.Packed != nil || r.ServersSent || r.LimitsSent || !waiting {
+			s.addLimits(&r, q)
 			r.Replicas = s.node.replicas()
 			return r, s.checkLeadership()
 		}
@@ -227,6 +240,16 @@
 	r.ServersSent, r.PackedServers = true, s.packedList
 }
 
+// addLimits adds the limits of servers to a reply if LimitsSent is set, and the number of VMs that share them.
+func (s *session) addLimits(r *FollowReply, q FollowRequest) {
+	now := boottime.Now()
+	r.LimitsRevision = q.LimitsRevision
+	if r.LimitsSent {
+		r.Limits, r.LimitsRevision = s.node.limits.List(now)
+	}
+	r.Members = s.limits.Members(now)
+}
+
 // servers returns all servers, without the fields that only the leader needs.
 func (s *session) servers() []fleet.Server {
 	list := s.node.registry.List("", boottime.Now())
--- a/internal/coordinator/engine.go
+++ b/internal/coordinator/engine.go
@@ -24,6 +24,9 @@
 	AfterEvent int
 	// TimeLeft is how long the result remains useful.
 	TimeLeft time.Duration
+	// Permitted, if not nil, must be asked immediately before the request is written. If it returns false, the request
+	// must not be sent, and Start fails with NotPermitted.
+	Permitted func() bool
 }
 
 // StreamEvent is one part of the output of a generation.
@@ -60,6 +63,8 @@
 	ServerReplaced
 	// GenerationFailed means that the engine ran the generation and reported a failure.
 	GenerationFailed
+	// NotPermitted means that nothing was sent because GenerationRequest.Permitted returned false.
+	NotPermitted
 	// RequestUnprocessable means that no engine can ever run the generation.
 	RequestUnprocessable
 )
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -18,6 +18,7 @@
 	"filbertledge/internal/forward"
 	"filbertledge/internal/link"
 	"filbertledge/internal/raft"
+	"filbertledge/internal/ratelimit"
 	"filbertledge/internal/replica"
 	"filbertledge/internal/rollout"
 	"filbertledge/internal/routes"
@@ -93,6 +94,7 @@
 	state        *rollout.State
 	registry     *fleet.Registry
 	forwarder    *forward.Forwarder // sends the scorer calls while this VM leads
+	limits       *ratelimit.Table
 	packed       packedConfiguration
 	client       *link.Client
 	server       *link.Server
@@ -108,12 +110,12 @@
 	}
 	n := &Node{
 		opts: o, texts: texts, state: rollout.NewState(texts), registry: fleet.NewRegistry(o.AnnounceInterval),
-		client: link.NewClient(), server: link.NewServer(),
+		client: link.NewClient(), server: link.NewServer(), limits: ratelimit.NewTable(),
 	}
 	n.server.OnMalformedFrame = func(remote string, err error) {
 		o.Events.Log().WithField("remote", remote).WithError(err).Warn("another VM sent a malformed frame")
 	}
-	n.forwarder = forward.New(forward.Options{FailureDomain: o.FailureDomain, Registry: n.registry, Exchanger: o.Exchanger, Events: o.Events})
+	n.forwarder = forward.New(forward.Options{FailureDomain: o.FailureDomain, Registry: n.registry, Exchanger: o.Exchanger, Events: o.Events, Limiter: nodeLimiter{n}})
 	n.state.OnApplied = n.onApplied
 	n.state.OnFailure = o.Fatal
 	self := raft.Member{Name: o.Name, FailureDomain: o.FailureDomain, Address: o.Address}
@@ -324,7 +326,7 @@
 // followLeader keeps the registry of a VM that is not the leader up to date, so that the VM knows the servers when it
 // becomes the leader.
 func (n *Node) followLeader(ctx context.Context) {
-	var term, revision uint64
+	var term, servers, limits uint64
 	for ctx.Err() == nil {
 		leader := n.replica.Status().LeaderAddress
 		if leader == "" || leader == n.opts.Address {
@@ -332,7 +334,7 @@
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, FollowPollTimeout+callTimeout)
-		reply, err := Follow(callCtx, n.client, leader, FollowRequest{VM: n.opts.Name, Term: term, ServersRevision: revision, ConfigurationVersion: skipConfiguration})
+		reply, err := Follow(callCtx, n.client, leader, FollowRequest{VM: n.opts.Name, Term: term, ServersRevision: servers, LimitsRevision: limits, ConfigurationVersion: skipConfiguration})
 		cancel()
 		if err != nil {
 			sleep(ctx, leaderRetryInterval)
@@ -341,7 +343,10 @@
 		if reply.ServersSent {
 			n.registry.Replace(reply.Servers, boottime.Now())
 		}
-		term, revision = reply.Term, reply.ServersRevision
+		if reply.LimitsSent {
+			n.limits.Merge(reply.Limits, boottime.Now())
+		}
+		term, servers, limits = reply.Term, reply.ServersRevision, reply.LimitsRevision
 	}
 }
 
--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -16,6 +16,8 @@
 	minPlannedTime = 2 * time.Second
 	// runTimeWeight is the weight of a new measurement in the averages of runTimes.
 	runTimeWeight = 0.02
+	// minRunSeconds is the run time of an item that is assumed before the first has completed.
+	minRunSeconds = 0.5
 	// minRemainingShare is the smallest share of its hinted length that an item is expected to have left.
 	minRemainingShare = 0.2
 )
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -16,6 +16,7 @@
 	"filbertledge/internal/errs"
 	"filbertledge/internal/events"
 	"filbertledge/internal/fleet"
+	"filbertledge/internal/ratelimit"
 	"filbertledge/internal/rollout"
 	"filbertledge/internal/routes"
 	"filbertledge/internal/scheduling"
@@ -166,7 +167,7 @@
 			list = s.candidatesFor(t.batch, servers[service], now)
 			byBatch[batchService{t.batch, service}] = list
 		}
-		i := list.choose(t, medians, key.traits, s.promptCachedOn[t.promptKey()], now)
+		i := list.choose(t, s.limits, medians, key.traits, s.promptCachedOn[t.promptKey()], now)
 		if i < 0 {
 			full[key] = true
 			continue
@@ -206,6 +207,7 @@
 
 // startRun sends an item to an engine. The caller holds the mutex.
 func (s *session) startRun(t *task, v *fleet.Server, route *routes.Route, now time.Duration) {
+	s.limits.Take(v.ID, now)
 	ctx, cancel := context.WithCancel(s.ctx)
 	item := &t.batch.Items[t.item]
 	t.state, t.engine, t.cancel, t.startedAt, t.lastEventAt, t.moving = taskRunning, v.ID, cancel, now, 0, false
@@ -228,6 +230,9 @@
 		ID: item.ID, Host: t.batch.Host, Path: item.Path, Headers: item.Headers, Body: item.Body,
 		AfterEvent: t.events, TimeLeft: time.Until(t.batch.giveUpAt),
 	}
+	if _, limited := s.node.limits.Get(v.ID); limited {
+		g.Permitted = func() bool { return boottime.Now()-now <= ratelimit.PermissionLifetime }
+	}
 	go s.runItem(ctx, t, *v, g, route)
 }
 
@@ -429,6 +434,7 @@
 		s.record(events.Event{Name: events.ItemRefused, Request: item, Server: serverID(*v), Detail: run.Error()})
 	}
 	switch run.Kind {
+	case NotPermitted: // the item starts again with a new permission
 	case EngineBusy:
 		e.blockedUntil = now + busyBackoff
 	case ServerReplaced:
@@ -573,7 +579,7 @@
 			continue
 		}
 		if e.versions[b.Model] >= b.MinVersion {
-			free += max(v.Slots-e.running, 0)
+			free += max(min(v.Slots-e.running, s.limits.Left(id, now)), 0)
 		}
 	}
 	return free
--- a/internal/coordinator/scoring_load_test.go
+++ b/internal/coordinator/scoring_load_test.go
@@ -63,7 +63,7 @@
 	return strings.HasPrefix(id, callID("")) && unitHash(id) < loadFailingShare
 }
 
-func (s *simulatedScorers) Exchange(ctx context.Context, v fleet.Server, r *forward.Request, _ time.Duration) (*forward.Response, bool, error) {
+func (s *simulatedScorers) Exchange(ctx context.Context, v fleet.Server, r *forward.Request, _ forward.Attempt) (*forward.Response, bool, error) {
 	server := s.servers[v.ID]
 	if server.dark {
 		<-ctx.Done()
--- a/internal/coordinator/scoring_test.go
+++ b/internal/coordinator/scoring_test.go
@@ -36,7 +36,7 @@
 	return &fakeScorers{answers: map[string][]forward.Response{}, given: map[string][]string{}}
 }
 
-func (f *fakeScorers) Exchange(ctx context.Context, v fleet.Server, r *forward.Request, _ time.Duration) (*forward.Response, bool, error) {
+func (f *fakeScorers) Exchange(ctx context.Context, v fleet.Server, r *forward.Request, _ forward.Attempt) (*forward.Response, bool, error) {
 	f.mu.Lock()
 	f.calls = append(f.calls, receivedCall{id: r.ID, server: v.ID, service: v.Service, at: time.Now(), newConnection: r.NewConnection})
 	f.active++
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -11,6 +11,7 @@
 	"filbertledge/internal/boottime"
 	"filbertledge/internal/events"
 	"filbertledge/internal/fleet"
+	"filbertledge/internal/ratelimit"
 	"filbertledge/internal/rollout"
 	"filbertledge/internal/scheduling"
 )
@@ -28,6 +29,7 @@
 	seenGroups     map[string]bool // names of groups of earlier batches
 	engines        map[string]*engineState
 	runningItems   int
+	limits         *ratelimit.Allocator
 	stalls         stallDetector            // detects stalls of this process
 	serversSignal  chan struct{}            // closed and replaced when the servers change
 	results        chan rollout.BatchResult // results to commit
@@ -148,7 +150,7 @@
 
 func newSession(n *Node, ctx context.Context, term uint64) *session {
 	return &session{
-		node: n, ctx: ctx, term: term,
+		node: n, ctx: ctx, term: term, limits: ratelimit.NewAllocator(n.limits, boottime.Now()),
 		batches: map[string]*batch{}, seenGroups: map[string]bool{}, engines: map[string]*engineState{}, promptCachedOn: map[string]string{},
 		reusableTexts: map[string]rollout.Partial{}, publishedAt: map[string]time.Duration{},
 		serversSignal: make(chan struct{}), results: make(chan rollout.BatchResult, resultQueueSize),
@@ -419,6 +421,9 @@
 	if len(gone) > 0 {
 		go s.commitCleanup(rollout.Command{Unregister: gone})
 	}
+	if len(gone) > 0 {
+		s.node.limits.Retain(func(server string) bool { _, ok := s.node.registry.Get(server); return ok })
+	}
 	if s.node.registry.Revision() != before {
 		s.signalServers()
 	}
@@ -500,6 +505,7 @@
 		}
 		c.engines = append(c.engines, scheduling.Engine{
 			ID: v.ID, Slots: max(v.Slots, 1), RecentInterval: e.usableRecentInterval(now), BaselineInterval: e.baselineInterval,
+			Scarce: s.hasScarceRequests(v),
 		})
 		c.servers = append(c.servers, v)
 		c.states = append(c.states, e)
@@ -507,11 +513,19 @@
 	return c
 }
 
+// hasScarceRequests reports whether an engine limits its requests to fewer than its slots can run. The caller holds the
+// mutex.
+func (s *session) hasScarceRequests(v *fleet.Server) bool {
+	perSecond, limited := s.node.limits.Get(v.ID)
+	return limited && perSecond*max(s.runTimes.seconds, minRunSeconds) < float64(max(v.Slots, 1))
+}
+
 // choose returns the index of the engine that should run an item, or -1 if the item should wait.
-func (c *candidates) choose(t *task, medians scheduling.MedianIntervals, traits scheduling.ItemTraits, promptCachedOn string, now time.Duration) int {
+func (c *candidates) choose(t *task, limits *ratelimit.Allocator, medians scheduling.MedianIntervals, traits scheduling.ItemTraits, promptCachedOn string, now time.Duration) int {
 	for i := range c.engines {
 		e, state := &c.engines[i], c.states[i]
 		e.Running, e.RunningLong = state.running, state.runningLong
+		e.AtLimit = limits.Left(e.ID, now) == 0
 		e.PromptCached = promptCachedOn == e.ID
 		e.Avoid = c.servers[i].Silent || state.failures > 0 || t.avoidUntil[e.ID] > now
 	}
--- a/internal/coordinator/wire.go
+++ b/internal/coordinator/wire.go
@@ -6,6 +6,7 @@
 
 	"filbertledge/internal/fleet"
 	"filbertledge/internal/link"
+	"filbertledge/internal/ratelimit"
 	"filbertledge/internal/rollout"
 	"filbertledge/internal/routes"
 )
@@ -25,6 +26,8 @@
 	methodConfigure   = "config.set"
 	methodConfig      = "config.get"
 	methodPublish     = "weights.publish"
+	MethodPermission  = "limit.permission"
+	MethodLimits      = "limit.report"
 	methodRetire      = "vm.retire"
 	methodRetired     = "vm.retired"
 	methodLeader      = "leader"
@@ -41,6 +44,13 @@
 	ServersRevision      uint64 `cbor:"4,keyasint,omitempty"` // revision of the servers that the VM holds, in that term
 	// AcceptsPacked is true if the VM reads FollowReply.Packed.
 	AcceptsPacked bool `cbor:"5,keyasint,omitempty"`
+	// Forwards is true if the VM sends requests to servers, so that it has a share of their limits. SinceContact and
+	// Members are as in PermissionRequest and in the last reply.
+	Forwards     bool          `cbor:"6,keyasint,omitempty"`
+	SinceContact time.Duration `cbor:"7,keyasint,omitempty"`
+	Members      int           `cbor:"8,keyasint,omitempty"`
+	// LimitsRevision is the revision of the limits that the VM holds, in that term.
+	LimitsRevision uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // FollowReply confirms that its sender was the leader when it sent the reply.
@@ -57,6 +67,12 @@
 	Packed []byte `cbor:"9,keyasint,omitempty"`
 	// PackedServers is the list of servers, instead of Servers, as packServers encodes it.
 	PackedServers []byte `cbor:"10,keyasint,omitempty"`
+	// Limits are the limits that servers state, if LimitsSent is true.
+	LimitsSent     bool              `cbor:"11,keyasint,omitempty"`
+	Limits         []ratelimit.Limit `cbor:"12,keyasint,omitempty"`
+	LimitsRevision uint64            `cbor:"13,keyasint,omitempty"`
+	// Members is the number of VMs that share the limits while they have no contact with the leader.
+	Members int `cbor:"14,keyasint,omitempty"`
 }
 
 // unpack decodes Packed and PackedServers into Configuration and Servers.
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -81,6 +81,7 @@
 	DependencyRegained    Name = "vm.dependency_regained"    // the leader is reached again
 	AnnouncementStale     Name = "server.announcement_stale" // older than the announcement that is known
 	ServerBlocked         Name = "server.blocked"            // not used for a while after repeated failures
+	RequestLimited        Name = "request.limited"           // no limited server of the service has a permission for it
 	LimitNamed            Name = "server.limit_named"        // its response states a new limit of requests a second
 	LimitWithdrawn        Name = "server.limit_withdrawn"    // its response states no limit any more
 	LimitUnreadable       Name = "server.limit_unreadable"   // the limit in its response is no decimal number
@@ -223,7 +224,7 @@
 // requests.
 func levelOf(n Name) logrus.Level {
 	switch n {
-	case RequestReceived, RequestDispatched, RequestFinished, ScoreRequested, SampleFinished, SampleDelivered, SampleAcknowledged:
+	case RequestReceived, RequestDispatched, RequestFinished, RequestLimited, ScoreRequested, SampleFinished, SampleDelivered, SampleAcknowledged:
 		return logrus.DebugLevel
 	case RequestRefused, RequestFailed, CallUnknown, TableLeaseExpired, VMLost, SwapFailed, CredentialRefused, ReplicaRefused:
 		return logrus.WarnLevel
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"filbertledge/internal/api"
@@ -64,9 +65,18 @@
 
 // Exchanger sends requests to backend servers.
 type Exchanger interface {
-	// Exchange sends a request to a server and returns the response. The server is told timeLeft, the time that
-	// remains until the deadline. notSent is true if no byte of the request was written.
-	Exchange(ctx context.Context, server fleet.Server, r *Request, timeLeft time.Duration) (response *Response, notSent bool, err error)
+	// Exchange sends a request to a server and returns the response. notSent is true if no byte of the request was
+	// written.
+	Exchange(ctx context.Context, server fleet.Server, r *Request, a Attempt) (response *Response, notSent bool, err error)
+}
+
+// Attempt holds what distinguishes the attempts of a request.
+type Attempt struct {
+	// TimeLeft is the time until the deadline, which the server is told.
+	TimeLeft time.Duration
+	// Permitted, if not nil, must be asked immediately before the request is written. If it returns false, the request
+	// must not be sent.
+	Permitted func() bool
 }
 
 // Options configures a Forwarder.
@@ -77,8 +87,8 @@
 	Events        *events.Recorder
 	// Clock is the clock of Registry; boottime.Now if it is nil.
 	Clock func() time.Duration
-	// Limits records the limits that servers state. An empty table is used if it is nil.
-	Limits *ratelimit.Table
+	// Limiter keeps the requests within the limits of the servers. If it is nil, limits are ignored.
+	Limiter Limiter
 }
 
 // Forwarder forwards requests and remembers how each server answered. It is safe for concurrent use.
@@ -92,10 +102,12 @@
 	if o.Clock == nil {
 		o.Clock = boottime.Now
 	}
-	if o.Limits == nil {
-		o.Limits = ratelimit.NewTable()
+	if o.Limiter == nil {
+		o.Limiter = noLimits{}
 	}
-	return &Forwarder{opts: o, health: newHealthTracker()}
+	f := &Forwarder{opts: o, health: newHealthTracker()}
+	f.health.limit = o.Limiter.Limit
+	return f
 }
 
 const (
@@ -152,9 +164,15 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline.Add(-responseMargin))
 	defer cancel()
-	state := &forwardState{forwarder: f, request: r, route: route, service: route.PickService(rand.Float64()), deadline: deadline, results: make(chan attemptResult, maxRefusals+defaultMaxAttempts)}
+	state := &forwardState{
+		forwarder: f, request: r, route: route, service: route.PickService(rand.Float64()), startedAt: start, deadline: deadline,
+		results: make(chan attemptResult, maxRefusals+defaultMaxAttempts),
+	}
 	response, err := state.run(ctx)
 	state.record(start, response, err)
+	if state.retryAfter > 0 && errs.Is(err, errs.Unavailable) {
+		err = &RefusedError{error: err, RetryAfter: state.retryAfter}
+	}
 	return response, err
 }
 
@@ -164,6 +182,7 @@
 	request     *Request
 	route       *routes.Route
 	service     string
+	startedAt   time.Time
 	deadline    time.Time
 	results     chan attemptResult
 	mayHaveRun  []string // servers that may have run the request
@@ -171,6 +190,7 @@
 	pending     int
 	failures    int // responses with a signed status 500
 	lastFailure attemptResult
+	retryAfter  time.Duration // until a limited server has a permission, if none had one
 }
 
 func (f *forwardState) maxAttempts() int {
@@ -187,6 +207,9 @@
 	hedge := time.NewTimer(max(minHedgeDelay, time.Duration(hedgeTargetFraction*float64(f.route.LatencyTarget))))
 	defer hedge.Stop()
 	if !f.startAttempt(ctx) {
+		if f.retryAfter > 0 {
+			return nil, errs.New(errs.Unavailable, "call again later", "all servers of service %s have reached their limits", f.service)
+		}
 		return nil, errs.New(errs.Unavailable, "call again shortly", "service %s has no server", f.service)
 	}
 	for {
@@ -252,26 +275,25 @@
 	return f.startAttempt(ctx)
 }
 
-// startAttempt sends the request to the server with the lowest expected latency among those that cannot have run it.
-// Each refusal makes a server less preferred. It returns false if there is no such server.
-func (f *forwardState) startAttempt(ctx context.Context) bool {
-	now := f.forwarder.opts.Clock()
-	servers := f.forwarder.opts.Registry.List(f.service, now)
-	server := f.forwarder.health.choose(servers, f.forwarder.opts.FailureDomain, now, func(id string) int {
-		refusals := 0
-		for _, attempted := range f.mayHaveRun {
-			if attempted == id {
-				return -1 // this server may be running the request
-			}
-		}
-		for _, refused := range f.refused {
-			if refused == id {
-				refusals++
-			}
+// refusalsOf returns how often a server has refused the request, or -1 if it may be running the request.
+func (f *forwardState) refusalsOf(id string) int {
+	if slices.Contains(f.mayHaveRun, id) {
+		return -1
+	}
+	refusals := 0
+	for _, refused := range f.refused {
+		if refused == id {
+			refusals++
 		}
-		return refusals
-	})
-	if server == nil {
+	}
+	return refusals
+}
+
+// startAttempt sends the request to the server with the lowest expected latency among those that cannot have run it and
+// whose limits admit it. Each refusal makes a server less preferred. It returns false if there is no such server.
+func (f *forwardState) startAttempt(ctx context.Context) bool {
+	server, permittedUntil := f.chooseServer(ctx)
+	if server == nil || ctx.Err() != nil {
 		return false
 	}
 	f.mayHaveRun = append(f.mayHaveRun, server.ID)
@@ -280,17 +302,21 @@
 		Name: events.RequestDispatched, Request: f.request.ID, Server: api.ServerID(server.ID),
 		Detail: fmt.Sprintf("attempt %d, %s left", len(f.mayHaveRun)+len(f.refused), time.Until(f.deadline).Round(time.Millisecond)),
 	})
-	go f.exchange(ctx, *server)
+	go f.exchange(ctx, *server, permittedUntil)
 	return true
 }
 
-// exchange sends the request to one server. It is canceled when Forward returns, for example because another server
-// responded first.
-func (f *forwardState) exchange(ctx context.Context, server fleet.Server) {
+// exchange sends the request to one server, until the boot time permittedUntil if that is not 0. It is canceled when
+// Forward returns, for example because another server responded first.
+func (f *forwardState) exchange(ctx context.Context, server fleet.Server, permittedUntil time.Duration) {
 	health, clock := f.forwarder.health, f.forwarder.opts.Clock
 	health.recordStart(server.ID)
 	start := clock()
-	response, notSent, err := f.forwarder.opts.Exchanger.Exchange(ctx, server, f.request, time.Until(f.deadline))
+	attempt := Attempt{TimeLeft: time.Until(f.deadline)}
+	if permittedUntil > 0 {
+		attempt.Permitted = func() bool { return clock() <= permittedUntil }
+	}
+	response, notSent, err := f.forwarder.opts.Exchanger.Exchange(ctx, server, f.request, attempt)
 	result := attemptResult{response: response, notSent: notSent, err: err, server: server.ID}
 	if response != nil {
 		f.forwarder.ObserveLimit(server.ID, f.request.ID, response.Limit, start)
@@ -337,22 +363,6 @@
 	f.forwarder.opts.Events.Record(event)
 }
 
-// ObserveLimit records what the response to a request, sent at boot time sentAt, says about the limit of its server.
-func (f *Forwarder) ObserveLimit(server, request string, s ratelimit.Statement, sentAt time.Duration) {
-	event := events.Event{Request: request, Server: api.ServerID(server)}
-	switch {
-	case s.Kind == ratelimit.Malformed:
-		event.Name, event.Detail = events.LimitUnreadable, "the limit stated last remains"
-	case !f.opts.Limits.Observe(server, s, sentAt, f.opts.Clock()):
-		return
-	case s.Kind == ratelimit.Limited:
-		event.Name, event.Detail = events.LimitNamed, fmt.Sprintf("%g requests a second from all VMs", s.PerSecond)
-	default:
-		event.Name, event.Detail = events.LimitWithdrawn, "the response states no limit"
-	}
-	f.opts.Events.Record(event)
-}
-
 // SleepWithJitter sleeps for a random time between d/2 and d, or until ctx ends. Without jitter, all VMs would call
 // again at the same moment after a common failure.
 func SleepWithJitter(ctx context.Context, d time.Duration) {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -53,10 +53,10 @@
 	timeLeft  []time.Duration
 }
 
-func (f *fakeServers) Exchange(ctx context.Context, server fleet.Server, _ *Request, timeLeft time.Duration) (*Response, bool, error) {
+func (f *fakeServers) Exchange(ctx context.Context, server fleet.Server, _ *Request, a Attempt) (*Response, bool, error) {
 	f.mu.Lock()
 	f.asked = append(f.asked, server.ID)
-	f.timeLeft = append(f.timeLeft, timeLeft)
+	f.timeLeft = append(f.timeLeft, a.TimeLeft)
 	list := f.behaviors[server.ID]
 	next := respondWith(200)
 	if len(list) > 0 {
--- a/internal/forward/health.go
+++ b/internal/forward/health.go
@@ -1,9 +1,12 @@
 package forward
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
+	"filbertledge/internal/errs"
 	"filbertledge/internal/fleet"
 )
 
@@ -27,6 +30,9 @@
 	missedAnnouncementsPenalty = 300 * time.Millisecond
 	// backoffPenalty is added to the cost of a server that is avoided after a failure.
 	backoffPenalty = time.Second
+	// limitedPenalty is added to the cost of a server whose limit binds tightly. The few requests that it accepts are worth
+	// most as second attempts and while the other servers are overloaded.
+	limitedPenalty = 60 * time.Millisecond
 	// initialLatency is the assumed latency of a server that has not been measured yet.
 	initialLatency = 20 * time.Millisecond
 	// maxTrackedServers is the number of tracked servers at which those without requests in flight are dropped.
@@ -44,11 +50,15 @@
 // healthTracker records this VM's own measurements of the servers. They are needed beside the servers' announcements,
 // which arrive late and say nothing about the network path from this VM.
 type healthTracker struct {
+	limit func(server string) (perSecond float64, limited bool) // as in Limiter
+
 	mu      sync.Mutex
 	servers map[string]*serverHealth
 }
 
-func newHealthTracker() *healthTracker { return &healthTracker{servers: map[string]*serverHealth{}} }
+func newHealthTracker() *healthTracker {
+	return &healthTracker{limit: noLimits{}.Limit, servers: map[string]*serverHealth{}}
+}
 
 func (h *healthTracker) entry(id string) *serverHealth {
 	server := h.servers[id]
@@ -79,29 +89,55 @@
 	var best *fleet.Server
 	var bestCost time.Duration
 	for i := range servers {
-		server := &servers[i]
-		refusalCount := refusals(server.ID)
-		if server.Leaving || refusalCount < 0 {
-			continue
-		}
-		entry := h.entry(server.ID)
-		cost := entry.meanLatency + time.Duration(entry.inFlight)*inFlightPenalty + time.Duration(refusalCount)*refusalPenalty
-		if server.FailureDomain != domain {
-			cost += remoteDomainPenalty
-		}
-		if server.Silent {
-			cost += missedAnnouncementsPenalty
-		}
-		if entry.avoidUntil > now {
-			cost += backoffPenalty
-		}
-		if best == nil || cost < bestCost {
-			best, bestCost = server, cost
+		if cost, usable := h.cost(&servers[i], domain, now, refusals); usable && (best == nil || cost < bestCost) {
+			best, bestCost = &servers[i], cost
 		}
 	}
 	return best
 }
 
+// rank returns the usable servers, ordered as choose prefers them.
+func (h *healthTracker) rank(servers []fleet.Server, domain string, now time.Duration, refusals func(id string) int) []*fleet.Server {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	costs := map[string]time.Duration{}
+	var out []*fleet.Server
+	for i := range servers {
+		if cost, usable := h.cost(&servers[i], domain, now, refusals); usable {
+			costs[servers[i].ID] = cost
+			out = append(out, &servers[i])
+		}
+	}
+	slices.SortStableFunc(out, func(a, b *fleet.Server) int { return cmp.Compare(costs[a.ID], costs[b.ID]) })
+	return out
+}
+
+// cost returns the expected latency of a server with its penalties, and whether the request may be sent there. The
+// caller holds the mutex.
+func (h *healthTracker) cost(server *fleet.Server, domain string, now time.Duration, refusals func(id string) int) (time.Duration, bool) {
+	refusalCount := refusals(server.ID)
+	if server.Leaving || refusalCount < 0 {
+		return 0, false
+	}
+	entry := h.entry(server.ID)
+	cost := entry.meanLatency + time.Duration(entry.inFlight)*inFlightPenalty + time.Duration(refusalCount)*refusalPenalty
+	if server.FailureDomain != domain {
+		cost += remoteDomainPenalty
+	}
+	if server.Silent {
+		cost += missedAnnouncementsPenalty
+	}
+	if entry.avoidUntil > now {
+		cost += backoffPenalty
+	}
+	if perSecond, limited := h.limit(server.ID); limited {
+		// A limit binds if the slots can answer more requests.
+		bound := 1 - perSecond*entry.meanLatency.Seconds()/float64(max(server.Slots, 1))
+		cost += time.Duration(max(bound, 0) * float64(limitedPenalty))
+	}
+	return cost, true
+}
+
 func (h *healthTracker) recordStart(id string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -130,6 +166,9 @@
 		entry.meanLatency += time.Duration(latencyEWMAWeight * float64(took-entry.meanLatency))
 		return
 	}
+	if result.notSent && !canceled && errs.Is(result.err, errs.Canceled) {
+		return // the permission to send the request ended, which says nothing about the server
+	}
 	if canceled {
 		// Without a response, the time waited is a lower bound of the latency.
 		entry.meanLatency = max(entry.meanLatency, took)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -57,6 +58,7 @@
 	client    *link.Client
 	registry  *fleet.Registry
 	forwarder *forward.Forwarder
+	limiter   *limiter
 
 	configuration atomic.Pointer[routes.Configuration]
 	confirmedAt   atomic.Int64 // confirmationTime of the last answered follow call, in nanoseconds since boot
@@ -72,10 +74,10 @@
 // New returns a gateway without a configuration. Run obtains one.
 func New(o Options) *Gateway {
 	registry := fleet.NewRegistry(o.AnnounceInterval)
-	return &Gateway{
-		opts: o, client: link.NewClient(), registry: registry, seeds: o.Seeds, leaderFound: make(chan struct{}),
-		forwarder: forward.New(forward.Options{FailureDomain: o.FailureDomain, Registry: registry, Exchanger: o.Exchanger, Events: o.Events}),
-	}
+	g := &Gateway{opts: o, client: link.NewClient(), registry: registry, seeds: o.Seeds, leaderFound: make(chan struct{})}
+	g.limiter = newLimiter(o.Name, g.client, g.currentLeader, o.Events)
+	g.forwarder = forward.New(forward.Options{FailureDomain: o.FailureDomain, Registry: registry, Exchanger: o.Exchanger, Events: o.Events, Limiter: g.limiter})
+	return g
 }
 
 // SetSeeds replaces Options.Seeds after the settings changed.
@@ -94,11 +96,15 @@
 // Configuration returns the configuration in force on this VM, or nil if there is none yet.
 func (g *Gateway) Configuration() *routes.Configuration { return g.configuration.Load() }
 
-// RetryAfter returns the delay after which a caller that is refused now should retry.
-func (g *Gateway) RetryAfter() time.Duration {
+// RetryAfter returns the delay after which a caller that is refused with err should retry.
+func (g *Gateway) RetryAfter(err error) time.Duration {
 	if g.configuration.Load() == nil {
 		return startupRetryAfter
 	}
+	var refused *forward.RefusedError
+	if errors.As(err, &refused) {
+		return max(retryAfter, refused.RetryAfter.Round(time.Millisecond))
+	}
 	return retryAfter
 }
 
@@ -146,7 +152,8 @@
 
 // Run finds the leader and receives configurations and server lists from it until ctx ends.
 func (g *Gateway) Run(ctx context.Context) {
-	q := coordinator.FollowRequest{VM: g.opts.Name}
+	go g.limiter.reportLoop(ctx)
+	q := coordinator.FollowRequest{VM: g.opts.Name, Forwards: true}
 	lostAt := time.Now()
 	for ctx.Err() == nil {
 		leader := g.currentLeader()
@@ -157,6 +164,7 @@
 			leader = g.findLeader(ctx)
 		}
 		sentAt := boottime.Now()
+		q.SinceContact, q.Members = g.limiter.contact(sentAt)
 		reply, err := g.follow(ctx, leader, q)
 		if err != nil {
 			if g.clearLeader() {
@@ -167,8 +175,12 @@
 			continue
 		}
 		g.confirmedAt.Store(int64(confirmationTime(sentAt, boottime.Now(), reply.Held)))
-		q.Term, q.ServersRevision = reply.Term, reply.ServersRevision
+		if q.Term != reply.Term {
+			g.limiter.wakeReports() // a new leader may not know the limits yet
+		}
+		q.Term, q.ServersRevision, q.LimitsRevision = reply.Term, reply.ServersRevision, reply.LimitsRevision
 		g.applyReply(reply, &q)
+		g.limiter.applyFollowReply(&reply, sentAt, func(server string) bool { _, ok := g.registry.Get(server); return ok })
 		if g.setLeader(leader, reply.Replicas) {
 			g.opts.Events.Record(events.Event{Name: events.DependencyRegained, Detail: "leader at " + leader + " after " + time.Since(lostAt).Round(time.Millisecond).String()})
 		}
--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -194,9 +194,13 @@
 	return t.revision
 }
 
-// Forget drops a server that is gone.
-func (t *Table) Forget(server string) {
+// Retain drops the servers for which present returns false.
+func (t *Table) Retain(present func(server string) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.byServer, server)
+	for server := range t.byServer {
+		if !present(server) {
+			delete(t.byServer, server)
+		}
+	}
 }
--- a/internal/ratelimit/table_test.go
+++ b/internal/ratelimit/table_test.go
@@ -93,7 +93,7 @@
 	if _, limited := there.Get("a"); limited {
 		t.Fatal("the withdrawal was not taken over")
 	}
-	there.Forget("a")
+	there.Retain(func(string) bool { return false })
 	if _, known := there.Lookup("a", 11*second); known {
 		t.Fatal("a server that is gone is still known")
 	}
--- a/internal/scheduling/choose.go
+++ b/internal/scheduling/choose.go
@@ -54,6 +54,8 @@
 	RecentInterval   float64 // recent interval between events, in milliseconds; 0 if unknown
 	BaselineInterval float64 // typical interval with a single running request, in milliseconds; 0 if unknown
 	PromptCached     bool    // the engine has processed the item's prompt with the same weights
+	AtLimit          bool    // the engine limits its requests and has no permission for another one now
+	Scarce           bool    // the engine limits its requests to fewer than its slots can run
 	Avoid            bool    // the item failed here before, or the engine does not answer at present
 }
 
@@ -101,6 +103,9 @@
 // while fewer than half of its slots are in use: short items finish within a second and can wait that long, while the
 // step ends with its long items.
 func (e *Engine) hasRoomFor(item ItemTraits) bool {
+	if e.AtLimit {
+		return false
+	}
 	if item.Long || item.Urgent || e.RunningLong == 0 {
 		return e.Running < e.Slots
 	}
@@ -108,9 +113,15 @@
 }
 
 // compare orders engines, the best first: engines that need not be avoided, then engines that are not slow, then for a
-// long item the engine with the shortest expected interval, then the least loaded engine.
+// long item the engine with the shortest expected interval, then the least loaded engine. The few requests of an engine
+// with scarce requests go to long items, which use its slots best.
 func (m MedianIntervals) compare(a, b *Engine, long bool) int {
 	order := cmp.Or(compareBool(a.Avoid, b.Avoid), compareBool(m.isSlow(a), m.isSlow(b)))
+	if long {
+		order = cmp.Or(order, compareBool(b.Scarce, a.Scarce))
+	} else {
+		order = cmp.Or(order, compareBool(a.Scarce, b.Scarce))
+	}
 	if long {
 		order = cmp.Or(order, cmp.Compare(m.ExpectedInterval(a), m.ExpectedInterval(b)))
 	}
--- a/internal/scheduling/scheduling_test.go
+++ b/internal/scheduling/scheduling_test.go
@@ -53,6 +53,30 @@
 	}
 }
 
+// Guards against the few requests of a limited engine that go to short items while another engine has room for those,
+// and against an engine that gets requests beyond its limit.
+func TestChooseEngineSavesScarceRequests(t *testing.T) {
+	scarce := Engine{ID: "a", Slots: 16, Scarce: true}
+	atLimit := Engine{ID: "b", Slots: 16, Scarce: true, AtLimit: true}
+	plain := Engine{ID: "c", Slots: 16, Running: 4}
+	full := Engine{ID: "d", Slots: 4, Running: 4}
+	for name, tc := range map[string]struct {
+		engines []Engine
+		item    ItemTraits
+		want    int
+	}{
+		"short":                        {[]Engine{scarce, plain}, ItemTraits{}, 1},
+		"long":                         {[]Engine{plain, scarce}, ItemTraits{Long: true}, 1},
+		"short, the others are full":   {[]Engine{full, scarce}, ItemTraits{}, 1},
+		"all permissions are used":     {[]Engine{atLimit, full}, ItemTraits{Urgent: true}, -1},
+		"long, no permission is there": {[]Engine{atLimit, plain}, ItemTraits{Long: true}, 1},
+	} {
+		if got := (MedianIntervals{}).ChooseEngine(tc.engines, tc.item); got != tc.want {
+			t.Errorf("%s: engine %d, want %d", name, got, tc.want)
+		}
+	}
+}
+
 // TestSortWaitingPutsLongItemsFirst guards against a step that ends late because its long items start last or a later
 // step's items start first.
 func TestSortWaitingPutsLongItemsFirst(t *testing.T) {
