LIMIT: a request waits for a limited server if the others do not answer

Cause: any server without a limit, also one that had just failed, kept a request from waiting for a permission.

--- a/internal/forward/health.go
+++ b/internal/forward/health.go
@@ -96,19 +96,23 @@
 	return best
 }
 
+// rankedServer is a server and its expected latency with its penalties.
+type rankedServer struct {
+	*fleet.Server
+	cost time.Duration
+}
+
 // rank returns the usable servers, ordered as choose prefers them.
-func (h *healthTracker) rank(servers []fleet.Server, domain string, now time.Duration, refusals func(id string) int) []*fleet.Server {
+func (h *healthTracker) rank(servers []fleet.Server, domain string, now time.Duration, refusals func(id string) int) []rankedServer {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	costs := map[string]time.Duration{}
-	var out []*fleet.Server
+	var out []rankedServer
 	for i := range servers {
 		if cost, usable := h.cost(&servers[i], domain, now, refusals); usable {
-			costs[servers[i].ID] = cost
-			out = append(out, &servers[i])
+			out = append(out, rankedServer{&servers[i], cost})
 		}
 	}
-	slices.SortStableFunc(out, func(a, b *fleet.Server) int { return cmp.Compare(costs[a.ID], costs[b.ID]) })
+	slices.SortStableFunc(out, func(a, b rankedServer) int { return cmp.Compare(a.cost, b.cost) })
 	return out
 }
 
--- a/internal/forward/limits.go
+++ b/internal/forward/limits.go
@@ -75,8 +75,8 @@
 
 // chooseServer returns the server for the next attempt, or nil if there is none, and the boot time until which the
 // request may be sent there, or 0 without such a time. A limited server needs a permission. The request waits for one
-// only if no server without a limit is left, and only as long as it can still be answered within its latency target:
-// under a load above the limits, more patience would make every answer late without serving one more.
+// only if no server without a limit is left that answers, and only as long as it can still be answered within its latency
+// target: under a load above the limits, more patience would make every answer late without serving one more.
 func (f *forwardState) chooseServer(ctx context.Context) (server *fleet.Server, permittedUntil time.Duration) {
 	limiter, now := f.forwarder.opts.Limiter, f.forwarder.opts.Clock()
 	servers := f.forwarder.opts.Registry.List(f.service, now)
@@ -87,19 +87,20 @@
 	var limited []string
 	byID := map[string]*fleet.Server{}
 	var unlimited *fleet.Server
+	unlimitedAnswers := false
 	for _, s := range f.forwarder.health.rank(servers, f.forwarder.opts.FailureDomain, now, f.refusalsOf) {
 		switch {
 		case !f.forwarder.isLimited(s.ID):
 			if unlimited == nil {
-				unlimited = s
+				unlimited, unlimitedAnswers = s.Server, s.cost < backoffPenalty
 			}
 		case len(limited) < maxLimitedCandidates:
 			limited = append(limited, s.ID)
-			byID[s.ID] = s
+			byID[s.ID] = s.Server
 		}
 	}
 	maxWait := time.Duration(0)
-	if unlimited == nil && f.pending == 0 {
+	if !unlimitedAnswers && f.pending == 0 {
 		maxWait = f.maxLimitWait()
 	}
 	grant := limiter.Reserve(ctx, limited, maxWait)
