ORDER: keep the version of a server's software, and log it

The logs did not tell on which software version a text was begun and continued. platform decodes the version of an announcement into fleet.Server.Software, which is stored with the server; server.announced, item.placed and item.resumed name it. Nothing acts on it yet.

--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"filbertledge/internal/boottime"
@@ -332,7 +333,7 @@
 func (s *session) afterAnnouncement(v fleet.Server, change fleet.Change) {
 	switch change {
 	case fleet.NewIncarnation:
-		s.record(events.Event{Name: events.ServerAnnounced, Server: serverID(v), Detail: v.Service + " at " + v.Address + " in " + v.FailureDomain})
+		s.record(events.Event{Name: events.ServerAnnounced, Server: serverID(v), Detail: fmt.Sprintf("%s at %s in %s, software %q", v.Service, v.Address, v.FailureDomain, v.Software)})
 	case fleet.StartedLeaving:
 		s.record(events.Event{Name: events.ServerLeaving, Server: serverID(v), Detail: "announced"})
 	case fleet.StaleAnnouncement:
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -224,7 +224,7 @@
 	}
 	s.record(events.Event{
 		Name: name, Request: item.ID, Server: api.ServerID(v.ID),
-		Detail: fmt.Sprintf("batch %s, after event %d", t.batch.ID, t.events),
+		Detail: fmt.Sprintf("batch %s, after event %d, software %q", t.batch.ID, t.events, v.Software),
 	})
 	g := GenerationRequest{
 		ID: item.ID, Host: t.batch.Host, Path: item.Path, Headers: item.Headers, Body: item.Body,
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -42,6 +42,9 @@
 	// Silent is set by List and means that the server has missed several announcements. Merge derives from it how
 	// long ago the last announcement was received.
 	Silent bool `cbor:"10,keyasint,omitempty"`
+	// Software is the version of the server's software, not of its weights. Servers of several versions may serve side by
+	// side in one service.
+	Software string `cbor:"11,keyasint,omitempty"`
 }
 
 // Version returns the announced version of a model, or 0 if the server has not loaded it.
