Runs that break together count as one failure of their engine

Cause: each of the runs that an engine drops at once counted as a failure in a row, so that the first crash of an engine with four runs already led to the longest backoff (200 ms doubled three times), and three runs to "unreachable". Change: a failure while the engine is blocked for an earlier one is not counted. Ruled out: a shorter longest backoff, which a dark engine needs.

--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -452,6 +452,9 @@
 			return
 		}
 		t.avoidUntil[v.ID] = now + avoidAfterFailure
+		if now < e.blockedUntil {
+			return // runs that break together are one failure of their engine
+		}
 		e.failures++
 		backoff := min(initialFailureBackoff<<min(e.failures-1, maxBackoffDoublings), maxFailureBackoff)
 		e.blockedUntil = now + backoff
--- a/internal/coordinator/session_test.go
+++ b/internal/coordinator/session_test.go
@@ -298,3 +298,30 @@
 		t.Errorf("%d items of the group are unfinished, want 2", left)
 	}
 }
+
+// TestRunsThatBreakTogetherAreOneFailure guards against an engine that gets no items for the longest backoff after its
+// first failure, because each of its runs counted as a failure of its own.
+func TestRunsThatBreakTogetherAreOneFailure(t *testing.T) {
+	const runs = 8
+	s, _ := newStandaloneSession(t, newFakeEngines())
+	v := fleet.Server{ID: "s", Service: testService, Incarnation: 1, Slots: runs}
+	items := make([]rollout.Item, runs)
+	for i := range items {
+		items[i].ID = fmt.Sprint(i)
+	}
+	s.addBatch(rollout.OpenBatch{Batch: rollout.Batch{ID: "b", Items: items}, HasResult: make([]bool, runs)})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, before := s.engineFor(&v), boottime.Now()
+	for _, task := range s.batches["b"].tasks {
+		s.handleFailure(task, &v, e, &RunError{Kind: StreamBroken, Err: errUnresponsive}, &routes.Route{})
+	}
+	if left := e.blockedUntil - before; e.failures != 1 || left > 2*initialFailureBackoff {
+		t.Fatalf("%d failures, blocked for %s", e.failures, left)
+	}
+	e.blockedUntil = boottime.Now()
+	s.handleFailure(s.batches["b"].tasks[0], &v, e, &RunError{Kind: StreamBroken, Err: errUnresponsive}, &routes.Route{})
+	if e.failures != 2 {
+		t.Fatalf("%d failures after the next run failed too, want 2", e.failures)
+	}
+}
