--- a/internal/coordinator/fakes_test.go
+++ b/internal/coordinator/fakes_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -383,7 +384,7 @@
 					ID: id, Service: service, Address: fmt.Sprintf("10.0.%d.%d:80", prefix[0], s), FailureDomain: "z", Incarnation: 1, Sequence: sequence, Slots: slots,
 				}
 				c.engines.mu.Lock()
-				v.Software = c.engines.software[id]
+				v.Software = cmp.Or(c.engines.software[id], "v0")
 				c.engines.mu.Unlock()
 				if service == testService {
 					v.Models = []fleet.LoadedModel{{Name: testModel, Version: c.engines.version(id)}}
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -143,6 +143,7 @@
 	type requirement struct {
 		batch, service string
 		traits         scheduling.ItemTraits
+		software       string // that began the text; empty if there is no text
 	}
 	full := map[requirement]bool{} // requirements for which no engine has room
 	for _, b := range s.batchesByAge {
@@ -155,13 +156,14 @@
 			continue
 		}
 		service := route.PickService(unitHash(t.batch.Items[t.item].ID))
-		key := requirement{t.batch.ID, service, scheduling.ItemTraits{Long: t.isLong(), Urgent: t.batch.plan.Tight || now-t.batch.addedAt > shortItemMaxWait}}
-		if full[key] {
-			continue
-		}
 		if servers[service] == nil {
 			servers[service] = s.node.registry.List(service, now)
 		}
+		s.restartText(t, servers[service], medians, now)
+		key := requirement{t.batch.ID, service, scheduling.ItemTraits{Long: t.isLong(), Urgent: t.batch.plan.Tight || now-t.batch.addedAt > shortItemMaxWait}, t.software}
+		if full[key] {
+			continue
+		}
 		list := byBatch[batchService{t.batch, service}]
 		if list == nil {
 			list = s.candidatesFor(t.batch, servers[service], now)
@@ -233,7 +235,7 @@
 	if _, limited := s.node.limits.Get(v.ID); limited {
 		g.Permitted = func() bool { return boottime.Now()-now <= ratelimit.PermissionLifetime }
 	}
-	go s.runItem(ctx, t, *v, g, route)
+	go s.runItem(ctx, t, *v, g, route, e.softwareOf(v))
 }
 
 // weightVersionError ends a run with weights that the batch does not allow.
@@ -244,10 +246,10 @@
 	return fmt.Sprintf("weights of version %d are not allowed", e.version)
 }
 
-// runItem runs an item on one engine.
-func (s *session) runItem(ctx context.Context, t *task, v fleet.Server, g GenerationRequest, route *routes.Route) {
+// runItem runs an item on one engine, whose software is of the given version.
+func (s *session) runItem(ctx context.Context, t *task, v fleet.Server, g GenerationRequest, route *routes.Route, software string) {
 	defer t.cancel()
-	err := s.readStream(ctx, t, v, g, route)
+	err := s.readStream(ctx, t, v, g, route, software)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.engineFor(&v)
@@ -259,6 +261,10 @@
 	if t.state != taskRunning || err != nil && s.ctx.Err() != nil {
 		return // the batch or the leadership has ended
 	}
+	if s.ranOnOtherSoftware(&v) && g.AfterEvent > 0 {
+		t.discardText()
+		err = &RunError{Kind: ServerReplaced, Err: errs.New(errs.BackendFailed, "run the item again", "server %s restarted with other software", v.ID)}
+	}
 	if err == nil {
 		e.failures = 0
 		if g.AfterEvent == 0 {
@@ -267,13 +273,16 @@
 		s.completeText(t)
 		return
 	}
-	t.state = taskWaiting
+	t.state, t.waitingSince = taskWaiting, boottime.Now()
+	if s.ranOnOtherSoftware(&v) {
+		t.software = "" // the text may be of either version
+	}
 	s.handleFailure(t, &v, e, err, route)
 	s.wakeScheduler()
 }
 
 // readStream appends the output of an engine to the text of the task.
-func (s *session) readStream(ctx context.Context, t *task, v fleet.Server, g GenerationRequest, route *routes.Route) error {
+func (s *session) readStream(ctx context.Context, t *task, v fleet.Server, g GenerationRequest, route *routes.Route, software string) error {
 	sentAt := boottime.Now()
 	stream, err := s.node.opts.EngineClient.Start(ctx, v, g)
 	if err != nil {
@@ -315,7 +324,7 @@
 			s.mu.Unlock()
 			return &RunError{Kind: StreamBroken, Err: errs.New(errs.BackendFailed, "run the item again", "the stream exceeds %d events or %d bytes", limit, maxTextBytes)}
 		}
-		last = s.addEvent(t, v, ev, last)
+		last = s.addEvent(t, v, ev, last, software)
 	}
 }
 
@@ -330,7 +339,7 @@
 
 // addEvent appends an event to the text and measures the time since the previous event of the run, at time last. It
 // returns the time of the event.
-func (s *session) addEvent(t *task, v fleet.Server, ev StreamEvent, last time.Duration) time.Duration {
+func (s *session) addEvent(t *task, v fleet.Server, ev StreamEvent, last time.Duration, software string) time.Duration {
 	now := boottime.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -339,6 +348,8 @@
 	}
 	if t.events > 0 {
 		t.text = append(t.text, '\n')
+	} else {
+		t.software = software
 	}
 	t.text = append(t.text, ev.Data...)
 	if i, found := slices.BinarySearch(t.versions, ev.Version); !found {
@@ -373,7 +384,7 @@
 // moveFromSlowEngine moves a long item away from an engine that is transiently slow, if another engine has room. The
 // caller holds the mutex.
 func (s *session) moveFromSlowEngine(t *task, interval float64, now time.Duration) {
-	if now-t.startedAt < minRunBeforeMove || s.freeNormalSlots(t.batch, s.medianIntervals(now), now) == 0 {
+	if now-t.startedAt < minRunBeforeMove || s.freeNormalSlots(t, s.medianIntervals(now), now) == 0 {
 		return
 	}
 	s.moveItem(t, fmt.Sprintf("long, %.0f ms between two events", interval), now+avoidAfterTransientSlowdown)
@@ -452,6 +463,7 @@
 			return
 		}
 		t.avoidUntil[v.ID] = now + avoidAfterFailure
+		s.doubtSoftware(e, v)
 		if now < e.blockedUntil {
 			return // runs that break together are one failure of their engine
 		}
@@ -501,11 +513,8 @@
 			e.slowSince = now
 		}
 	}
-	freeSlots := map[string]int{} // of engines of normal speed, by model
+	freeSlots := map[moveTarget]int{} // of engines of normal speed
 	for _, b := range s.batchesByAge {
-		if _, known := freeSlots[b.Model]; !known {
-			freeSlots[b.Model] = s.freeNormalSlots(b, medians, now)
-		}
 		late := timeOfDay.After(b.giveUpAt)
 		for _, t := range b.tasks {
 			switch {
@@ -521,8 +530,12 @@
 	}
 }
 
+// moveTarget identifies the engines to which an item can move: those that serve the model with the software that began
+// its text.
+type moveTarget struct{ model, software string }
+
 // checkRun moves an item if its run makes no progress or if its engine is slow and others have room.
-func (s *session) checkRun(t *task, now time.Duration, medians scheduling.MedianIntervals, freeSlots map[string]int) {
+func (s *session) checkRun(t *task, now time.Duration, medians scheduling.MedianIntervals, freeSlots map[moveTarget]int) {
 	e := s.engines[t.engine]
 	if e == nil {
 		return
@@ -531,14 +544,18 @@
 	if t.lastEventAt > 0 {
 		silence, limit = now-t.lastEventAt, eventTimeout
 	}
+	target := moveTarget{t.batch.Model, t.software}
+	if _, known := freeSlots[target]; !known {
+		freeSlots[target] = s.freeNormalSlots(t, medians, now)
+	}
 	reason := ""
 	switch {
 	case silence > limit:
 		reason = fmt.Sprintf("no event for %s", silence.Round(time.Millisecond))
 		e.blockedUntil = now + stalledBackoff
-	case now-t.startedAt > minRunBeforeMove && freeSlots[t.batch.Model] > 0:
+	case now-t.startedAt > minRunBeforeMove && freeSlots[target] > 0:
 		if reason = e.moveReason(t.events, medians, now); reason != "" {
-			freeSlots[t.batch.Model]--
+			freeSlots[target]--
 		}
 	}
 	if reason == "" {
@@ -571,13 +588,13 @@
 	return medians.Recent > 0 && e.recentInterval > scheduling.RecentSlowdownToMove*medians.Recent
 }
 
-// freeNormalSlots counts the free slots of engines of normal speed that have the weights for a batch. If more items
-// moved than that, they would return to the engines that they left.
-func (s *session) freeNormalSlots(b *batch, medians scheduling.MedianIntervals, now time.Duration) int {
-	free := 0
+// freeNormalSlots counts the free slots of engines of normal speed that have the weights for an item and the software
+// that began its text. If more items moved than that, they would return to the engines that they left.
+func (s *session) freeNormalSlots(t *task, medians scheduling.MedianIntervals, now time.Duration) int {
+	free, b := 0, t.batch
 	for id, e := range s.engines {
 		v, ok := s.node.registry.Get(id)
-		if !ok || v.Leaving || e.blockedUntil > now || e.loadingModel != "" && e.loadingModel == b.Model ||
+		if !ok || v.Leaving || e.blockedUntil > now || !t.mayContinueOn(e.softwareOf(&v)) || e.loadingModel != "" && e.loadingModel == b.Model ||
 			e.usableRecentInterval(now) > scheduling.RecentSlowdownToMove*medians.Recent || e.baselineInterval > scheduling.BaselineSlowdownToMove*medians.Baseline {
 			continue
 		}
@@ -668,6 +685,7 @@
 			tasks, restarts = append(tasks, t), append(restarts, t.restarts)
 			list = append(list, rollout.Progress{
 				Batch: b.ID, Item: t.item, Offset: t.committedBytes, Text: slices.Clone(t.text[t.committedBytes:]), Events: t.events, Versions: t.versions, Complete: t.textComplete,
+				Software: t.software,
 			})
 		}
 	}
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -102,6 +102,9 @@
 	text     []byte
 	events   int
 	versions []uint64
+	software string // version of the servers' software that began the text; empty if it is unknown
+	// waitingSince is the boot time since which the item waits for an engine.
+	waitingSince time.Duration
 	// committedBytes is how many bytes of the text are in the replicated state.
 	committedBytes int
 	restarts       int  // number of times the text was discarded
@@ -120,7 +123,7 @@
 
 // discardText drops the text, so that the item starts again from the beginning.
 func (t *task) discardText() {
-	t.text, t.events, t.versions, t.committedBytes = nil, 0, nil, 0
+	t.text, t.events, t.versions, t.software, t.committedBytes = nil, 0, nil, "", 0
 	t.textComplete, t.completeCommitted = false, false
 	t.restarts++
 }
@@ -137,12 +140,14 @@
 	slowSince        time.Duration     // boot time since which isSlow holds at each check; 0 if it does not
 	blockedUntil     time.Duration     // the engine gets no items until then
 	failures         int               // consecutive failures
-	models           []string          // whose weights the engine is made to load; empty means all
-	loadingModel     string            // model of the order in progress; empty if there is none
-	sequence         uint64            // number of orders that the engine has accepted
-	sequenceKnown    bool              // sequence is up to date
-	nextOrderAt      time.Duration     // the engine gets no order until then
-	orderFailures    int               // consecutive failures of orders
+	softwareDoubted  bool              // a run failed after the announcement with doubtedSequence
+	doubtedSequence  uint64
+	models           []string      // whose weights the engine is made to load; empty means all
+	loadingModel     string        // model of the order in progress; empty if there is none
+	sequence         uint64        // number of orders that the engine has accepted
+	sequenceKnown    bool          // sequence is up to date
+	nextOrderAt      time.Duration // the engine gets no order until then
+	orderFailures    int           // consecutive failures of orders
 }
 
 // resultQueueSize limits the results that wait to be committed.
@@ -231,14 +236,14 @@
 			g = &group{index: len(b.groups), carriedOver: item.Group != "" && s.seenGroups[item.Group]}
 			b.groups[item.Group] = g
 		}
-		t := &task{batch: b, item: i, group: g, avoidUntil: map[string]time.Duration{}}
+		t := &task{batch: b, item: i, group: g, avoidUntil: map[string]time.Duration{}, waitingSince: b.addedAt}
 		if open.HasResult[i] {
 			t.state = taskFinished
 		} else {
 			g.unfinished++
 		}
 		if p, ok := open.Partials[i]; ok {
-			t.text, t.events, t.versions, t.committedBytes = p.Text, p.Events, p.Versions, len(p.Text)
+			t.text, t.events, t.versions, t.software, t.committedBytes = p.Text, p.Events, p.Versions, p.Software, len(p.Text)
 			t.textComplete, t.completeCommitted = p.Complete, p.Complete
 		}
 		b.tasks = append(b.tasks, t)
@@ -276,7 +281,7 @@
 		if len(reusable.Versions) == 0 || reusable.Versions[0] < b.MinVersion {
 			continue
 		}
-		t.text, t.events, t.versions = reusable.Text, reusable.Events, reusable.Versions
+		t.text, t.events, t.versions, t.software = reusable.Text, reusable.Events, reusable.Versions, reusable.Software
 		s.record(events.Event{
 			Name: events.ItemReused, Request: id,
 			Detail: fmt.Sprintf("batch %s, %d events of versions %v, complete %t", b.ID, reusable.Events, reusable.Versions, reusable.Complete),
@@ -296,7 +301,7 @@
 		failed := t.state == taskFinished && !t.completed
 		if t.group.unfinished > 0 && t.events > 0 && !failed && len(b.Items[t.item].Group) > 0 {
 			s.reusableTexts[b.Items[t.item].ID] = rollout.Partial{
-				Text: slices.Clone(t.text), Events: t.events, Versions: slices.Clone(t.versions), Complete: t.textComplete,
+				Text: slices.Clone(t.text), Events: t.events, Versions: slices.Clone(t.versions), Complete: t.textComplete, Software: t.software,
 			}
 		}
 	}
@@ -526,6 +531,7 @@
 		e, state := &c.engines[i], c.states[i]
 		e.Running, e.RunningLong = state.running, state.runningLong
 		e.AtLimit = limits.Left(e.ID, now) == 0
+		e.OtherSoftware = !t.mayContinueOn(state.softwareOf(c.servers[i]))
 		e.PromptCached = promptCachedOn == e.ID
 		e.Avoid = c.servers[i].Silent || state.failures > 0 || t.avoidUntil[e.ID] > now
 	}
--- a/internal/coordinator/session_test.go
+++ b/internal/coordinator/session_test.go
@@ -193,7 +193,7 @@
 		s.addBatch(rollout.OpenBatch{Batch: rollout.Batch{ID: "b", Items: []rollout.Item{tc.item}}, HasResult: []bool{false}})
 		task := s.batches["b"].tasks[0]
 		task.state = taskRunning
-		err := s.readStream(s.ctx, task, fleet.Server{ID: "s", Slots: 4}, GenerationRequest{}, &routes.Route{})
+		err := s.readStream(s.ctx, task, fleet.Server{ID: "s", Slots: 4}, GenerationRequest{}, &routes.Route{}, "v1")
 		var run *RunError
 		if !errors.As(err, &run) || run.Kind != StreamBroken || len(task.text) != 0 || task.events != 0 {
 			t.Errorf("%s: got %v with %d events and %d bytes of text left, want a broken stream without text", name, err, task.events, len(task.text))
@@ -239,7 +239,7 @@
 	s.addBatch(rollout.OpenBatch{Batch: rollout.Batch{ID: "b", Items: []rollout.Item{{ID: "long", LengthHint: 900}, {ID: "short", LengthHint: 10}, {ID: "short too", LengthHint: 10}}}, HasResult: make([]bool, 3)})
 	var servers []fleet.Server
 	for i := range engines {
-		v := fleet.Server{ID: fmt.Sprintf("s%d", i), Address: fmt.Sprintf("10.0.0.%d:80", i), Service: testService, Incarnation: 1, Slots: slots}
+		v := fleet.Server{ID: fmt.Sprintf("s%d", i), Address: fmt.Sprintf("10.0.0.%d:80", i), Service: testService, Incarnation: 1, Slots: slots, Software: "v1"}
 		s.node.registry.Announce(v, boottime.Now())
 		servers = append(servers, v)
 		s.engineFor(&v).baselineInterval = float64(normal.Milliseconds())
@@ -252,7 +252,7 @@
 		now := boottime.Now()
 		task.startedAt = now - time.Hour
 		task.lastEventAt = now
-		s.addEvent(task, servers[server], StreamEvent{Number: task.events + 1, Version: 1}, now-interval)
+		s.addEvent(task, servers[server], StreamEvent{Number: task.events + 1, Version: 1}, now-interval, "v1")
 	}
 	for i := range 50 * engines {
 		event(i%engines, normal)
--- a/internal/coordinator/software_test.go
+++ b/internal/coordinator/software_test.go
@@ -4,6 +4,11 @@
 	"strings"
 	"testing"
 	"time"
+
+	"filbertledge/internal/fleet"
+	"filbertledge/internal/rollout"
+	"filbertledge/internal/routes"
+	"filbertledge/internal/scheduling"
 )
 
 // softwareOf returns the software version that generated a text, and fails the test if there are several or the text is
@@ -157,3 +162,75 @@
 		}
 	}
 }
+
+// Guards against a text of a group that returns in a later batch and goes on at another software version.
+func TestReusedTextKeepsItsSoftwareVersion(t *testing.T) {
+	s, _ := newStandaloneSession(t, newFakeEngines())
+	s.reusableTexts["i"] = rollout.Partial{Text: []byte("a"), Events: 1, Versions: []uint64{1}, Software: "v1"}
+	s.addBatch(rollout.OpenBatch{Batch: rollout.Batch{ID: "b", Items: []rollout.Item{{ID: "i", Group: "g"}}}, HasResult: []bool{false}})
+	if got := s.batches["b"].tasks[0]; got.software != "v1" || got.events != 1 {
+		t.Fatalf("the reused text has %d events of software %q", got.events, got.software)
+	}
+	s.keepReusableTexts(s.batches["b"])
+	if got := s.reusableTexts["i"]; got.Software != "v1" {
+		t.Fatalf("the kept text is of software %q", got.Software)
+	}
+}
+
+// Guards against a text that goes on at a server which restarted under its ID with other software: between the choice
+// and the announcement of the new start, and after a failure that may have been the restart.
+func TestRestartOfServerWithOtherSoftware(t *testing.T) {
+	s, _ := newStandaloneSession(t, newFakeEngines())
+	v := fleet.Server{ID: "s", Service: testService, Address: "10.0.0.1:80", Incarnation: 1, Sequence: 1, Slots: 4, Software: "v1"}
+	s.node.registry.Announce(v, 0)
+	s.addBatch(rollout.OpenBatch{Batch: rollout.Batch{ID: "b", Items: []rollout.Item{{ID: "i"}}}, HasResult: []bool{false}})
+	task := s.batches["b"].tasks[0]
+	e := s.engineFor(&v)
+	text := func() { task.text, task.events, task.software = []byte("a"), 1, "v1" }
+	text()
+	if !task.mayContinueOn(e.softwareOf(&v)) || task.mayContinueOn("v2") || task.mayContinueOn("") {
+		t.Fatal("a text may go on at its own version and at no other one")
+	}
+	s.doubtSoftware(e, &v)
+	if task.mayContinueOn(e.softwareOf(&v)) {
+		t.Fatal("a text goes on at a server that failed and has not announced itself since")
+	}
+	v.Sequence++
+	if !task.mayContinueOn(e.softwareOf(&v)) {
+		t.Fatal("a text does not go on at a server that announced its version after a failure")
+	}
+	// The run that goes on after event 1 ends after the server has announced its new start.
+	s.node.registry.Announce(fleet.Server{ID: "s", Service: testService, Address: v.Address, Incarnation: 2, Sequence: 1, Slots: 4, Software: "v2"}, 0)
+	task.state, task.cancel = taskRunning, func() {}
+	s.runItem(s.ctx, task, v, GenerationRequest{ID: "i", AfterEvent: 1}, &routes.Route{}, "v1")
+	if task.state != taskWaiting || task.events != 0 || task.software != "" {
+		t.Fatalf("after a run at other software: state %d, %d events of software %q", task.state, task.events, task.software)
+	}
+}
+
+// Guards against a text that is dropped although nothing else could run its item, or although servers of its version are
+// only busy.
+func TestTextIsKeptWhileItsVersionServes(t *testing.T) {
+	s, _ := newStandaloneSession(t, newFakeEngines())
+	own, ownLeaves, other := fleet.Server{ID: "a", Software: "v1"}, fleet.Server{ID: "b", Software: "v1", Leaving: true}, fleet.Server{ID: "c", Software: "v2"}
+	for name, tc := range map[string]struct {
+		servers []fleet.Server
+		waited  time.Duration
+		dropped bool
+	}{
+		"its version serves":               {[]fleet.Server{own, other}, 0, false},
+		"its version is busy for too long": {[]fleet.Server{own, other}, time.Minute, true},
+		"its version leaves":               {[]fleet.Server{ownLeaves, other}, 0, true},
+		"no other version":                 {[]fleet.Server{own}, time.Minute, false},
+		"no server":                        {nil, time.Minute, false},
+	} {
+		now := time.Hour
+		task := &task{batch: &batch{Batch: rollout.Batch{ID: "b", Items: []rollout.Item{{ID: "i"}}}}, text: []byte("a"), events: 1, software: "v1", waitingSince: now - tc.waited}
+		s.mu.Lock()
+		dropped := s.restartText(task, tc.servers, scheduling.MedianIntervals{}, now)
+		s.mu.Unlock()
+		if dropped != tc.dropped || dropped != (task.events == 0) {
+			t.Errorf("%s: dropped %t, %d events left", name, dropped, task.events)
+		}
+	}
+}
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -257,7 +257,7 @@
 		if batch.Partials == nil {
 			batch.Partials = map[int]Partial{}
 		}
-		batch.Partials[p.Item] = Partial{Text: text, Events: p.Events, Versions: p.Versions, Complete: p.Complete}
+		batch.Partials[p.Item] = Partial{Text: text, Events: p.Events, Versions: p.Versions, Complete: p.Complete, Software: p.Software}
 	}
 	return Outcome{Found: true}
 }
--- a/internal/rollout/state_test.go
+++ b/internal/rollout/state_test.go
@@ -338,6 +338,30 @@
 	}
 }
 
+// Guards against progress that loses the software version of its text, in the state or in a snapshot, and against a text
+// that began again and keeps the version of the old one.
+func TestProgressKeepsSoftware(t *testing.T) {
+	s := newState(t)
+	applyCommand(t, s, Command{Accept: newBatch("b")})
+	applyCommand(t, s, Command{Progress: []Progress{
+		{Batch: "b", Item: 0, Text: []byte("zero"), Events: 1, Software: "v1"}, {Batch: "b", Item: 1, Text: []byte("o"), Events: 1, Software: "v1"},
+	}})
+	applyCommand(t, s, Command{Progress: []Progress{{Batch: "b", Item: 1, Text: []byte("again"), Events: 1, Software: "v2"}}})
+	snapshot, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := NewState(s.texts)
+	if err := restored.Restore(snapshot); err != nil {
+		t.Fatal(err)
+	}
+	for name, state := range map[string]*State{"applied": s, "restored": restored} {
+		if p := state.OpenBatches()[0].Partials; p[0].Software != "v1" || p[1].Software != "v2" {
+			t.Errorf("%s: software %q and %q", name, p[0].Software, p[1].Software)
+		}
+	}
+}
+
 // Guards against a log or a snapshot of a build without scores that cannot be read any more. The files in testdata were
 // written by such a build: the commands in their order, and the snapshot after them.
 func TestReadsStateWithoutScores(t *testing.T) {
--- a/internal/rollout/types.go
+++ b/internal/rollout/types.go
@@ -80,6 +80,9 @@
 	Versions []uint64 `cbor:"6,keyasint,omitempty"`
 	// Complete is true if the text ends with this chunk. The next leader then scores the item without running it again.
 	Complete bool `cbor:"7,keyasint,omitempty"`
+	// Software is the version of the servers' software that began the text and that alone may continue it. It is empty if
+	// it is unknown, as in the progress that earlier builds committed.
+	Software string `cbor:"8,keyasint,omitempty"`
 }
 
 // Partial is the committed text of an unfinished item.
@@ -88,6 +91,7 @@
 	Events   int      `cbor:"2,keyasint"`
 	Versions []uint64 `cbor:"3,keyasint,omitempty"`
 	Complete bool     `cbor:"4,keyasint,omitempty"` // the text is complete; only its score is missing
+	Software string   `cbor:"5,keyasint,omitempty"` // as in Progress
 }
 
 // BatchResult is a result to be stored in the batch with ID Batch.
--- a/internal/scheduling/choose.go
+++ b/internal/scheduling/choose.go
@@ -56,6 +56,7 @@
 	PromptCached     bool    // the engine has processed the item's prompt with the same weights
 	AtLimit          bool    // the engine limits its requests and has no permission for another one now
 	Scarce           bool    // the engine limits its requests to fewer than its slots can run
+	OtherSoftware    bool    // the item has a text that other software began
 	Avoid            bool    // the item failed here before, or the engine does not answer at present
 }
 
@@ -103,7 +104,7 @@
 // while fewer than half of its slots are in use: short items finish within a second and can wait that long, while the
 // step ends with its long items.
 func (e *Engine) hasRoomFor(item ItemTraits) bool {
-	if e.AtLimit {
+	if e.AtLimit || e.OtherSoftware {
 		return false
 	}
 	if item.Long || item.Urgent || e.RunningLong == 0 {
@@ -185,3 +186,20 @@
 	}
 	return running / float64(max(e.Slots, 1))
 }
+
+const (
+	// minTextWait and maxTextWait bound how long an item waits for an engine with the software that began its text.
+	minTextWait = 200 * time.Millisecond
+	maxTextWait = 2 * time.Second
+	// assumedInterval is the time between two events while no engine has been measured, in milliseconds.
+	assumedInterval = 50
+)
+
+// KeepText reports whether an item that has waited for the given time should go on waiting for an engine with the
+// software that began its text, rather than begin again on any engine. It waits as long as it takes to make its events
+// again, at the given interval in milliseconds; 0 means that the interval is unknown. This is designed for releases, in
+// which half of the engines are of each version, and for the last engines of a version, which are busy.
+func KeepText(waited time.Duration, events int, interval float64) bool {
+	again := time.Duration(float64(events) * cmp.Or(interval, assumedInterval) * float64(time.Millisecond))
+	return waited <= min(max(again, minTextWait), maxTextWait)
+}
--- a/internal/scheduling/scheduling_test.go
+++ b/internal/scheduling/scheduling_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
+	"time"
 )
 
 // The simulated load and engines. Lengths are in events, times in milliseconds.
@@ -408,3 +409,30 @@
 		}
 	}
 }
+
+// Guards against a text that is dropped although an engine of its software has a free slot a moment later, and against
+// an item that waits for one longer than it takes to make the text again.
+func TestKeepText(t *testing.T) {
+	for _, tc := range []struct {
+		waited   time.Duration
+		events   int
+		interval float64
+		want     bool
+	}{
+		{0, 1, 50, true},
+		{minTextWait, 1, 50, true},
+		{minTextWait + time.Millisecond, 1, 50, false},
+		{time.Second, 30, 50, true},
+		{1600 * time.Millisecond, 30, 50, false},
+		{time.Second, 30, 0, true},
+		{maxTextWait + time.Millisecond, 1000, 50, false},
+	} {
+		if got := KeepText(tc.waited, tc.events, tc.interval); got != tc.want {
+			t.Errorf("%+v: %t", tc, got)
+		}
+	}
+	engines := []Engine{{ID: "a", Slots: 4, OtherSoftware: true}, {ID: "b", Slots: 4, Running: 3}}
+	if got := (MedianIntervals{}).ChooseEngine(engines, ItemTraits{}); got != 1 {
+		t.Errorf("a text goes on at engine %d, want the one with its software", got)
+	}
+}
