A rollout under which several servers were lost is still generated

Report of the users' issue: after a burst of crashes an item was never placed again. It can happen here, in the product's own rollouts (serve): once two servers were lost while they ran a rollout, Generate ended with request_crashes_servers for ten minutes, each time the trainer's runner tried again, and the step never became whole. All members of a group share their content, so that one unlucky member also stopped the others. Cause: the suspicion that protects the servers from a caller's crashing request was applied to work that is owed. Change: a rollout is never refused. From the second lost server on it runs alone on a server, after a pause of 1 s that doubles up to 30 s, and request.suspected says so. Callers' requests are refused as before. Ruled out: no suspicion for rollouts at all (one that crashes every server would take the sound ones along).

--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -76,6 +77,12 @@
 	maxFailedAttempts = 8
 	// maxCrashes limits the crashes of one request: it is refused once this many servers were lost while they ran it.
 	maxCrashes = 2
+	// crashPause is how long a rollout waits after maxCrashes crashes. The pause doubles with each further one, up to
+	// maxCrashPause.
+	crashPause    = time.Second
+	maxCrashPause = 30 * time.Second
+	// maxCrashPauseDoublings prevents an overflow of the pause before it is limited.
+	maxCrashPauseDoublings = 8
 	// affinityPrefixBytes is the length of the prefix of a request's body that is hashed for the prefix affinity.
 	affinityPrefixBytes = 512
 	// The predicted run time of a customer's request or of a rollout is this quantile of the row's recorded run times.
@@ -98,6 +105,7 @@
 	excludedServers    []api.ServerID // never used for this run
 	retryFailedServers bool           // no server outside failedServers is left
 	isolated           bool           // was in flight on a lost server; needs a server without other requests
+	owed               bool           // must be answered in the end, however many servers were lost while they ran it
 	attempts           int            // attempts that a server may have run
 	failedAttempts     int
 	mayHaveRun         bool
@@ -183,7 +191,11 @@
 
 // acquire waits for a slot on a server for the next attempt.
 func (r *run) acquire(ctx context.Context) (*lease, error) {
-	if err := r.checkSuspect(); err != nil {
+	pause, err := r.checkSuspect()
+	if err != nil {
+		return nil, err
+	}
+	if err := r.pauseAfterCrashes(ctx, pause); err != nil {
 		return nil, err
 	}
 	queuedAt := time.Now()
@@ -204,16 +216,35 @@
 	return l, nil
 }
 
-// checkSuspect refuses a request that was in flight on maxCrashes servers when they were lost, and isolates a request
-// that was in flight on fewer.
-func (r *run) checkSuspect() error {
+// checkSuspect isolates a request that was in flight on servers when they were lost. After maxCrashes servers it refuses
+// a caller's request. A rollout is owed to its trainer and may be sound, since servers also crash in bursts: it runs
+// after the returned pause.
+func (r *run) checkSuspect() (pause time.Duration, err error) {
 	crashes := r.d.opts.Registry.CrashCount(r.digest)
-	if crashes >= maxCrashes {
-		return errs.New(errs.RequestCrashes, "change the request; it is accepted again 10 minutes after the last crash",
+	r.isolated = crashes > 0
+	switch {
+	case crashes < maxCrashes:
+		return 0, nil
+	case r.owed:
+		return min(crashPause<<min(crashes-maxCrashes, maxCrashPauseDoublings), maxCrashPause), nil
+	default:
+		return 0, errs.New(errs.RequestCrashes, "change the request; it is accepted again 10 minutes after the last crash",
 			"%d backend servers were lost while they ran this request", crashes)
 	}
-	r.isolated = crashes > 0
-	return nil
+}
+
+// pauseAfterCrashes waits before a rollout runs again under which several servers were lost.
+func (r *run) pauseAfterCrashes(ctx context.Context, pause time.Duration) error {
+	if pause == 0 {
+		return nil
+	}
+	r.d.recordEvent(events.RequestSuspected, r, "", fmt.Sprintf("%d servers were lost while they ran it; it runs alone after %s", r.d.opts.Registry.CrashCount(r.digest), pause))
+	select {
+	case <-time.After(pause):
+		return nil
+	case <-ctx.Done():
+		return errs.New(errs.Canceled, "resend the request if it is still wanted", "request ended while it waited after the loss of the servers that ran it")
+	}
 }
 
 // backendRequest returns the request of one attempt for the backend client.
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -36,6 +36,7 @@
 	r := d.newRun(&request, policy.Trainer)
 	r.minVersion = max(r.minVersion, rollout.MinVersion)
 	r.seed = &rollout.Seed
+	r.owed = true
 	r.excludedServers = rollout.ExcludedServers
 	response, err := r.stream(ctx, func(backend.Chunk) error { return nil })
 	if err != nil {
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -50,8 +50,9 @@
 	RequestRefused     Name = "request.refused"
 	RequestFailed      Name = "request.failed"
 	RequestCanceled    Name = "request.canceled"
-	RequestReplayed    Name = "request.replayed" // answered with the stored answer of an earlier attempt
-	CallUnknown        Name = "call.unknown"     // the outcome of a non-idempotent call is unknown
+	RequestReplayed    Name = "request.replayed"  // answered with the stored answer of an earlier attempt
+	RequestSuspected   Name = "request.suspected" // several servers were lost while they ran the rollout; it runs alone
+	CallUnknown        Name = "call.unknown"      // the outcome of a non-idempotent call is unknown
 	CredentialRefused  Name = "credential.refused"
 	CertificateLoaded  Name = "certificate.loaded"
 	StepOpened         Name = "step.opened"
