An item that crashes engines waits longer each time and runs alone

Cause: a broken run sent the item to another engine, without a look at how many it had broken. Change: runs that break before their first event are counted; from the third in a row on the item pauses, 0.25 s doubling to 4 s, and runs on an engine without other runs. Nothing ends an item.

--- a/internal/coordinator/fakes_test.go
+++ b/internal/coordinator/fakes_test.go
@@ -52,13 +52,27 @@
 	unprocessable map[string]bool      // items that no engine can run
 	lastEventAt   map[string]time.Time // when the last event of an item was generated
 	activeStreams int                  // streams that are open
+	streamsOn     map[string]int       // streams that are open, by server
 	eventsPerItem int
 	eventInterval time.Duration  // time between events
 	slowdown      map[string]int // factor of the event interval, by server
 	limits        map[string]ratelimit.Statement
+	crashing      map[string]bool      // items that crash each engine before their first event
+	crashedUntil  map[string]time.Time // by server
+	crashes       []engineCrash
 	software      map[string]string // announced version of the server's software, which marks the events if it is set
 }
 
+// engineCrash is the crash of an engine by an item, beside a number of other runs.
+type engineCrash struct {
+	item   string
+	at     time.Time
+	others int
+}
+
+// crashDuration is how long an engine is down after a crash.
+const crashDuration = 300 * time.Millisecond
+
 type receivedOrder struct {
 	server, holder string
 	version, token uint64
@@ -70,7 +84,7 @@
 func newFakeEngines() *fakeEngines {
 	return &fakeEngines{
 		versions: map[string]uint64{}, sequence: map[string]uint64{}, started: map[string]int{}, resumedAfter: map[string]int{},
-		unresponsive: map[string]bool{}, slowdown: map[string]int{}, failingRuns: map[string]int{}, unprocessable: map[string]bool{}, lastEventAt: map[string]time.Time{}, eventsPerItem: 5, eventInterval: time.Millisecond, limits: map[string]ratelimit.Statement{}, software: map[string]string{},
+		unresponsive: map[string]bool{}, slowdown: map[string]int{}, failingRuns: map[string]int{}, unprocessable: map[string]bool{}, lastEventAt: map[string]time.Time{}, eventsPerItem: 5, eventInterval: time.Millisecond, limits: map[string]ratelimit.Statement{}, software: map[string]string{}, crashing: map[string]bool{}, streamsOn: map[string]int{}, crashedUntil: map[string]time.Time{},
 	}
 }
 
@@ -82,7 +96,15 @@
 	if f.unresponsive[v.ID] {
 		return nil, &RunError{Kind: EngineUnreachable, Err: errUnresponsive}
 	}
+	if time.Now().Before(f.crashedUntil[v.ID]) {
+		return nil, &RunError{Kind: EngineUnreachable, Err: errUnresponsive}
+	}
 	f.started[g.ID]++
+	if f.crashing[g.ID] {
+		f.crashes = append(f.crashes, engineCrash{g.ID, time.Now(), f.streamsOn[v.ID]})
+		f.crashedUntil[v.ID] = time.Now().Add(crashDuration)
+		return nil, &RunError{Kind: StreamBroken, Err: errUnresponsive}
+	}
 	f.resumedAfter[g.ID] = max(f.resumedAfter[g.ID], g.AfterEvent)
 	if f.unprocessable[g.ID] {
 		return nil, &RunError{Kind: RequestUnprocessable, Err: errUnresponsive}
@@ -92,6 +114,7 @@
 		return nil, &RunError{Kind: GenerationFailed, Err: errUnresponsive}
 	}
 	f.activeStreams++
+	f.streamsOn[v.ID]++
 	return &fakeStream{engines: f, ctx: ctx, server: v.ID, id: g.ID, nextEvent: g.AfterEvent + 1}, nil
 }
 
@@ -151,7 +174,7 @@
 
 func (s *fakeStream) Next() (StreamEvent, error) {
 	s.engines.mu.Lock()
-	unresponsive, last := s.engines.unresponsive[s.server], s.engines.eventsPerItem
+	unresponsive, last := s.engines.unresponsive[s.server] || time.Now().Before(s.engines.crashedUntil[s.server]), s.engines.eventsPerItem
 	interval := s.engines.eventInterval * time.Duration(max(s.engines.slowdown[s.server], 1))
 	s.engines.mu.Unlock()
 	select {
@@ -180,6 +203,7 @@
 	s.engines.mu.Lock()
 	defer s.engines.mu.Unlock()
 	s.engines.activeStreams--
+	s.engines.streamsOn[s.server]--
 }
 
 // softwareMark separates the text of an event from the software version that generated it.
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -149,7 +149,7 @@
 	for _, b := range s.batchesByAge {
 		s.planBatch(b, c, now)
 	}
-	for _, w := range s.waitingItems() {
+	for _, w := range s.waitingItems(now) {
 		t := s.batchesByAge[w.BatchIndex].tasks[w.ItemIndex]
 		route := c.Match(t.batch.Host, t.batch.Path)
 		if route == nil || route.Kind != routes.Rollout {
@@ -160,7 +160,8 @@
 			servers[service] = s.node.registry.List(service, now)
 		}
 		s.restartText(t, servers[service], medians, now)
-		key := requirement{t.batch.ID, service, scheduling.ItemTraits{Long: t.isLong(), Urgent: t.batch.plan.Tight || now-t.batch.addedAt > shortItemMaxWait}, t.software}
+		traits := scheduling.ItemTraits{Long: t.isLong(), Urgent: t.batch.plan.Tight || now-t.batch.addedAt > shortItemMaxWait, Alone: t.runsAlone(now)}
+		key := requirement{t.batch.ID, service, traits, t.software}
 		if full[key] {
 			continue
 		}
@@ -171,6 +172,9 @@
 		}
 		i := list.choose(t, s.limits, medians, key.traits, s.promptCachedOn[t.promptKey()], now)
 		if i < 0 {
+			if traits.Alone {
+				s.keepEngineFree(t, list, now)
+			}
 			full[key] = true
 			continue
 		}
@@ -191,11 +195,11 @@
 }
 
 // waitingItems returns the items that may start now, sorted by priority. The caller holds the mutex.
-func (s *session) waitingItems() []scheduling.WaitingItem {
+func (s *session) waitingItems(now time.Duration) []scheduling.WaitingItem {
 	var list []scheduling.WaitingItem
 	for i, b := range s.batchesByAge {
 		for _, t := range b.tasks {
-			if t.state == taskWaiting {
+			if t.state == taskWaiting && t.pausedUntil <= now {
 				list = append(list, scheduling.WaitingItem{
 					BatchIndex: i, GroupRank: b.groupRank(t.group), PartlyRun: t.events > 0, CarriedOver: t.group.carriedOver, GroupIndex: t.group.index,
 					ExpectedTokens: b.Items[t.item].LengthHint, ItemIndex: t.item,
@@ -219,6 +223,9 @@
 	if t.countedAsLong = t.isLong(); t.countedAsLong {
 		e.runningLong++
 	}
+	if t.runsAlone(now) {
+		e.alone = t
+	}
 	s.promptCachedOn[t.promptKey()] = v.ID
 	name := events.ItemPlaced
 	if t.events > 0 {
@@ -356,7 +363,7 @@
 		t.versions = slices.Insert(slices.Clone(t.versions), i, ev.Version)
 	}
 	t.events++
-	t.lastEventAt = now
+	t.lastEventAt, t.crashes = now, 0
 	e := s.engineFor(&v)
 	e.failures = 0
 	e.versions[t.batch.Model] = ev.Version
@@ -464,6 +471,9 @@
 		}
 		t.avoidUntil[v.ID] = now + avoidAfterFailure
 		s.doubtSoftware(e, v)
+		if run.Kind == StreamBroken {
+			s.recordCrash(t, now)
+		}
 		if now < e.blockedUntil {
 			return // runs that break together are one failure of their engine
 		}
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -94,6 +94,8 @@
 	startedAt   time.Duration
 	lastEventAt time.Duration            // of the current run; 0 before its first event
 	failures    int                      // runs that ended with GenerationFailed
+	crashes     int                      // runs in a row that broke before their first event
+	pausedUntil time.Duration            // boot time before which the item does not start
 	avoidUntil  map[string]time.Duration // servers to avoid, until when
 	moving      bool                     // the current run is being cancelled, so that another engine continues the item
 	// countedAsLong is true if engineState.runningLong includes the current run.
@@ -140,6 +142,7 @@
 	slowSince        time.Duration     // boot time since which isSlow holds at each check; 0 if it does not
 	blockedUntil     time.Duration     // the engine gets no items until then
 	failures         int               // consecutive failures
+	alone            *task             // runs alone until its first event, or will; nil if there is none
 	softwareDoubted  bool              // a run failed after the announcement with doubtedSequence
 	doubtedSequence  uint64
 	models           []string      // whose weights the engine is made to load; empty means all
@@ -531,6 +534,7 @@
 		e, state := &c.engines[i], c.states[i]
 		e.Running, e.RunningLong = state.running, state.runningLong
 		e.AtLimit = limits.Left(e.ID, now) == 0
+		e.KeptForOther = state.runsOrWaitsAlone(now) && state.alone != t
 		e.OtherSoftware = !t.mayContinueOn(state.softwareOf(c.servers[i]))
 		e.PromptCached = promptCachedOn == e.ID
 		e.Avoid = c.servers[i].Silent || state.failures > 0 || t.avoidUntil[e.ID] > now
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -96,6 +96,7 @@
 	ItemResumed           Name = "item.resumed"         // continued on an engine from its partial text
 	ItemRefused           Name = "item.refused"         // its run on an engine failed
 	ItemMoved             Name = "item.moved"           // its run was canceled, to be continued on another engine
+	ItemSuspected         Name = "item.suspected"       // engines broke off its runs before their first event; it runs alone after a pause
 	ItemRestarted         Name = "item.restarted"       // its text was dropped, because no server of the software that began it serves
 	ItemReused            Name = "item.reused"          // begins with the text that an earlier batch left unfinished
 	ItemListed            Name = "item.listed"          // its result was added to the results of the batch
--- a/internal/scheduling/choose.go
+++ b/internal/scheduling/choose.go
@@ -56,6 +56,7 @@
 	PromptCached     bool    // the engine has processed the item's prompt with the same weights
 	AtLimit          bool    // the engine limits its requests and has no permission for another one now
 	Scarce           bool    // the engine limits its requests to fewer than its slots can run
+	KeptForOther     bool    // another item runs alone here, or will
 	OtherSoftware    bool    // the item has a text that other software began
 	Avoid            bool    // the item failed here before, or the engine does not answer at present
 }
@@ -84,6 +85,8 @@
 	Long bool
 	// Urgent items take any free slot.
 	Urgent bool
+	// Alone items run on an engine without other runs.
+	Alone bool
 }
 
 // ChooseEngine returns the index of the engine that should run the next item, or -1 if the item should wait.
@@ -104,7 +107,7 @@
 // while fewer than half of its slots are in use: short items finish within a second and can wait that long, while the
 // step ends with its long items.
 func (e *Engine) hasRoomFor(item ItemTraits) bool {
-	if e.AtLimit || e.OtherSoftware {
+	if e.AtLimit || e.OtherSoftware || e.KeptForOther || item.Alone && e.Running > 0 {
 		return false
 	}
 	if item.Long || item.Urgent || e.RunningLong == 0 {
@@ -203,3 +206,22 @@
 	again := time.Duration(float64(events) * cmp.Or(interval, assumedInterval) * float64(time.Millisecond))
 	return waited <= min(max(again, minTextWait), maxTextWait)
 }
+
+// AloneAfterCrashes is the number of runs in a row that broke before their first event after which an item runs alone.
+// Bursts of crashes hit a sound item two or three times.
+const AloneAfterCrashes = 3
+
+const (
+	crashPause    = 250 * time.Millisecond
+	maxCrashPause = 4 * time.Second
+)
+
+// CrashPause returns how long an item waits after the given number of runs in a row that broke before their first event:
+// not at all before it runs alone, and then twice as long after each further one.
+func CrashPause(crashes int) time.Duration {
+	pause := time.Duration(0)
+	for n := AloneAfterCrashes; n <= crashes && pause < maxCrashPause; n++ {
+		pause = max(crashPause, 2*pause)
+	}
+	return min(pause, maxCrashPause)
+}
--- a/internal/scheduling/scheduling_test.go
+++ b/internal/scheduling/scheduling_test.go
@@ -436,3 +436,27 @@
 		t.Errorf("a text goes on at engine %d, want the one with its software", got)
 	}
 }
+
+// Guards against a sound item that waits after a burst of crashes, against pauses that do not grow, and against an item
+// that runs alone beside others.
+func TestCrashingItemsWaitAndRunAlone(t *testing.T) {
+	want := []time.Duration{0, 0, 0, 250 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, 4 * time.Second}
+	for crashes, pause := range want {
+		if got := CrashPause(crashes); got != pause {
+			t.Errorf("%d crashes: pause of %s, want %s", crashes, got, pause)
+		}
+	}
+	if got := CrashPause(1 << 30); got != maxCrashPause {
+		t.Errorf("pause of %s after very many crashes", got)
+	}
+	busy, kept, free := Engine{ID: "a", Slots: 4, Running: 1}, Engine{ID: "b", Slots: 4, KeptForOther: true}, Engine{ID: "c", Slots: 4}
+	if got := (MedianIntervals{}).ChooseEngine([]Engine{busy, kept, free}, ItemTraits{Alone: true}); got != 2 {
+		t.Errorf("the item that must run alone goes to engine %d", got)
+	}
+	if got := (MedianIntervals{}).ChooseEngine([]Engine{busy, kept}, ItemTraits{Alone: true}); got != -1 {
+		t.Errorf("the item that must run alone goes to engine %d beside others", got)
+	}
+	if got := (MedianIntervals{}).ChooseEngine([]Engine{kept, busy}, ItemTraits{Urgent: true}); got != 1 {
+		t.Errorf("an item goes to engine %d, which another runs on alone", got)
+	}
+}
