ORDER: a caller's stream is taken up at the software version that began it

Change: the version is recorded in the replicated state under the caller's attempt ID before the answer is passed on, so that it survives all entry VMs and a restart of all VMs. A take-up goes to servers of that version only. Without knowledge or without such a server it is refused at once: 503 is true, because nothing was sent. Ruled out: memory of the entry VMs or of the leader (lost with them); inference from the versions that are announced (the old servers may just have left).

--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -35,6 +35,8 @@
 	handleOnLeader(n, methodPublish, (*session).publish)
 	handleOnLeader(n, MethodPermission, (*session).permission)
 	handleOnLeader(n, MethodLimits, (*session).reportLimits)
+	handleOnLeader(n, MethodBeginStream, (*session).beginStream)
+	handleOnLeader(n, MethodFindStream, (*session).findStream)
 	handleOnLeader(n, methodRetire, (*session).retire)
 	handleOnLeader(n, methodRetired, (*session).retired)
 }
--- a/internal/coordinator/wire.go
+++ b/internal/coordinator/wire.go
@@ -28,6 +28,8 @@
 	methodPublish     = "weights.publish"
 	MethodPermission  = "limit.permission"
 	MethodLimits      = "limit.report"
+	MethodBeginStream = "stream.begin"
+	MethodFindStream  = "stream.find"
 	methodRetire      = "vm.retire"
 	methodRetired     = "vm.retired"
 	methodLeader      = "leader"
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -82,6 +82,7 @@
 	DependencyRegained    Name = "vm.dependency_regained"    // the leader is reached again
 	AnnouncementStale     Name = "server.announcement_stale" // older than the announcement that is known
 	ServerBlocked         Name = "server.blocked"            // not used for a while after repeated failures
+	StreamNotRecorded     Name = "stream.not_recorded"       // its software version could not be stored; it cannot be taken up
 	RequestLimited        Name = "request.limited"           // no limited server of the service has a permission for it
 	LimitNamed            Name = "server.limit_named"        // its response states a new limit of requests a second
 	LimitWithdrawn        Name = "server.limit_withdrawn"    // its response states no limit any more
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -33,6 +33,8 @@
 	Body    []byte
 	// Deadline is when the caller stops waiting for the response.
 	Deadline time.Time
+	// TakeUp is set if the request continues a stream.
+	TakeUp *TakeUp
 	// Repeatable allows more than one server to run the request, whatever the kind of its route.
 	Repeatable bool
 	// NewConnection forbids the reuse of an idle connection to a server. A request whose ID was sent before could
@@ -89,6 +91,8 @@
 	Clock func() time.Duration
 	// Limiter keeps the requests within the limits of the servers. If it is nil, limits are ignored.
 	Limiter Limiter
+	// Streams records the begins of resumable streams. If it is nil, no stream can be taken up.
+	Streams StreamRecords
 }
 
 // Forwarder forwards requests and remembers how each server answered. It is safe for concurrent use.
@@ -105,6 +109,9 @@
 	if o.Limiter == nil {
 		o.Limiter = noLimits{}
 	}
+	if o.Streams == nil {
+		o.Streams = noStreamRecords{}
+	}
 	f := &Forwarder{opts: o, health: newHealthTracker()}
 	f.health.limit = o.Limiter.Limit
 	return f
@@ -136,7 +143,7 @@
 	response *Response
 	notSent  bool
 	err      error
-	server   string
+	server   fleet.Server
 }
 
 // mayHaveRun reports whether the server may have run the request.
@@ -182,6 +189,7 @@
 	request     *Request
 	route       *routes.Route
 	service     string
+	software    string // version that began the stream, if the request takes one up
 	startedAt   time.Time
 	deadline    time.Time
 	results     chan attemptResult
@@ -206,7 +214,13 @@
 func (f *forwardState) run(ctx context.Context) (*Response, error) {
 	hedge := time.NewTimer(max(minHedgeDelay, time.Duration(hedgeTargetFraction*float64(f.route.LatencyTarget))))
 	defer hedge.Stop()
+	if err := f.findSoftware(ctx); err != nil {
+		return nil, err
+	}
 	if !f.startAttempt(ctx) {
+		if f.software != "" {
+			return nil, errs.New(errs.Unavailable, "begin the stream again", "service %s has no server of software %q, which began stream %q", f.service, f.software, f.request.TakeUp.Attempt)
+		}
 		if f.retryAfter > 0 {
 			return nil, errs.New(errs.Unavailable, "call again later", "all servers of service %s have reached their limits", f.service)
 		}
@@ -218,6 +232,7 @@
 			f.pending--
 			if result.acceptable() {
 				result.response.EarlierFailures = f.failures
+				f.recordStream(ctx, result.server)
 				return result.response, nil
 			}
 			f.recordFailure(result)
@@ -250,9 +265,9 @@
 		}
 		return
 	}
-	f.refused = append(f.refused, result.server)
+	f.refused = append(f.refused, result.server.ID)
 	for i, id := range f.mayHaveRun {
-		if id == result.server {
+		if id == result.server.ID {
 			f.mayHaveRun = append(f.mayHaveRun[:i], f.mayHaveRun[i+1:]...)
 			break
 		}
@@ -317,7 +332,7 @@
 		attempt.Permitted = func() bool { return clock() <= permittedUntil }
 	}
 	response, notSent, err := f.forwarder.opts.Exchanger.Exchange(ctx, server, f.request, attempt)
-	result := attemptResult{response: response, notSent: notSent, err: err, server: server.ID}
+	result := attemptResult{response: response, notSent: notSent, err: err, server: server}
 	if response != nil {
 		f.forwarder.ObserveLimit(server.ID, f.request.ID, response.Limit, start)
 	}
@@ -340,9 +355,9 @@
 		}
 		return f.lastFailure.response, nil // a signed failure of the server itself is passed on
 	case f.lastFailure.err != nil:
-		return nil, errs.Wrap(f.lastFailure.err, errs.BackendFailed, "call again if the call may be repeated", "server %s failed", f.lastFailure.server)
+		return nil, errs.Wrap(f.lastFailure.err, errs.BackendFailed, "call again if the call may be repeated", "server %s failed", f.lastFailure.server.ID)
 	default:
-		return nil, errs.New(errs.BackendFailed, "call again if the call may be repeated", "server %s answered with status %d but without its signature", f.lastFailure.server, f.lastFailure.response.Status)
+		return nil, errs.New(errs.BackendFailed, "call again if the call may be repeated", "server %s answered with status %d but without its signature", f.lastFailure.server.ID, f.lastFailure.response.Status)
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,7 +76,7 @@
 	registry := fleet.NewRegistry(o.AnnounceInterval)
 	g := &Gateway{opts: o, client: link.NewClient(), registry: registry, seeds: o.Seeds, leaderFound: make(chan struct{})}
 	g.limiter = newLimiter(o.Name, g.client, g.currentLeader, o.Events)
-	g.forwarder = forward.New(forward.Options{FailureDomain: o.FailureDomain, Registry: registry, Exchanger: o.Exchanger, Events: o.Events, Limiter: g.limiter})
+	g.forwarder = forward.New(forward.Options{FailureDomain: o.FailureDomain, Registry: registry, Exchanger: o.Exchanger, Events: o.Events, Limiter: g.limiter, Streams: streamRecords{g}})
 	return g
 }
 
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -69,6 +69,7 @@
 	Departures    []ServerIncarnation   `cbor:"4,keyasint,omitempty"`
 	Retired       []string              `cbor:"5,keyasint,omitempty"`
 	Servers       []fleet.Server        `cbor:"6,keyasint,omitempty"`
+	Streams       []StreamBegin         `cbor:"7,keyasint,omitempty"`
 }
 
 // State is the replicated state. Apply must be called from a single goroutine; the read methods are safe for
@@ -83,6 +84,7 @@
 	departures    []ServerIncarnation
 	servers       map[string]fleet.Server // by ID; needed to reach the servers after all VMs were restarted at once
 	retired       map[string]bool
+	streams       streamTable
 	changed       chan struct{} // closed and replaced on every change
 	// OnApplied, if not nil, is called after each command, without holding the lock.
 	OnApplied func(Command, Outcome)
@@ -92,7 +94,7 @@
 
 // NewState returns an empty state that stores its texts in texts.
 func NewState(texts TextStore) *State {
-	return &State{texts: texts, versions: map[string]uint64{}, batches: map[string]*batchState{}, servers: map[string]fleet.Server{}, retired: map[string]bool{}, changed: make(chan struct{})}
+	return &State{texts: texts, versions: map[string]uint64{}, batches: map[string]*batchState{}, servers: map[string]fleet.Server{}, retired: map[string]bool{}, streams: newStreamTable(nil), changed: make(chan struct{})}
 }
 
 var decMode = mustDecMode()
@@ -169,6 +171,8 @@
 		return s.unregisterServers(c.Unregister)
 	case len(c.DeleteBatches) > 0:
 		return s.deleteBatches(c.DeleteBatches)
+	case c.BeginStream != nil:
+		return Outcome{Changed: s.streams.add(*c.BeginStream), Found: true}
 	case c.Retire != nil:
 		s.retired[c.Retire.VM] = true
 		return Outcome{Changed: true, Found: true}
@@ -344,7 +348,7 @@
 	snap := snapshotState{
 		Configuration: s.configuration, Versions: maps.Clone(s.versions),
 		Departures: slices.Clone(s.departures), Retired: slices.Sorted(maps.Keys(s.retired)),
-		Servers: s.sortedServers(),
+		Servers: s.sortedServers(), Streams: slices.Clone(s.streams.list),
 	}
 	for _, id := range s.batchOrder {
 		batch := s.batches[id]
@@ -397,7 +401,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.configuration, s.departures = snap.Configuration, snap.Departures
-	s.versions = snap.Versions
+	s.versions, s.streams = snap.Versions, newStreamTable(snap.Streams)
 	if s.versions == nil {
 		s.versions = map[string]uint64{}
 	}
--- a/internal/rollout/state_test.go
+++ b/internal/rollout/state_test.go
@@ -396,3 +396,43 @@
 		}
 	}
 }
+
+// Guards against a stream whose software version is lost with a snapshot, replaced by a later attempt, or kept forever.
+func TestStreamsKeepTheirSoftware(t *testing.T) {
+	s := newState(t)
+	begin := func(id, software string, at time.Duration) {
+		applyCommand(t, s, Command{BeginStream: &StreamBegin{ID: id, Software: software, At: at.Milliseconds()}})
+	}
+	begin("a", "v1", time.Minute)
+	begin("a", "v2", time.Minute)
+	begin("b", "v2", 2*time.Minute)
+	begin("unknown", "", 2*time.Minute)
+	snapshot, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := NewState(s.texts)
+	if err := restored.Restore(snapshot); err != nil {
+		t.Fatal(err)
+	}
+	for name, state := range map[string]*State{"applied": s, "restored": restored} {
+		a, _ := state.StreamSoftware("a")
+		b, _ := state.StreamSoftware("b")
+		if _, known := state.StreamSoftware("unknown"); a != "v1" || b != "v2" || known {
+			t.Errorf("%s: software %q and %q, unknown one known %t", name, a, b, known)
+		}
+	}
+	begin("c", "v2", time.Minute+streamRetention+time.Second)
+	if _, known := s.StreamSoftware("a"); known {
+		t.Error("a stream is kept beyond its retention")
+	}
+	if _, known := s.StreamSoftware("b"); !known {
+		t.Error("a stream is dropped within its retention")
+	}
+	for i := range maxStreams {
+		s.streams.add(StreamBegin{ID: fmt.Sprint(i), Software: "v2", At: time.Hour.Milliseconds()})
+	}
+	if len(s.streams.list) != maxStreams || len(s.streams.software) != maxStreams {
+		t.Errorf("%d and %d streams are kept, want %d", len(s.streams.list), len(s.streams.software), maxStreams)
+	}
+}
--- a/internal/rollout/types.go
+++ b/internal/rollout/types.go
@@ -124,9 +124,10 @@
 	DeleteBatches []string              `cbor:"7,keyasint,omitempty"` // IDs of batches whose retention period has passed
 	Retire        *Retirement           `cbor:"8,keyasint,omitempty"`
 	// Register records a newly announced server. Unregister removes servers whose announcements have stopped.
-	Register   *fleet.Server       `cbor:"9,keyasint,omitempty"`
-	Unregister []ServerIncarnation `cbor:"10,keyasint,omitempty"`
-	Progress   []Progress          `cbor:"11,keyasint,omitempty"`
+	Register    *fleet.Server       `cbor:"9,keyasint,omitempty"`
+	Unregister  []ServerIncarnation `cbor:"10,keyasint,omitempty"`
+	Progress    []Progress          `cbor:"11,keyasint,omitempty"`
+	BeginStream *StreamBegin        `cbor:"12,keyasint,omitempty"`
 }
 
 // Retirement requests that a VM leaves the replication group. Once it has left, nothing depends on its disk, so that it
