Engines are taken from the model that can best give one

Cause: the division stopped when the model with the most engines for its work had a single one, although others could give. Change: the model with the highest ratio after it has given an engine up gives one. TestDivideEnginesTakesFromModelsThatCanGive holds the case without a draw and failed before.

--- a/internal/scheduling/assign.go
+++ b/internal/scheduling/assign.go
@@ -124,8 +124,8 @@
 // supplyModels moves engines from models with many to those with less than minSupply of their share.
 func (d *division) supplyModels() {
 	for range d.serving {
-		needy, rich := d.neediest(), d.richest()
-		if d.supplyRatio(needy) >= minSupply || d.supply[rich] <= 1 || (d.supply[rich]-1)/d.shares[rich] < d.supplyRatio(needy) {
+		needy, rich := d.neediest(), d.richestAfterGiving()
+		if d.supplyRatio(needy) >= minSupply || d.supply[rich] <= 1 || d.ratioAfterGiving(rich) < d.supplyRatio(needy) {
 			return
 		}
 		engine := slices.IndexFunc(d.order, func(i int) bool { return slices.Contains(d.serving[i], d.models[rich].Model) })
@@ -145,10 +145,17 @@
 	return needy
 }
 
-func (d *division) richest() int {
+// ratioAfterGiving returns the supply ratio of a model once it has given up an engine.
+func (d *division) ratioAfterGiving(model int) float64 {
+	return (d.supply[model] - 1) / d.shares[model]
+}
+
+// richestAfterGiving returns the model that can best give up an engine. A model of little work with a single engine may
+// have the highest ratio, but nothing to give.
+func (d *division) richestAfterGiving() int {
 	rich := 0
 	for k := range d.models {
-		if d.supplyRatio(k) > d.supplyRatio(rich) {
+		if d.ratioAfterGiving(k) > d.ratioAfterGiving(rich) {
 			rich = k
 		}
 	}
--- a/internal/scheduling/assign_test.go
+++ b/internal/scheduling/assign_test.go
@@ -152,3 +152,20 @@
 		t.Errorf("with three times the work, x has %d of 40 engines after %d changes, want at least 16 with at most 10", supply["x"], changed)
 	}
 }
+
+// TestDivideEnginesTakesFromModelsThatCanGive guards against a model that keeps too few engines because the model with
+// the most engines for its work has a single one.
+func TestDivideEnginesTakesFromModelsThatCanGive(t *testing.T) {
+	models := []ModelWork{{"large", 240}, {"small", 70}, {"x", 245}, {"y", 245}}
+	engines := unassignedEngines(8)
+	for i, model := range []string{"large", "small", "x", "x", "x", "y", "y", "y"} {
+		engines[i].Models = []string{model}
+	}
+	count := map[string]int{}
+	for _, serving := range DivideEngines(engines, models) {
+		count[serving[0]]++
+	}
+	if count["large"] != 2 || count["small"] != 1 {
+		t.Fatalf("engines by model: %v, want two for the largest and one for the smallest", count)
+	}
+}
