LIMIT: a new leader knows the limits that earlier ones learned

Cause: the limits of engines are learned by the leader alone, from the responses to items, and were held in memory: by the leader and the VMs that follow it. When all state VMs were killed at once, the new leader filled the free slots of the engine. Change: a change of a limit is committed; a new leader starts from the stored limits. They leave with their server. Ruled out: waiting for the entry VMs' reports (they come within 100 ms, but need not know of engines).

--- a/internal/coordinator/limits.go
+++ b/internal/coordinator/limits.go
@@ -10,6 +10,7 @@
 	"filbertledge/internal/events"
 	"filbertledge/internal/link"
 	"filbertledge/internal/ratelimit"
+	"filbertledge/internal/rollout"
 )
 
 // PermissionRequest asks the leader for a permission to send a request to one of several limited servers.
@@ -71,10 +72,42 @@
 		s.record(event)
 	}
 	if len(changed) > 0 {
-		s.signalServers()
+		s.spreadLimits(changed)
 	}
 }
 
+// spreadLimits makes all VMs learn the limits of the servers, now and after a change of the leader.
+func (s *session) spreadLimits(servers []string) {
+	s.signalServers()
+	now, timeOfDay := boottime.Now(), time.Now()
+	var c rollout.Command
+	for _, server := range servers {
+		if l, known := s.node.limits.Lookup(server, now); known {
+			c.Limits = append(c.Limits, rollout.ServerLimit{Server: server, Withdrawn: l.Withdrawn, PerSecond: l.PerSecond, At: timeOfDay.Add(-l.Age).UnixMilli()})
+		}
+	}
+	if len(c.Limits) == 0 {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(s.ctx, proposeTimeout)
+		defer cancel()
+		if _, err := s.node.propose(ctx, c); err != nil {
+			s.node.opts.Events.Log().WithError(err).Info("cannot store the limits of servers; a new leader learns them from the responses of the servers")
+		}
+	}()
+}
+
+// loadLimits takes over the limits that earlier leaders stored.
+func (s *session) loadLimits() {
+	timeOfDay := time.Now()
+	var list []ratelimit.Limit
+	for _, l := range s.node.state.Limits() {
+		list = append(list, ratelimit.Limit{Server: l.Server, PerSecond: l.PerSecond, Age: timeOfDay.Sub(time.UnixMilli(l.At))})
+	}
+	s.node.limits.Merge(list, boottime.Now())
+}
+
 // nodeLimiter implements forward.Limiter for the requests of a leader.
 type nodeLimiter struct{ node *Node }
 
@@ -82,7 +115,7 @@
 func (l nodeLimiter) Observe(server string, statement ratelimit.Statement, sentAt time.Duration) bool {
 	changed := l.node.limits.Observe(server, statement, sentAt, boottime.Now())
 	if s := l.node.session.Load(); s != nil && changed {
-		s.signalServers()
+		s.spreadLimits([]string{server})
 	}
 	return changed
 }
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -177,6 +177,7 @@
 func (s *session) start() {
 	s.node.registry.Merge(s.serversNotInRegistry(), boottime.Now())
 	s.loadRegisteredVersions()
+	s.loadLimits()
 	for _, d := range s.node.state.Departures() {
 		s.node.registry.MarkLeaving(d.Server, d.Incarnation)
 	}
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -70,6 +70,7 @@
 	Retired       []string              `cbor:"5,keyasint,omitempty"`
 	Servers       []fleet.Server        `cbor:"6,keyasint,omitempty"`
 	Streams       []StreamBegin         `cbor:"7,keyasint,omitempty"`
+	Limits        []ServerLimit         `cbor:"8,keyasint,omitempty"`
 }
 
 // State is the replicated state. Apply must be called from a single goroutine; the read methods are safe for
@@ -85,7 +86,8 @@
 	servers       map[string]fleet.Server // by ID; needed to reach the servers after all VMs were restarted at once
 	retired       map[string]bool
 	streams       streamTable
-	changed       chan struct{} // closed and replaced on every change
+	limits        map[string]ServerLimit // by server ID
+	changed       chan struct{}          // closed and replaced on every change
 	// OnApplied, if not nil, is called after each command, without holding the lock.
 	OnApplied func(Command, Outcome)
 	// OnFailure is called when a text cannot be stored. It must be set and must terminate the replica.
@@ -94,7 +96,7 @@
 
 // NewState returns an empty state that stores its texts in texts.
 func NewState(texts TextStore) *State {
-	return &State{texts: texts, versions: map[string]uint64{}, batches: map[string]*batchState{}, servers: map[string]fleet.Server{}, retired: map[string]bool{}, streams: newStreamTable(nil), changed: make(chan struct{})}
+	return &State{texts: texts, versions: map[string]uint64{}, batches: map[string]*batchState{}, servers: map[string]fleet.Server{}, retired: map[string]bool{}, streams: newStreamTable(nil), limits: map[string]ServerLimit{}, changed: make(chan struct{})}
 }
 
 var decMode = mustDecMode()
@@ -171,6 +173,8 @@
 		return s.unregisterServers(c.Unregister)
 	case len(c.DeleteBatches) > 0:
 		return s.deleteBatches(c.DeleteBatches)
+	case len(c.Limits) > 0:
+		return s.storeLimits(c.Limits)
 	case c.BeginStream != nil:
 		return Outcome{Changed: s.streams.add(*c.BeginStream), Found: true}
 	case c.Retire != nil:
@@ -313,6 +317,7 @@
 	for _, d := range list {
 		if v, ok := s.servers[d.Server]; ok && v.Incarnation <= d.Incarnation {
 			delete(s.servers, d.Server)
+			delete(s.limits, d.Server)
 			o.Changed = true
 		}
 	}
@@ -348,7 +353,7 @@
 	snap := snapshotState{
 		Configuration: s.configuration, Versions: maps.Clone(s.versions),
 		Departures: slices.Clone(s.departures), Retired: slices.Sorted(maps.Keys(s.retired)),
-		Servers: s.sortedServers(), Streams: slices.Clone(s.streams.list),
+		Servers: s.sortedServers(), Streams: slices.Clone(s.streams.list), Limits: s.sortedLimits(),
 	}
 	for _, id := range s.batchOrder {
 		batch := s.batches[id]
@@ -415,10 +420,13 @@
 	for _, vm := range snap.Retired {
 		s.retired[vm] = true
 	}
-	s.servers = map[string]fleet.Server{}
+	s.servers, s.limits = map[string]fleet.Server{}, map[string]ServerLimit{}
 	for _, v := range snap.Servers {
 		s.servers[v.ID] = v
 	}
+	for _, l := range snap.Limits {
+		s.limits[l.Server] = l
+	}
 	close(s.changed)
 	s.changed = make(chan struct{})
 	return nil
--- a/internal/rollout/state_test.go
+++ b/internal/rollout/state_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -436,3 +437,31 @@
 		t.Errorf("%d and %d streams are kept, want %d", len(s.streams.list), len(s.streams.software), maxStreams)
 	}
 }
+
+// Guards against a limit that a new leader does not know, and against one that outlives its withdrawal or its server.
+func TestLimitsAreStoredWithTheirServers(t *testing.T) {
+	s := newState(t)
+	for _, id := range []string{"a", "b", "c"} {
+		applyCommand(t, s, Command{Register: &fleet.Server{ID: id, Address: id + ":1", Incarnation: 1}})
+	}
+	applyCommand(t, s, Command{Limits: []ServerLimit{{Server: "a", PerSecond: 2, At: 1}, {Server: "b", PerSecond: 3, At: 1}, {Server: "c", At: 1}, {Server: "gone", PerSecond: 1, At: 1}}})
+	applyCommand(t, s, Command{Limits: []ServerLimit{{Server: "b", Withdrawn: true, At: 2}}})
+	snapshot, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := NewState(s.texts)
+	if err := restored.Restore(snapshot); err != nil {
+		t.Fatal(err)
+	}
+	want := []ServerLimit{{Server: "a", PerSecond: 2, At: 1}, {Server: "c", At: 1}}
+	for name, state := range map[string]*State{"applied": s, "restored": restored} {
+		if got := state.Limits(); !slices.Equal(got, want) {
+			t.Errorf("%s: %+v, want %+v", name, got, want)
+		}
+	}
+	applyCommand(t, s, Command{Unregister: []ServerIncarnation{{Server: "a", Incarnation: 1}}})
+	if got := s.Limits(); len(got) != 1 {
+		t.Errorf("the limit of a server that is gone is kept: %+v", got)
+	}
+}
--- a/internal/rollout/types.go
+++ b/internal/rollout/types.go
@@ -128,6 +128,7 @@
 	Unregister  []ServerIncarnation `cbor:"10,keyasint,omitempty"`
 	Progress    []Progress          `cbor:"11,keyasint,omitempty"`
 	BeginStream *StreamBegin        `cbor:"12,keyasint,omitempty"`
+	Limits      []ServerLimit       `cbor:"13,keyasint,omitempty"`
 }
 
 // Retirement requests that a VM leaves the replication group. Once it has left, nothing depends on its disk, so that it
