Limited engines: their few requests begin items, and long ones first

Cause: a move counted the permissions of a limited engine as free slots, and a long item that goes on preferred such engines. Change: engines with scarce requests are no place to move to, and items that go on prefer engines without a limit.

--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -160,7 +160,7 @@
 			servers[service] = s.node.registry.List(service, now)
 		}
 		s.restartText(t, servers[service], medians, now)
-		traits := scheduling.ItemTraits{Long: t.isLong(), Urgent: t.batch.plan.Tight || now-t.batch.addedAt > shortItemMaxWait, Alone: t.runsAlone(now)}
+		traits := scheduling.ItemTraits{Long: t.isLong(), Urgent: t.batch.plan.Tight || now-t.batch.addedAt > shortItemMaxWait, Alone: t.runsAlone(now), Begun: t.events > 0}
 		key := requirement{t.batch.ID, service, traits, t.software}
 		if full[key] {
 			continue
@@ -599,12 +599,13 @@
 }
 
 // freeNormalSlots counts the free slots of engines of normal speed that have the weights for an item and the software
-// that began its text. If more items moved than that, they would return to the engines that they left.
+// that began its text. If more items moved than that, they would return to the engines that they left. Engines with scarce
+// requests do not count: a move would cost the start of another item.
 func (s *session) freeNormalSlots(t *task, medians scheduling.MedianIntervals, now time.Duration) int {
 	free, b := 0, t.batch
 	for id, e := range s.engines {
 		v, ok := s.node.registry.Get(id)
-		if !ok || v.Leaving || e.blockedUntil > now || !t.mayContinueOn(e.softwareOf(&v)) || e.loadingModel != "" && e.loadingModel == b.Model ||
+		if !ok || v.Leaving || e.blockedUntil > now || s.hasScarceRequests(&v) || !t.mayContinueOn(e.softwareOf(&v)) || e.loadingModel != "" && e.loadingModel == b.Model ||
 			e.usableRecentInterval(now) > scheduling.RecentSlowdownToMove*medians.Recent || e.baselineInterval > scheduling.BaselineSlowdownToMove*medians.Baseline {
 			continue
 		}
--- a/internal/scheduling/choose.go
+++ b/internal/scheduling/choose.go
@@ -87,6 +87,8 @@
 	Urgent bool
 	// Alone items run on an engine without other runs.
 	Alone bool
+	// Begun items have a text that the engine continues.
+	Begun bool
 }
 
 // ChooseEngine returns the index of the engine that should run the next item, or -1 if the item should wait.
@@ -96,7 +98,7 @@
 		if !engines[i].hasRoomFor(item) {
 			continue
 		}
-		if best < 0 || m.compare(&engines[i], &engines[best], item.Long) < 0 {
+		if best < 0 || m.compare(&engines[i], &engines[best], item) < 0 {
 			best = i
 		}
 	}
@@ -118,15 +120,15 @@
 
 // compare orders engines, the best first: engines that need not be avoided, then engines that are not slow, then for a
 // long item the engine with the shortest expected interval, then the least loaded engine. The few requests of an engine
-// with scarce requests go to long items, which use its slots best.
-func (m MedianIntervals) compare(a, b *Engine, long bool) int {
+// with scarce requests go to long items that begin, which use them best.
+func (m MedianIntervals) compare(a, b *Engine, item ItemTraits) int {
 	order := cmp.Or(compareBool(a.Avoid, b.Avoid), compareBool(m.isSlow(a), m.isSlow(b)))
-	if long {
+	if item.Long && !item.Begun {
 		order = cmp.Or(order, compareBool(b.Scarce, a.Scarce))
 	} else {
 		order = cmp.Or(order, compareBool(a.Scarce, b.Scarce))
 	}
-	if long {
+	if item.Long {
 		order = cmp.Or(order, cmp.Compare(m.ExpectedInterval(a), m.ExpectedInterval(b)))
 	}
 	return cmp.Or(order, cmp.Compare(a.effectiveLoad(), b.effectiveLoad()), cmp.Compare(a.ID, b.ID))
--- a/internal/scheduling/scheduling_test.go
+++ b/internal/scheduling/scheduling_test.go
@@ -68,6 +68,7 @@
 	}{
 		"short":                        {[]Engine{scarce, plain}, ItemTraits{}, 1},
 		"long":                         {[]Engine{plain, scarce}, ItemTraits{Long: true}, 1},
+		"long, goes on":                {[]Engine{scarce, plain}, ItemTraits{Long: true, Begun: true}, 1},
 		"short, the others are full":   {[]Engine{full, scarce}, ItemTraits{}, 1},
 		"all permissions are used":     {[]Engine{atLimit, full}, ItemTraits{Urgent: true}, -1},
 		"long, no permission is there": {[]Engine{atLimit, plain}, ItemTraits{Long: true}, 1},
