A test row for requests that would wait longer than their latency target

A mutation that let requests wait for a permission until their deadline survived TestForwardKeepsLimits: the row without a permission in time had none before the route's time limit either. The new row has one after the latency target and before the deadline; with the mutation it fails.

--- a/internal/forward/limits_test.go
+++ b/internal/forward/limits_test.go
@@ -52,7 +52,8 @@
 // Guards against a request that goes to a limited server without permission, waits although another server has no
 // limit, waits longer than its latency target, or is refused although it could be served in time.
 func TestForwardKeepsLimits(t *testing.T) {
-	const soon, late = 30 * time.Millisecond, 800 * time.Millisecond
+	// A request that waits for tooLate can be answered before its deadline, but not within the latency target.
+	const soon, tooLate, late = 30 * time.Millisecond, 200 * time.Millisecond, 800 * time.Millisecond
 	route := testRoutes[0]
 	route.LatencyTarget = 150 * time.Millisecond
 	for name, tc := range map[string]struct {
@@ -65,6 +66,7 @@
 		"all limited, a permission now":            {map[string]time.Duration{"s0": soon, "s1": 0, "s2": late}, nil, []string{"s1"}, soon},
 		"all limited, a permission soon":           {map[string]time.Duration{"s0": late, "s1": soon, "s2": late}, nil, []string{"s1"}, 3 * soon},
 		"all limited, no permission in time":       {map[string]time.Duration{"s0": late, "s1": late, "s2": late}, nil, nil, soon},
+		"all limited, a permission too late":       {map[string]time.Duration{"s0": tooLate, "s1": tooLate, "s2": tooLate}, nil, nil, soon},
 		"the server without a limit has failed":    {map[string]time.Duration{"s0": soon, "s1": late}, map[string][]serverBehavior{"s2": {failToConnect}}, []string{"s2", "s0"}, 5 * soon},
 		"second attempt needs a permission":        {map[string]time.Duration{"s0": late, "s1": 0}, map[string][]serverBehavior{"s2": {hang}}, []string{"s2", "s1"}, 150 * time.Millisecond},
 		"second attempt without permission is not": {map[string]time.Duration{"s0": soon, "s1": soon}, map[string][]serverBehavior{"s2": {hang}}, []string{"s2"}, time.Second},
@@ -82,7 +84,7 @@
 				t.Fatalf("sent to %v after %s, want %v within %s; error %v", servers.asked, took, tc.asked, tc.maxTook, err)
 			}
 			var refused *RefusedError
-			if tc.asked == nil && (!errs.Is(err, errs.Unavailable) || !errors.As(err, &refused) || refused.RetryAfter != late) {
+			if tc.asked == nil && (!errs.Is(err, errs.Unavailable) || !errors.As(err, &refused) || refused.RetryAfter != tc.waits["s0"]) {
 				t.Fatalf("error %v, want a refusal that tells when the next permission is due", err)
 			}
 		})
