--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -187,13 +187,11 @@
 		serversChanged := q.Term != s.term || q.ServersRevision != r.ServersRevision
 		limitsChanged := q.Term != s.term || q.LimitsRevision != s.node.limits.Revision()
 		changed := serversChanged || limitsChanged
-		if mayChange := q.Term != s.term || r.Held >= minServersInterval; mayChange {
+		if q.Term != s.term || r.Held >= minServersInterval {
 			if serversChanged {
 				s.addServers(&r, q.AcceptsPacked)
 			}
-			if limitsChanged {
-				r.LimitsSent = true
-			}
+			r.LimitsSent = limitsChanged
 		}
 		if !r.ServersSent {
 			r.ServersRevision = q.ServersRevision
@@ -220,7 +218,7 @@
 	}
 }
 
-// minServersInterval is the shortest time between two lists of servers for one VM. When many servers start, leave or
+// minServersInterval is the shortest time between two lists of servers, or of their limits, for one VM. When many servers start, leave or
 // fall silent at once, each of them changes the list, which every VM gets whole.
 const minServersInterval = 150 * time.Millisecond
 
