--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -218,8 +218,8 @@
 	}
 }
 
-// minServersInterval is the shortest time between two lists of servers, or of their limits, for one VM. When many servers start, leave or
-// fall silent at once, each of them changes the list, which every VM gets whole.
+// minServersInterval is the shortest time between two lists of servers, or of their limits, for one VM. When many
+// servers start, leave or fall silent at once, each of them changes the list, which every VM gets whole.
 const minServersInterval = 150 * time.Millisecond
 
 // addServers adds the list of servers to a reply. Its packed form is made once for each revision.
