LIMIT: a caller that leaves does not keep the VM from asking for permissions

Found in the read of the change: a call for a permission that ended because its caller had left counted as a leader that does not answer, and for 250 ms every other request to a limited server of that VM was refused. Change: only a failed call whose request still runs counts. Besides, what is kept of servers that are gone is dropped with them. TestLimiterAsksAgainAfterCallerLeft failed before.

--- a/internal/gateway/limiter.go
+++ b/internal/gateway/limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -96,6 +97,9 @@
 		return l.useOwnShare(servers, now)
 	}
 	grant, err := l.ask(ctx, leader, servers, maxWait, now)
+	if err != nil && ctx.Err() != nil {
+		return ratelimit.Grant{Wait: retryAfter} // the request has ended, which says nothing about the leader
+	}
 	if err != nil {
 		l.events.Log().WithError(err).WithField("leader", leader).Info("cannot get a permission to send a request to a limited server")
 		l.mu.Lock()
@@ -204,6 +208,10 @@
 	}
 	if r.ServersSent {
 		l.table.Retain(present)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		maps.DeleteFunc(l.deniedUntil, func(server string, _ time.Duration) bool { return !present(server) })
+		maps.DeleteFunc(l.spare, func(server string, _ sparePermissions) bool { return !present(server) })
 	}
 }
 
--- a/internal/gateway/limiter_test.go
+++ b/internal/gateway/limiter_test.go
@@ -141,3 +141,20 @@
 		}
 	}
 }
+
+// Guards against a caller that leaves while its request waits for a permission, and thereby keeps the VM from asking the
+// leader for others.
+func TestLimiterAsksAgainAfterCallerLeft(t *testing.T) {
+	leader := startFakeLeader(t)
+	l := newTestLimiter(t, leader.address)
+	l.Observe("s", limitTo(2), boottime.Now())
+	leader.reply = coordinator.PermissionReply{Grant: ratelimit.Grant{Server: "s"}, Members: 1}
+	left, leave := context.WithCancel(context.Background())
+	leave()
+	if g := l.Reserve(left, []string{"s"}, 0); g.Server != "" {
+		t.Fatalf("a permission for a request that has ended: %+v", g)
+	}
+	if g := l.Reserve(context.Background(), []string{"s"}, 0); g.Server != "s" {
+		t.Fatalf("no permission after another caller left: %+v", g)
+	}
+}
