A test of standby replicas waits for the reply that names the leader

Cause: the leader lists a replica that stands by when it decides so, and the replica learns the leader with the reply; the test looked in between. Change: the test waits, as for every other state, until all replicas that stand by know the leader; it fails as before if one never does. The product is unchanged.

--- a/internal/replica/membership_test.go
+++ b/internal/replica/membership_test.go
@@ -251,13 +251,13 @@
 	eventually(t, "the group is complete and two replicas stand by", func() bool {
 		return members() == limit && len(g.leader().Status().Standby) == 2
 	})
-	leader := g.leader()
-	standby := leader.Status().Standby
-	for _, name := range standby {
-		if got := g.reachable(name).Status().LeaderAddress; got != leader.self.Address {
-			t.Errorf("%s, which stands by, knows leader %q, want %q", name, got, leader.self.Address)
-		}
-	}
+	// The leader lists a replica that stands by before its reply has reached the replica.
+	standby := g.leader().Status().Standby
+	eventually(t, "the replicas that stand by know the leader", func() bool {
+		return !slices.ContainsFunc(standby, func(name string) bool {
+			return g.reachable(name).Status().LeaderAddress != g.leader().self.Address
+		})
+	})
 	// A replica in a failure domain without a member is needed.
 	other := raft.Member{Name: "y", FailureDomain: "domain-y", Address: "y"}
 	t.Cleanup(func() { g.stop("y") })
