--- a/internal/forward/streams.go
+++ b/internal/forward/streams.go
@@ -61,9 +61,9 @@
 	return out
 }
 
-// recordStream records the software version that began the stream which the response answers. It reports the version of
-// the incarnation that the server was chosen for, or nothing if the server has restarted since. A stream whose record
-// fails is passed on all the same, and cannot be taken up.
+// recordStream records the software version that began the stream which the response answers, unless the
+// server has restarted since it was chosen, so that its version is uncertain. A stream whose record fails is passed on all
+// the same, and cannot be taken up.
 func (f *forwardState) recordStream(ctx context.Context, chosen fleet.Server) {
 	if !f.route.Resumable || f.request.TakeUp != nil || f.request.ID == "" {
 		return
