Crash reports in a package of their own

Cause: the platform's roles need the crash reports of the product's VMs, which only membership could hold. Change: the set of reports, its merge rule and its bounds move from membership to internal/suspects; the digest of a request's content moves there from dispatch. Reports may be unconfirmed, which the product does not use. Ruled out: a second copy for the platform's roles.

--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -15,6 +15,7 @@
 	"filbertledge/internal/errs"
 	"filbertledge/internal/events"
 	"filbertledge/internal/policy"
+	"filbertledge/internal/suspects"
 	"filbertledge/internal/table"
 )
 
@@ -128,13 +129,7 @@
 
 // contentDigest returns a hash of a request's content, by which a resent request is recognized.
 func contentDigest(request *Request) uint64 {
-	h := xxhash.New()
-	for _, part := range []string{string(request.Row.Name), request.Method, request.Path} {
-		_, _ = h.WriteString(part)
-		_, _ = h.Write([]byte{0})
-	}
-	_, _ = h.Write(request.Body)
-	return h.Sum64()
+	return suspects.Digest(request.Body, string(request.Row.Name), request.Method, request.Path)
 }
 
 // usesEngine reports whether the request goes to a model engine.
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"filbertledge/internal/api"
+	"filbertledge/internal/suspects"
 )
 
 // GossipMethod is the transport method of gossip messages.
@@ -49,7 +50,6 @@
 	maxUseReports         = 128
 	maxWantedDigests      = 256
 	maxLateServers        = 256
-	maxSuspects           = 4096 // crash reports that a VM keeps
 	maxMessageBytes       = 64 << 10
 	maxDecodedElements    = 4096
 	maxNestingLevels      = 8
@@ -93,13 +93,13 @@
 
 // message is a gossip message.
 type message struct {
-	From          api.VMID      `cbor:"1,keyasint"` // the receiver looks up its address and failure domain
-	Hop           uint8         `cbor:"4,keyasint"`
-	FullRecords   []fullRecord  `cbor:"5,keyasint,omitempty"`
-	Renewals      []renewal     `cbor:"6,keyasint,omitempty"`
-	CrashReports  []crashReport `cbor:"7,keyasint,omitempty"`
-	UseReports    []useReport   `cbor:"8,keyasint,omitempty"`
-	WantedDigests []uint64      `cbor:"9,keyasint,omitempty"` // static digests that the sender does not know
+	From          api.VMID          `cbor:"1,keyasint"` // the receiver looks up its address and failure domain
+	Hop           uint8             `cbor:"4,keyasint"`
+	FullRecords   []fullRecord      `cbor:"5,keyasint,omitempty"`
+	Renewals      []renewal         `cbor:"6,keyasint,omitempty"`
+	CrashReports  []suspects.Report `cbor:"7,keyasint,omitempty"`
+	UseReports    []useReport       `cbor:"8,keyasint,omitempty"`
+	WantedDigests []uint64          `cbor:"9,keyasint,omitempty"` // static digests that the sender does not know
 	// LateServers lists the keys of the servers whose renewals the sender missed.
 	LateServers []uint64 `cbor:"11,keyasint,omitempty"`
 	// AntiEntropy marks a message that repeats records of the sender to repair gaps. Receivers treat it like any other.
@@ -139,6 +139,7 @@
 	lastCompleteUseReports time.Duration
 	announcedHere          map[api.ServerID]bool // servers to consider for messages to other failure domains
 	rankBuffer             []rankedServer        // reused by sampleFor
+	crashRevision          uint64                // of the crash reports that were sent
 	antiEntropyCursor      int                   // position in the sorted IDs of listed servers
 }
 
@@ -201,7 +202,7 @@
 	vms := r.knownVMs()
 	r.mu.Lock()
 	r.expire(now)
-	r.expireSuspects(now)
+	r.suspects.Expire(now)
 	r.expireRemoteUses(now)
 	out := r.buildRound(now, vms)
 	r.mu.Unlock()
@@ -381,12 +382,7 @@
 // renewals, but not the full records of servers that are new or leaving. Use reports have an interval of their own.
 func (r *Registry) addDelta(m *message, now time.Duration, batch bool, receivers int) {
 	r.addRecords(m, r.gossip.dirty, now, batch)
-	for _, c := range r.suspects {
-		if c.dirty && len(m.CrashReports) < maxCrashReports {
-			c.dirty = false
-			m.CrashReports = append(m.CrashReports, withAge(*c, now))
-		}
-	}
+	m.CrashReports, r.gossip.crashRevision = r.suspects.ChangedSince(r.gossip.crashRevision, maxCrashReports, now)
 	r.addUseReports(m, now, receivers)
 }
 
@@ -436,11 +432,6 @@
 
 func ageMS(d time.Duration) uint32 { return uint32(max(0, d.Milliseconds())) }
 
-func withAge(c crashReport, now time.Duration) crashReport {
-	c.AgeMS = ageMS(now - c.since)
-	return c
-}
-
 // addUseReports adds reports of this VM's requests in flight: changed claims at once, changed counts as often as
 // useReportInterval allows, and all counts other than zero about once a second.
 func (r *Registry) addUseReports(m *message, now time.Duration, receivers int) {
@@ -476,11 +467,7 @@
 		r.gossip.antiEntropyCursor = (r.gossip.antiEntropyCursor + 1) % len(ids)
 		m.Renewals = append(m.Renewals, newRenewal(r.servers[ids[r.gossip.antiEntropyCursor]].rec.Load(), now))
 	}
-	for _, c := range r.suspects {
-		if len(m.CrashReports) < maxCrashReports {
-			m.CrashReports = append(m.CrashReports, withAge(*c, now))
-		}
-	}
+	m.CrashReports = r.suspects.List(maxCrashReports, now)
 	if m.empty() {
 		return nil
 	}
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -32,9 +32,8 @@
 	relay := m.Hop == hopRelay
 	r.mergeRecords(m, now, &reply)
 	for _, c := range m.CrashReports {
-		if since := now - time.Duration(c.AgeMS)*time.Millisecond; now-since < SuspicionDuration {
-			r.mergeCrashReport(c, since)
-		}
+		c.Confirmed = true // earlier builds do not send it
+		r.suspects.Merge(c, now)
 	}
 	r.mergeUseReports(m, now)
 	r.addWantedRecords(m, now, &reply)
--- a/internal/membership/registry.go
+++ b/internal/membership/registry.go
@@ -13,6 +13,7 @@
 
 	"filbertledge/internal/api"
 	"filbertledge/internal/events"
+	"filbertledge/internal/suspects"
 )
 
 // Bounds on the age of a backend server's last renewal.
@@ -109,7 +110,7 @@
 	servers    map[api.ServerID]*Server
 	byKey      map[uint64]*Server        // by server key and by static digest
 	listed     map[api.ServerID]api.Pool // pools of the servers that are not expired
-	suspects   map[crashReportKey]*crashReport
+	suspects   *suspects.Table
 	remoteUses map[remoteUseKey]remoteUse
 	gossip     gossipState
 }
@@ -122,7 +123,7 @@
 		servers:    map[api.ServerID]*Server{},
 		byKey:      map[uint64]*Server{},
 		listed:     map[api.ServerID]api.Pool{},
-		suspects:   map[crashReportKey]*crashReport{},
+		suspects:   suspects.NewTable(SuspicionDuration),
 		remoteUses: map[remoteUseKey]remoteUse{},
 	}
 	r.gossip.reset()
