RECOVER: a VM that is cut off from all servers serves through other VMs

Callers saw: at VMs that had lost their links to the servers 2 of 13 and 4 of 29 first tries served, the others all. Cause: an entry VM forwards only over its own links and knows no other entry VM. It also said 'may have run' (502, 504) at the deadline of requests of which nothing had been written, since a connection in the making counted as sent. Change: after a failed or late attempt a VM connects to two servers, and to up to six of all services if neither accepts; if none does, its requests go through another entry VM until servers accept in two checks in a row. The leader names four VMs of the own failure domain and four of others that take requests, in an order that differs between VMs. The other VM sends the request once, with the time left, not to servers that may have run it and never to a third VM; it refuses if it is cut off, stops, is full or has an older configuration. Only 'not run' lets a request that may run once go elsewhere. A caller's departure is passed on. Connections to servers get short keep-alive probes. Attempts cancelled at the deadline tell whether they wrote anything. Ruled out: through a state VM (the leader has little room); probing all servers at each failure (new connections are priced). Measured: TestCutOffVMServesThroughOthers and TestUnsentRequestIsRefusedAtItsDeadline fail without the detour and the wait for cancelled attempts.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -41,6 +41,8 @@
 type Options struct {
 	DialTimeout time.Duration // default 1 s
 	IdleTimeout time.Duration // after which idle connections are closed; default 5 s
+	// KeepAlive detects connections whose server cannot be reached any more; Go's default if it is the zero value.
+	KeepAlive net.KeepAliveConfig
 	// AcceptCloseDelimitedBody accepts bodies without a length that end with the orderly close of the connection.
 	AcceptCloseDelimitedBody bool
 	// MaxBufferedBytes limits the total size of the bodies that Exchange.ReadAll reads at the same time; 0 means no
@@ -65,7 +67,7 @@
 	if opts.IdleTimeout == 0 {
 		opts.IdleTimeout = defaultIdleTimeout
 	}
-	c := &Client{opts: opts, dialer: net.Dialer{Timeout: opts.DialTimeout}}
+	c := &Client{opts: opts, dialer: net.Dialer{Timeout: opts.DialTimeout, KeepAliveConfig: opts.KeepAlive}}
 	c.pool.idle = map[string][]*conn{}
 	return c
 }
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -171,6 +171,9 @@
 	arrived := boottime.Now()
 	if q.Forwards {
 		s.limits.Contact(q.VM, q.SinceContact, q.Members, arrived)
+		s.mu.Lock()
+		s.peers.record(Peer{VM: q.VM, Address: q.PeerAddress, FailureDomain: q.FailureDomain}, q.TakesRequests, arrived)
+		s.mu.Unlock()
 	}
 	timeout := time.NewTimer(FollowPollTimeout)
 	defer timeout.Stop()
@@ -203,6 +206,7 @@
 		}
 		if r.Configuration != nil || r.Packed != nil || r.ServersSent || r.LimitsSent || len(r.Suspects) > 0 || !waiting {
 			s.addLimits(&r, q)
+			s.addPeers(&r, q, boottime.Now())
 			r.Replicas = s.node.replicas()
 			return r, s.checkLeadership()
 		}
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -30,6 +30,7 @@
 	engines        map[string]*engineState
 	runningItems   int
 	limits         *ratelimit.Allocator
+	peers          *peerTable
 	stalls         stallDetector            // detects stalls of this process
 	serversSignal  chan struct{}            // closed and replaced when the servers change
 	results        chan rollout.BatchResult // results to commit
@@ -160,7 +161,7 @@
 
 func newSession(n *Node, ctx context.Context, term uint64) *session {
 	return &session{
-		node: n, ctx: ctx, term: term, limits: ratelimit.NewAllocator(n.limits, boottime.Now()),
+		node: n, ctx: ctx, term: term, limits: ratelimit.NewAllocator(n.limits, boottime.Now()), peers: newPeerTable(),
 		batches: map[string]*batch{}, seenGroups: map[string]bool{}, engines: map[string]*engineState{}, promptCachedOn: map[string]string{},
 		reusableTexts: map[string]rollout.Partial{}, publishedAt: map[string]time.Duration{},
 		serversSignal: make(chan struct{}), results: make(chan rollout.BatchResult, resultQueueSize),
--- a/internal/coordinator/wire.go
+++ b/internal/coordinator/wire.go
@@ -57,6 +57,12 @@
 	LimitsRevision uint64 `cbor:"9,keyasint,omitempty"`
 	// SuspectsRevision is the revision of the suspects that the VM holds, in that term.
 	SuspectsRevision uint64 `cbor:"10,keyasint,omitempty"`
+	// FailureDomain is the one of the VM. PeerAddress is where it takes requests of VMs that are cut off from the servers,
+	// if TakesRequests is true. PeersDigest is as in the last reply.
+	FailureDomain string `cbor:"11,keyasint,omitempty"`
+	PeerAddress   string `cbor:"12,keyasint,omitempty"`
+	TakesRequests bool   `cbor:"13,keyasint,omitempty"`
+	PeersDigest   uint64 `cbor:"14,keyasint,omitempty"`
 }
 
 // FollowReply confirms that its sender was the leader when it sent the reply.
@@ -82,6 +88,10 @@
 	// Suspects are reports that changed since FollowRequest.SuspectsRevision.
 	Suspects         []suspects.Report `cbor:"15,keyasint,omitempty"`
 	SuspectsRevision uint64            `cbor:"16,keyasint,omitempty"`
+	// Peers are the VMs that take requests of this one, if PeersSent is true.
+	PeersSent   bool   `cbor:"17,keyasint,omitempty"`
+	Peers       []Peer `cbor:"18,keyasint,omitempty"`
+	PeersDigest uint64 `cbor:"19,keyasint,omitempty"`
 }
 
 // unpack decodes Packed and PackedServers into Configuration and Servers.
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -85,6 +85,9 @@
 	CrashConfirmed        Name = "server.crash_confirmed"    // the server ended while it ran requests, which are suspects
 	CrashDismissed        Name = "server.crash_dismissed"    // the server runs; a broken connection says nothing of the requests
 	ServerBlocked         Name = "server.blocked"            // not used for a while after repeated failures
+	VMCutOff              Name = "vm.cut_off"                // it reaches no server; requests go through other VMs
+	VMReconnected         Name = "vm.reconnected"            // it reaches servers again
+	RequestHandedOver     Name = "request.handed_over"       // sent through another VM
 	StreamNotRecorded     Name = "stream.not_recorded"       // its software version could not be stored; it cannot be taken up
 	RequestLimited        Name = "request.limited"           // no limited server of the service has a permission for it
 	LimitNamed            Name = "server.limit_named"        // its response states a new limit of requests a second
@@ -231,7 +234,7 @@
 // requests.
 func levelOf(n Name) logrus.Level {
 	switch n {
-	case RequestReceived, RequestDispatched, RequestFinished, RequestLimited, ScoreRequested, SampleFinished, SampleDelivered, SampleAcknowledged:
+	case RequestReceived, RequestDispatched, RequestHandedOver, RequestFinished, RequestLimited, ScoreRequested, SampleFinished, SampleDelivered, SampleAcknowledged:
 		return logrus.DebugLevel
 	case RequestRefused, RequestFailed, CallUnknown, TableLeaseExpired, VMLost, SwapFailed, CredentialRefused, ReplicaRefused:
 		return logrus.WarnLevel
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -41,6 +42,10 @@
 	// NewConnection forbids the reuse of an idle connection to a server. A request whose ID was sent before could
 	// otherwise receive a late response to the earlier one.
 	NewConnection bool
+	// From is the VM that handed the request over, or empty if a caller sent it here. Excluded are the servers that may
+	// have run it already.
+	From     string
+	Excluded []string
 	// ConfigurationVersion is the version of the configuration that determined the route, for the log.
 	ConfigurationVersion uint64
 }
@@ -59,6 +64,8 @@
 	Limit ratelimit.Statement
 	// EarlierFailures is the number of other servers that ran the request and answered with a signed status 500.
 	EarlierFailures int
+	// Ran are the servers that may have run the request.
+	Ran []string
 }
 
 // failed reports whether the server ran the request and states that it failed.
@@ -96,6 +103,8 @@
 	Streams StreamRecords
 	// Suspects keeps requests that crash servers from further servers. If it is nil, no request is suspected.
 	Suspects *Suspects
+	// Detour sends requests through other VMs while this one reaches no server. If it is nil, requests go directly only.
+	Detour *Detour
 }
 
 // Forwarder forwards requests and remembers how each server answered. It is safe for concurrent use.
@@ -136,6 +145,8 @@
 	maxRefusals = 6
 	// responseMargin is the time before the deadline that is reserved for writing the response.
 	responseMargin = 5 * time.Millisecond
+	// collectTimeout is the part of responseMargin in which cancelled attempts tell whether they wrote anything.
+	collectTimeout = 3 * time.Millisecond
 )
 
 // minServerErrorStatus is the lowest HTTP status that reports a failure of the server.
@@ -147,6 +158,7 @@
 	notSent  bool
 	err      error
 	server   fleet.Server
+	ran      []string // servers that may have run it, if it went through another VM
 }
 
 // mayHaveRun reports whether the server may have run the request.
@@ -180,6 +192,12 @@
 		results: make(chan attemptResult, maxRefusals+defaultMaxAttempts),
 	}
 	response, err := state.run(ctx)
+	ran := state.ranOn()
+	if response != nil {
+		response.Ran = ran
+	} else if len(ran) > 0 {
+		err = &ranError{error: err, servers: ran}
+	}
 	state.releaseSuspect()
 	state.record(start, response, err)
 	if state.retryAfter > 0 && errs.Is(err, errs.Unavailable) {
@@ -188,6 +206,24 @@
 	return response, err
 }
 
+// ranError is the error of a request that may have run.
+type ranError struct {
+	error
+	servers []string
+}
+
+// Unwrap returns the cause, which tells the kind of the error.
+func (e *ranError) Unwrap() error { return e.error }
+
+// RanOn returns the servers that may have run a request for which Forward returned err.
+func RanOn(err error) []string {
+	var r *ranError
+	if errors.As(err, &r) {
+		return r.servers
+	}
+	return nil
+}
+
 // forwardState is the state of one request while it is forwarded.
 type forwardState struct {
 	forwarder   *Forwarder
@@ -205,10 +241,16 @@
 	lastFailure attemptResult
 	retryAfter  time.Duration // until a limited server has a permission, if none had one, or until a suspect may run again
 	digest      uint64        // of the request's content
-	alone       bool          // the request is a suspect that runs alone
-	suspicion   error         // why the request may not run, if it is a suspect
+	detoured    bool          // an attempt went through another VM
+	// directRefusals is the number of refusals before the first attempt through another VM.
+	directRefusals int
+	alone          bool  // the request is a suspect that runs alone
+	suspicion      error // why the request may not run, if it is a suspect
 }
 
+// ranOn returns the servers that may have run the request.
+func (f *forwardState) ranOn() []string { return slices.Clone(f.mayHaveRun) }
+
 func (f *forwardState) maxAttempts() int {
 	if !f.route.Repeatable() && !f.request.Repeatable {
 		return 1
@@ -258,18 +300,48 @@
 			}
 		case <-hedge.C:
 			f.forwarder.health.markOverdue(f.mayHaveRun, f.forwarder.opts.Clock())
+			if d := f.forwarder.opts.Detour; d != nil && !f.detoured {
+				d.Suspect()
+			}
 			if f.pending == 1 && f.canStartAttempt() {
 				f.startAttempt(ctx)
 			}
 		case <-ctx.Done():
+			if response := f.collectPending(); response != nil {
+				return response, nil
+			}
 			return f.failureResponse(ctx)
 		}
 	}
 }
 
+// collectPending waits briefly for the attempts that the end of the request has cancelled: those of which nothing was
+// written did not run. It returns a response that arrived meanwhile, or nil.
+func (f *forwardState) collectPending() *Response {
+	timeout := time.NewTimer(collectTimeout)
+	defer timeout.Stop()
+	for f.pending > 0 {
+		select {
+		case result := <-f.results:
+			f.pending--
+			if result.acceptable() {
+				result.response.EarlierFailures = f.failures
+				return result.response
+			}
+			f.recordFailure(result)
+		case <-timeout.C:
+			return nil
+		}
+	}
+	return nil
+}
+
 // recordFailure records a failed attempt. A server that did not run the request moves from mayHaveRun to refused.
 func (f *forwardState) recordFailure(result attemptResult) {
 	f.lastFailure = result
+	if len(result.ran) > 0 {
+		f.mayHaveRun = append(slices.DeleteFunc(f.mayHaveRun, func(id string) bool { return id == result.server.ID }), result.ran...)
+	}
 	if result.mayHaveRun() {
 		if result.err == nil && result.response.failed() {
 			f.failures++
@@ -287,7 +359,7 @@
 
 // canStartAttempt reports whether the limits on attempts and refusals admit one more attempt.
 func (f *forwardState) canStartAttempt() bool {
-	return len(f.mayHaveRun) < f.maxAttempts() && len(f.refused)+f.pending < maxRefusals
+	return len(f.mayHaveRun) < f.maxAttempts() && len(f.refused)-f.directRefusals+f.pending < maxRefusals
 }
 
 // retry starts the next attempt after all earlier ones failed, and reports whether it did.
@@ -303,7 +375,7 @@
 
 // refusalsOf returns how often a server has refused the request, or -1 if it may be running the request.
 func (f *forwardState) refusalsOf(id string) int {
-	if slices.Contains(f.mayHaveRun, id) {
+	if slices.Contains(f.mayHaveRun, id) || slices.Contains(f.request.Excluded, id) {
 		return -1
 	}
 	refusals := 0
@@ -321,6 +393,9 @@
 	if !f.checkSuspect() {
 		return false
 	}
+	if f.usesPeers() {
+		return f.startThroughPeer(ctx)
+	}
 	server, permittedUntil := f.chooseServer(ctx)
 	if server == nil || ctx.Err() != nil {
 		return false
@@ -353,6 +428,7 @@
 	now := clock()
 	health.recordEnd(server.ID, now, now-start, result, ctx.Err() != nil)
 	f.recordSuspect(result, ctx.Err() != nil)
+	f.noteReachability(result, ctx.Err() != nil)
 	f.results <- result
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -50,6 +51,7 @@
 	AnnounceInterval time.Duration
 	Exchanger        forward.Exchanger
 	Prober           forward.Prober
+	PeerAddress      string // where other VMs reach this one's link; empty if it takes no requests of them
 	Events           *events.Recorder
 }
 
@@ -61,6 +63,8 @@
 	forwarder *forward.Forwarder
 	limiter   *limiter
 	suspects  *suspectReporter
+	handover  *handover
+	detour    *forward.Detour
 
 	configuration atomic.Pointer[routes.Configuration]
 	confirmedAt   atomic.Int64 // confirmationTime of the last answered follow call, in nanoseconds since boot
@@ -79,7 +83,9 @@
 	g := &Gateway{opts: o, client: link.NewClient(), registry: registry, seeds: o.Seeds, leaderFound: make(chan struct{})}
 	g.limiter = newLimiter(o.Name, g.client, g.currentLeader, o.Events)
 	g.suspects = newSuspectReporter(o, g.client, g.currentLeader)
-	g.forwarder = forward.New(forward.Options{FailureDomain: o.FailureDomain, Registry: registry, Exchanger: o.Exchanger, Events: o.Events, Limiter: g.limiter, Streams: streamRecords{g}, Suspects: g.suspects.suspects})
+	g.handover = newHandover(g)
+	g.detour = forward.NewDetour(forward.DetourOptions{Registry: registry, Prober: o.Prober, Peers: g.handover, Events: o.Events, Clock: boottime.Now})
+	g.forwarder = forward.New(forward.Options{FailureDomain: o.FailureDomain, Registry: registry, Exchanger: o.Exchanger, Events: o.Events, Limiter: g.limiter, Streams: streamRecords{g}, Suspects: g.suspects.suspects, Detour: g.detour})
 	return g
 }
 
@@ -153,11 +159,27 @@
 	g.opts.Events.Record(events.Event{Name: events.RequestRefused, Request: id, Detail: detail + ": " + err.Error()})
 }
 
+// ServePeers takes requests of other VMs on ln until ctx ends.
+func (g *Gateway) ServePeers(ctx context.Context, ln net.Listener) error {
+	server := link.NewServer()
+	server.OnMalformedFrame = func(remote string, err error) {
+		g.opts.Events.Log().WithField("remote", remote).WithError(err).Warn("another VM sent a malformed frame")
+	}
+	g.handover.serve(server)
+	return server.Serve(ctx, ln)
+}
+
+// CutOff reports whether this VM has lost its links to all servers, so that requests go through other VMs.
+func (g *Gateway) CutOff() bool { return g.detour.CutOff() }
+
+// StopTakingRequests makes other VMs send their requests elsewhere, before this VM stops.
+func (g *Gateway) StopTakingRequests() { g.handover.draining.Store(true) }
+
 // Run finds the leader and receives configurations and server lists from it until ctx ends.
 func (g *Gateway) Run(ctx context.Context) {
 	go g.limiter.reportLoop(ctx)
 	go g.suspects.loop(ctx)
-	q := coordinator.FollowRequest{VM: g.opts.Name, Forwards: true}
+	q := coordinator.FollowRequest{VM: g.opts.Name, Forwards: true, FailureDomain: g.opts.FailureDomain, PeerAddress: g.opts.PeerAddress}
 	lostAt := time.Now()
 	for ctx.Err() == nil {
 		leader := g.currentLeader()
@@ -169,6 +191,7 @@
 		}
 		sentAt := boottime.Now()
 		q.SinceContact, q.Members = g.limiter.contact(sentAt)
+		q.TakesRequests = g.handover.accepts()
 		reply, err := g.follow(ctx, leader, q)
 		if err != nil {
 			if g.clearLeader() {
@@ -185,6 +208,9 @@
 		q.Term, q.ServersRevision, q.LimitsRevision, q.SuspectsRevision = reply.Term, reply.ServersRevision, reply.LimitsRevision, reply.SuspectsRevision
 		g.applyReply(reply, &q)
 		g.suspects.merge(reply.Suspects)
+		if q.PeersDigest = reply.PeersDigest; reply.PeersSent {
+			g.handover.setPeers(reply.Peers)
+		}
 		g.limiter.applyFollowReply(&reply, sentAt, func(server string) bool { _, ok := g.registry.Get(server); return ok })
 		if g.setLeader(leader, reply.Replicas) {
 			g.opts.Events.Record(events.Event{Name: events.DependencyRegained, Detail: "leader at " + leader + " after " + time.Since(lostAt).Round(time.Millisecond).String()})
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -93,6 +93,16 @@
 	c.peer(addr).send(frame{kind: frameOneWay, method: method, body: body})
 }
 
+// SendOneWay sends a typed message without a response, as Client.SendOneWay does.
+func SendOneWay[M any](c *Client, addr, method string, m M) error {
+	body, err := transport.Marshal(m)
+	if err != nil {
+		return err
+	}
+	c.SendOneWay(addr, method, body)
+	return nil
+}
+
 // peer holds the connection to one address.
 type peer struct {
 	addr            string
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -51,6 +51,21 @@
 	})
 }
 
+// HandleOneWay registers a handler for typed one-way messages. It must not block. A message that cannot be decoded is
+// dropped and reported to OnMalformedFrame.
+func HandleOneWay[M any](s *Server, method string, h func(M)) {
+	s.HandleOneWay(method, func(body []byte) {
+		var m M
+		if err := transport.Unmarshal(body, &m); err != nil {
+			if s.OnMalformedFrame != nil {
+				s.OnMalformedFrame("", err)
+			}
+			return
+		}
+		h(m)
+	})
+}
+
 // Serve accepts and serves connections on ln until ctx is done.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
 	stop := context.AfterFunc(ctx, func() {
