DRAIN: a server that says in an answer that it leaves gets no more requests

Cause: the header was not read. The VM marks that start of the server as leaving at once, and tells the leader, which stores it and spreads it; the next start of the server is a server like any other.

--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -38,6 +38,7 @@
 	handleOnLeader(n, MethodSuspects, (*session).reportSuspects)
 	handleOnLeader(n, MethodBeginStream, (*session).beginStream)
 	handleOnLeader(n, MethodFindStream, (*session).findStream)
+	handleOnLeader(n, MethodLeaving, (*session).serverLeaves)
 	handleOnLeader(n, methodRetire, (*session).retire)
 	handleOnLeader(n, methodRetired, (*session).retired)
 }
@@ -385,6 +386,46 @@
 	return Empty{}, nil
 }
 
+// ReportLeaving tells the leader at address that a server said in a response that it leaves.
+func ReportLeaving(ctx context.Context, c *link.Client, address string, v rollout.ServerIncarnation) error {
+	_, err := link.Call[rollout.ServerIncarnation, Empty](ctx, c, address, MethodLeaving, v)
+	return err
+}
+
+// ServerLeaving records that a server said in a response that it leaves.
+func (n *Node) ServerLeaving(v fleet.Server) {
+	if !n.registry.MarkLeaving(v.ID, v.Incarnation) {
+		return
+	}
+	n.opts.Events.Record(events.Event{Name: events.ServerLeaving, Server: serverID(v), Detail: "stated in a response"})
+	s := n.session.Load()
+	if s == nil {
+		return
+	}
+	s.signalServers()
+	go func() {
+		ctx, cancel := context.WithTimeout(s.ctx, proposeTimeout)
+		defer cancel()
+		if _, err := n.propose(ctx, rollout.Command{Depart: &rollout.ServerIncarnation{Server: v.ID, Incarnation: v.Incarnation}}); err != nil {
+			n.opts.Events.Log().WithError(err).WithField("server", v.ID).Info("cannot store that the server leaves; a new leader learns it from the server")
+		}
+	}()
+}
+
+// serverLeaves records what a response to another VM said. A start of the server after that one does not leave.
+func (s *session) serverLeaves(ctx context.Context, v rollout.ServerIncarnation) (Empty, error) {
+	known, found := s.node.registry.Get(v.Server)
+	if !found || known.Leaving || known.Incarnation > v.Incarnation {
+		return Empty{}, s.checkLeadership()
+	}
+	if _, err := s.node.propose(ctx, rollout.Command{Depart: &v}); err != nil {
+		return Empty{}, err
+	}
+	s.record(events.Event{Name: events.ServerLeaving, Server: serverID(known), Detail: "stated in a response to another VM"})
+	s.signalServers()
+	return Empty{}, nil
+}
+
 func (s *session) configure(ctx context.Context, c *routes.Configuration) (Empty, error) {
 	if err := c.Validate(); err != nil {
 		return Empty{}, err
--- a/internal/coordinator/wire.go
+++ b/internal/coordinator/wire.go
@@ -32,6 +32,7 @@
 	MethodSuspects    = "suspects.report"
 	MethodBeginStream = "stream.begin"
 	MethodFindStream  = "stream.find"
+	MethodLeaving     = "server.leaving"
 	methodRetire      = "vm.retire"
 	methodRetired     = "vm.retired"
 	methodLeader      = "leader"
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -133,16 +133,17 @@
 }
 
 // MarkLeaving marks a server as leaving, unless its incarnation is higher than the given one. With incarnation 0
-// the known incarnation is marked.
-func (r *Registry) MarkLeaving(id string, incarnation int64) {
+// the known incarnation is marked. It reports whether that changed anything.
+func (r *Registry) MarkLeaving(id string, incarnation int64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.byID[id]
 	if e == nil || e.server.Leaving || incarnation != 0 && e.server.Incarnation > incarnation {
-		return
+		return false
 	}
 	e.server.Leaving = true
 	r.revision++
+	return true
 }
 
 // Merge adds the servers known to another VM. It never replaces an incarnation by an older one and never clears the
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"filbertledge/internal/api"
 	"filbertledge/internal/boottime"
 	"filbertledge/internal/coordinator"
 	"filbertledge/internal/errs"
@@ -19,6 +20,7 @@
 	"filbertledge/internal/fleet"
 	"filbertledge/internal/forward"
 	"filbertledge/internal/link"
+	"filbertledge/internal/rollout"
 	"filbertledge/internal/routes"
 )
 
@@ -159,6 +161,42 @@
 	g.opts.Events.Record(events.Event{Name: events.RequestRefused, Request: id, Detail: detail + ": " + err.Error()})
 }
 
+const (
+	// leavingReportTimeout limits a call that tells the leader of a leaving server, and leavingReportTries the number of
+	// them. The server also announces that it leaves.
+	leavingReportTimeout = 500 * time.Millisecond
+	leavingReportTries   = 4
+)
+
+// ServerLeaving records that a server said in a response that it leaves: it gets no more requests from this VM, and soon
+// from no other. Its next start is a server like any other.
+func (g *Gateway) ServerLeaving(server fleet.Server) {
+	if !g.registry.MarkLeaving(server.ID, server.Incarnation) {
+		return
+	}
+	g.opts.Events.Record(events.Event{Name: events.ServerLeaving, Server: api.ServerID(server.ID), Detail: "stated in a response"})
+	go func() {
+		var err error
+		for range leavingReportTries {
+			if err = g.reportLeaving(server); err == nil {
+				return
+			}
+			forward.SleepWithJitter(context.Background(), leaderRetryDelay)
+		}
+		g.opts.Events.Log().WithError(err).WithField("server", server.ID).Info("cannot tell the leader that a server leaves; other VMs learn it from the server")
+	}()
+}
+
+func (g *Gateway) reportLeaving(server fleet.Server) error {
+	leader := g.currentLeader()
+	if leader == "" {
+		return errs.New(errs.Unavailable, "check the VMs that hold the state", "no leader is known")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), leavingReportTimeout)
+	defer cancel()
+	return coordinator.ReportLeaving(ctx, g.client, leader, rollout.ServerIncarnation{Server: server.ID, Incarnation: server.Incarnation})
+}
+
 // ServePeers takes requests of other VMs on ln until ctx ends.
 func (g *Gateway) ServePeers(ctx context.Context, ln net.Listener) error {
 	server := link.NewServer()
