A planned stop answers or refuses each request that it takes

Operators of similar systems saw: requests taken late in the grace of a planned stop were cut at its end without an answer. Cause, here: an entry VM took requests for 3.5 s of the grace whatever their deadline, and closed the connections of those that still ran at its end. Change: from the begin of a planned stop a request that may run only once and may last longer than what is left is refused at once, one that may be repeated from 2.5 s on, when the load balancer sends no new connections any more. What still runs 0.3 s before the exit is answered then. Ruled out: refusing all requests from the begin of the stop (most are short, and the balancer still sends callers here).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,6 +71,9 @@
 	configuration atomic.Pointer[routes.Configuration]
 	confirmedAt   atomic.Int64 // confirmationTime of the last answered follow call, in nanoseconds since boot
 	inFlight      atomic.Int64
+	stopping      atomic.Pointer[stop] // nil unless a planned stop has begun
+	requestsEnd   context.Context      // ends when the requests in flight must
+	endRequests   context.CancelFunc
 
 	mu          sync.Mutex
 	seeds       []string
@@ -83,6 +86,7 @@
 func New(o Options) *Gateway {
 	registry := fleet.NewRegistry(o.AnnounceInterval)
 	g := &Gateway{opts: o, client: link.NewClient(), registry: registry, seeds: o.Seeds, leaderFound: make(chan struct{})}
+	g.requestsEnd, g.endRequests = context.WithCancel(context.Background())
 	g.limiter = newLimiter(o.Name, g.client, g.currentLeader, o.Events)
 	g.suspects = newSuspectReporter(o, g.client, g.currentLeader)
 	g.handover = newHandover(g)
@@ -148,6 +152,12 @@
 	if c := g.configuration.Load(); c != nil {
 		r.ConfigurationVersion = c.Version
 	}
+	if err := g.checkStop(r, route); err != nil {
+		g.RecordRefusal(r.ID, err)
+		return nil, err
+	}
+	ctx, release := g.untilStop(ctx)
+	defer release()
 	return g.forwarder.Forward(ctx, r, route)
 }
 
@@ -210,9 +220,6 @@
 // CutOff reports whether this VM has lost its links to all servers, so that requests go through other VMs.
 func (g *Gateway) CutOff() bool { return g.detour.CutOff() }
 
-// StopTakingRequests makes other VMs send their requests elsewhere, before this VM stops.
-func (g *Gateway) StopTakingRequests() { g.handover.draining.Store(true) }
-
 // Run finds the leader and receives configurations and server lists from it until ctx ends.
 func (g *Gateway) Run(ctx context.Context) {
 	go g.limiter.reportLoop(ctx)
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"net"
@@ -208,3 +209,35 @@
 		}
 	})
 }
+
+// Guards against taking the answer of another VM for whole that ends within its frame.
+func TestResponseCutAtEachByteFails(t *testing.T) {
+	var whole bytes.Buffer
+	w := bufio.NewWriter(&whole)
+	if err := writeFrame(w, frame{kind: frameResponse, callID: 1, body: []byte("answer")}); err != nil {
+		t.Fatal(err)
+	}
+	if err := w.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	for n := range whole.Len() {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			defer nc.Close()
+			if _, err := readFrame(bufio.NewReader(nc)); err == nil {
+				_, _ = nc.Write(whole.Bytes()[:n])
+			}
+		}()
+		if body, err := newClient(t).Call(testContext(t), ln.Addr().String(), "call", nil); !errs.Is(err, errs.OutcomeUnknown) {
+			t.Errorf("cut after %d of %d bytes: %q, %v", n, whole.Len(), body, err)
+		}
+		ln.Close()
+	}
+}
