blobs: a test of the default store's sync

Cause: with a sync that does nothing by default, all tests passed; they put their own function in its place. Change: a test that the default reaches the system: the sync of a pipe must be refused. Ruled out: counting the system's syncs, which needs a tracer. Measured: the test fails with a default that does nothing, and passes without.

--- a/internal/blobs/blobs_test.go
+++ b/internal/blobs/blobs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -287,3 +288,21 @@
 		t.Fatalf("read %q, %v", got, err)
 	}
 }
+
+// Guards against a default store that does not sync: after a loss of power, the texts of all replicas could be gone.
+func TestDefaultStoreSyncs(t *testing.T) {
+	s, err := Open(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	r, w, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	defer w.Close()
+	if err := s.syncFile(w); !errors.Is(err, syscall.EINVAL) {
+		t.Errorf("the sync of a pipe, which the system refuses, returns %v", err)
+	}
+}
