Log which VM handed a request over

Cause: the lines of a request that came from another VM did not say so. Change: request.finished, request.refused and request.failed name that VM. Ruled out: a line of its own for each such request. Measured: builds; a change of the log only.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -455,7 +455,11 @@
 // record logs the outcome of the request.
 func (f *forwardState) record(start time.Time, response *Response, err error) {
 	event := events.Event{Name: events.RequestFinished, Request: f.request.ID, Took: time.Since(start)}
-	detail := fmt.Sprintf("route %s, configuration %d, tried %v, refused %v, %s", f.route.Name, f.request.ConfigurationVersion, f.mayHaveRun, f.refused, time.Since(start).Round(time.Millisecond))
+	from := ""
+	if f.request.From != "" {
+		from = "handed over by " + f.request.From + ", "
+	}
+	detail := from + fmt.Sprintf("route %s, configuration %d, tried %v, refused %v, %s", f.route.Name, f.request.ConfigurationVersion, f.mayHaveRun, f.refused, time.Since(start).Round(time.Millisecond))
 	if err != nil {
 		event.Name = events.RequestFailed
 		if errs.Is(err, errs.Unavailable) {
