BUDGET: reports of lost servers do not make follow calls spin

Cause: they did not keep the revision of the reports, and the leader answered at once as long as it was not the newest; a change whose report had given way to others would also have kept the leader's loop from waiting. Change: they take the reports over, with their revision; reports wait for the same interval as the lists of servers. Ruled out: sending reports to entry VMs only: a new leader should know those that are not committed yet. Measured: TestReportsOfLostServersDoNotSpeedUpFollowCalls.

--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -178,6 +178,10 @@
 	}
 	timeout := time.NewTimer(FollowPollTimeout)
 	defer timeout.Stop()
+	suspectsSince := q.SuspectsRevision
+	if q.Term != s.term {
+		suspectsSince = 0
+	}
 	for waiting := true; ; {
 		configured := s.node.state.Changed()
 		var servers <-chan struct{} = s.serversChanged()
@@ -191,17 +195,18 @@
 		}
 		serversChanged := q.Term != s.term || q.ServersRevision != r.ServersRevision
 		limitsChanged := q.Term != s.term || q.LimitsRevision != s.node.limits.Revision()
-		suspectsChanged := q.Term != s.term && s.node.suspects.Table().Revision() > 0 || q.Term == s.term && q.SuspectsRevision != s.node.suspects.Table().Revision()
+		suspectsChanged := suspectsSince != s.node.suspects.Table().Revision()
 		changed := serversChanged || limitsChanged || suspectsChanged
 		if q.Term != s.term || r.Held >= minServersInterval {
 			if serversChanged {
 				s.addServers(&r, q.AcceptsPacked)
 			}
 			r.LimitsSent = limitsChanged
+			if suspectsChanged {
+				r.Suspects, suspectsSince = s.node.suspects.Table().ChangedSince(suspectsSince, maxSuspectsInReply, boottime.Now())
+			}
 		}
-		if r.SuspectsRevision = q.SuspectsRevision; suspectsChanged {
-			s.addSuspects(&r, q)
-		}
+		r.SuspectsRevision = suspectsSince
 		if !r.ServersSent {
 			r.ServersRevision = q.ServersRevision
 		}
--- a/internal/coordinator/crashes.go
+++ b/internal/coordinator/crashes.go
@@ -141,15 +141,6 @@
 	}
 }
 
-// addSuspects adds the reports that the VM does not hold to a reply, if there are any.
-func (s *session) addSuspects(r *FollowReply, q FollowRequest) {
-	since := q.SuspectsRevision
-	if q.Term != s.term {
-		since = 0
-	}
-	r.Suspects, r.SuspectsRevision = s.node.suspects.Table().ChangedSince(since, maxSuspectsInReply, boottime.Now())
-}
-
 // maxSuspectsInReply bounds the reports in one reply to a follow call. The next call brings the others.
 const maxSuspectsInReply = 256
 
--- a/internal/coordinator/crashes_test.go
+++ b/internal/coordinator/crashes_test.go
@@ -40,3 +40,47 @@
 		}
 	})
 }
+
+// Guards against VMs that ask the leader again and again, without a pause, once a server was lost.
+func TestReportsOfLostServersDoNotSpeedUpFollowCalls(t *testing.T) {
+	const (
+		length = 3 * time.Second
+		// most is the number of calls of a VM in length: one in each FollowPollTimeout, and those that a change ends early.
+		most = 3 * int(length/FollowPollTimeout)
+	)
+	c := newCluster(t, seedCount)
+	c.startAll()
+	c.configure(1)
+	reports := []suspects.Report{{Request: 1, Server: "lost", Incarnation: 1, Confirmed: true}, {Request: 2, Server: "lost", Incarnation: 1, Confirmed: true}}
+	c.callLeader("reports of lost servers", func(ctx context.Context, n *Node) error {
+		s, err := n.currentSession()
+		if err == nil {
+			_, err = s.reportSuspects(ctx, SuspectsReport{VM: "entry", Reports: reports})
+		}
+		return err
+	})
+	leader := c.runningNodes()[c.leader()]
+	c.waitUntil("the other VMs know the reports", func() bool {
+		for _, n := range c.runningNodes() {
+			if count, _ := n.suspects.Table().Crashes(1, boottime.Now()); count != 1 {
+				return false
+			}
+		}
+		return true
+	})
+	// A follow call with the leader's newest revisions is held for FollowPollTimeout.
+	var q FollowRequest
+	calls := 0
+	for started := time.Now(); time.Since(started) < length; calls++ {
+		ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+		r, err := Follow(ctx, leader.client, leader.opts.Address, q)
+		cancel()
+		if err != nil {
+			t.Fatal(err)
+		}
+		q = FollowRequest{VM: "entry", Forwards: true, Term: r.Term, ConfigurationVersion: 1, ServersRevision: r.ServersRevision, LimitsRevision: r.LimitsRevision, SuspectsRevision: r.SuspectsRevision}
+	}
+	if calls > most {
+		t.Errorf("%d follow calls in %s, allowed are %d", calls, length, most)
+	}
+}
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -328,7 +328,7 @@
 // followLeader keeps the registry of a VM that is not the leader up to date, so that the VM knows the servers when it
 // becomes the leader.
 func (n *Node) followLeader(ctx context.Context) {
-	var term, servers, limits uint64
+	var term, servers, limits, reports uint64
 	for ctx.Err() == nil {
 		leader := n.replica.Status().LeaderAddress
 		if leader == "" || leader == n.opts.Address {
@@ -336,7 +336,7 @@
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, FollowPollTimeout+callTimeout)
-		reply, err := Follow(callCtx, n.client, leader, FollowRequest{VM: n.opts.Name, Term: term, ServersRevision: servers, LimitsRevision: limits, ConfigurationVersion: skipConfiguration})
+		reply, err := Follow(callCtx, n.client, leader, FollowRequest{VM: n.opts.Name, Term: term, ServersRevision: servers, LimitsRevision: limits, SuspectsRevision: reports, ConfigurationVersion: skipConfiguration})
 		cancel()
 		if err != nil {
 			sleep(ctx, leaderRetryInterval)
@@ -348,7 +348,10 @@
 		if reply.LimitsSent {
 			n.limits.Merge(reply.Limits, boottime.Now())
 		}
-		term, servers, limits = reply.Term, reply.ServersRevision, reply.LimitsRevision
+		for _, r := range reply.Suspects {
+			n.suspects.Table().Merge(r, boottime.Now())
+		}
+		term, servers, limits, reports = reply.Term, reply.ServersRevision, reply.LimitsRevision, reply.SuspectsRevision
 	}
 }
 
