BUDGET: what tells that a server has ended

What would have been seen: a server that has all its connections and resets new ones counts as ended; one that closes its connections a moment before its listener counts as running (found in the read-through). Cause: a reset was read like a refusal, and the VM connected at once. Ruled out: waiting for announcements alone, up to 4.8 s.

--- a/internal/forward/suspects.go
+++ b/internal/forward/suspects.go
@@ -33,8 +33,13 @@
 	Probe(ctx context.Context, server fleet.Server) Liveness
 }
 
-// probeTimeout limits one attempt to connect to a server that may have ended.
-const probeTimeout = 300 * time.Millisecond
+const (
+	// probeTimeout limits one attempt to connect to a server that may have ended.
+	probeTimeout = 300 * time.Millisecond
+	// probeDelay is the time between the break of a connection and the attempt to connect: an ending server may close its
+	// connections before its listener.
+	probeDelay = 20 * time.Millisecond
+)
 
 // SuspectsOptions configures Suspects.
 type SuspectsOptions struct {
@@ -62,7 +67,7 @@
 	incarnation int64
 }
 
-// lostServer is a server that is probed, with the reports that depend on the result.
+// lostServer holds the reports that depend on the probe of a server.
 type lostServer struct{ reports []suspects.Report }
 
 // NewSuspects returns Suspects without reports.
@@ -105,6 +110,7 @@
 
 // probe finds out whether a server ended, and settles the reports that depend on it.
 func (s *Suspects) probe(server fleet.Server, start serverStart) {
+	time.Sleep(probeDelay)
 	liveness := Probe(s.opts.Prober, server)
 	s.mu.Lock()
 	reports := s.probing[start].reports
