RECOVER: the bodies of requests of other VMs are bounded in all

What would have been seen: 64 requests of 4 MB each at a VM with 134 MB (found in the read-through). Cause: the number of requests was bounded, not their bytes. Change: 16 MB in all; further ones are refused at once and go to another VM. Ruled out: smaller bodies only, which would not be served at all while their VM is cut off.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -23,6 +23,8 @@
 	// maxHandedOver is the number of requests that a VM sends for others at the same time, so that the callers of VMs that
 	// are cut off do not displace its own.
 	maxHandedOver = 64
+	// maxHandedOverBytes is the total size of their bodies.
+	maxHandedOverBytes = 16 << 20
 	// peerBackoff is how long a VM gets no requests of this one after it refused one or could not be reached.
 	peerBackoff = time.Second
 	// peerDomainPenalty is the number of requests in flight by which a VM of this failure domain may be busier than one
@@ -85,6 +87,7 @@
 	inFlight map[string]int     // by VM
 	avoid    map[string]time.Duration
 	running  map[handoverCancel]context.CancelFunc // requests of other VMs
+	bytes    int                                   // of their bodies
 }
 
 func newHandover(g *Gateway) *handover {
@@ -218,16 +221,18 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if len(h.running) >= maxHandedOver {
-		return ctx, nil, errs.New(errs.Unavailable, "ask another VM", "this VM sends %d requests for others already", maxHandedOver)
+	if len(h.running) >= maxHandedOver || h.bytes+len(q.Body) > maxHandedOverBytes {
+		return ctx, nil, errs.New(errs.Unavailable, "ask another VM", "this VM sends %d requests with bodies of %d bytes for others already", len(h.running), h.bytes)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	id := handoverCancel{q.VM, q.Number}
 	h.running[id] = cancel
+	h.bytes += len(q.Body)
 	return ctx, func() {
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		delete(h.running, id)
+		h.bytes -= len(q.Body)
 		cancel()
 	}, nil
 }
