Give each line of an event to callers its own field name

An engine may send a chunk as several data lines; the reader joins them with line feeds. The writer of events to callers put them behind one field name, so that a caller's parser read the first line only and dropped the others as unknown fields.

Evidence: TestEventsOfSeveralLinesReachTheCaller failed before: three of the four lines had no field name, the caller read "{". It passes now. Not seen in operation.

--- a/internal/caller/chat_test.go
+++ b/internal/caller/chat_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -88,6 +90,30 @@
 	}
 }
 
+// Guards against an event of several lines of which callers read the first only: each line needs its own field name.
+func TestEventsOfSeveralLinesReachTheCaller(t *testing.T) {
+	v := newVM(t, newFakeControl(chatRow))
+	engine := func(w http.ResponseWriter, req *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		label := fmt.Sprintf(`"filbertledge":{"attempt_id":%q,"offset":0,"pieces":[{"version":7,"tokens":1}]}`, req.Header.Get(api.HeaderAttemptID))
+		fmt.Fprintf(w, "data: {\ndata:   \"choices\": [{\"delta\": {\"content\": \"w0\"}, \"finish_reason\": \"stop\"}],\ndata: %s\ndata: }\n\ndata: [DONE]\n\n", label)
+	}
+	v.joinServer(t, "e1", startServer(t, engine), "llm", true)
+	_, body := send(t, "POST", v.url+pathChat, `{"model":"chat","stream":true}`)
+	event, _, _ := strings.Cut(body, "\n\n")
+	var data []string
+	for line := range strings.Lines(event) {
+		value, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			t.Errorf("line %q of the event has no field name", line)
+		}
+		data = append(data, value)
+	}
+	if joined := strings.Join(data, ""); !json.Valid([]byte(joined)) {
+		t.Errorf("callers read %q, want the chunk that the engine sent; body %q", joined, body)
+	}
+}
+
 // Guards against a unary answer that is passed on although it belongs to another request.
 func TestUnaryAnswerOfWrongAttemptFails(t *testing.T) {
 	v := newVM(t, newFakeControl(chatRow))
--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"iter"
@@ -24,14 +25,22 @@
 var (
 	eventPrefix    = []byte("data: ")
 	eventSuffix    = []byte("\n\n")
+	eventNextLine  = []byte("\ndata: ")
 	eventStreamEnd = []byte("data: [DONE]\n\n")
 )
 
-// appendEvent appends data as one server-sent event.
+// appendEvent appends data as one server-sent event. Each line of the data has a field name of its own.
 func appendEvent(buf, data []byte) []byte {
 	buf = append(buf, eventPrefix...)
-	buf = append(buf, data...)
-	return append(buf, eventSuffix...)
+	for {
+		line, rest, more := bytes.Cut(data, []byte{'\n'})
+		buf = append(buf, line...)
+		if !more {
+			return append(buf, eventSuffix...)
+		}
+		buf = append(buf, eventNextLine...)
+		data = rest
+	}
 }
 
 // eventStream is the body of a streamed response. Read runs the dispatcher as a coroutine: chunks go from the engine's
