--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -104,7 +104,9 @@
 		Handler: s.handle, ErrorHandler: s.answerReadError, Logger: discardLogger{},
 		ReadBufferSize: opts.MaxHeaderBytes, MaxRequestBodySize: opts.MaxBodyBytes, Concurrency: maxConnections,
 		ReadTimeout: opts.ReadTimeout, IdleTimeout: opts.IdleTimeout, WriteTimeout: writeTimeout,
-		NoDefaultServerHeader: true, TCPKeepalive: true, SecureErrorLogMessage: true, CloseOnShutdown: true,
+		// A parsed form could not be passed on unchanged.
+		DisablePreParseMultipartForm: true,
+		NoDefaultServerHeader:        true, TCPKeepalive: true, SecureErrorLogMessage: true, CloseOnShutdown: true,
 	}
 	return s
 }
