--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -233,12 +233,50 @@
 	}
 }
 
+// Guards against a late response that is taken for the response to the same attempt sent again: the attempt must not be
+// sent on a connection that has carried it, and other attempts must still reuse the connection.
+func TestConnectionIsNotReusedForTheSameAttempt(t *testing.T) {
+	var pool connPool
+	pool.idle = map[poolKey][]*conn{}
+	key := poolKey{addr: "a", named: true}
+	first, second := &conn{key: key}, &conn{key: key}
+	for i := range 3 * maxCarriedAttempts {
+		first.carry(fmt.Sprintf("a%d", i))
+	}
+	second.carry("b")
+	pool.put(first)
+	pool.put(second)
+	newest := fmt.Sprintf("a%d", 3*maxCarriedAttempts-1)
+	if got := pool.pop(poolKey{addr: "a"}, ""); got != nil {
+		t.Error("a request without an attempt ID got a connection of requests that have one")
+	}
+	if got := pool.pop(key, "b"); got != first {
+		t.Error("an attempt did not get the connection that has not carried it")
+	}
+	if got := pool.pop(key, "b"); got != nil {
+		t.Error("an attempt got the connection that has carried it")
+	}
+	if got := pool.pop(key, newest); got != second {
+		t.Error("another attempt did not reuse the connection")
+	}
+	pool.put(first)
+	oldestKept := fmt.Sprintf("a%d", 2*maxCarriedAttempts)
+	for _, attempt := range []string{newest, oldestKept} {
+		if got := pool.pop(key, attempt); got != nil {
+			t.Errorf("attempt %s got the connection that has carried it", attempt)
+		}
+	}
+	if len(first.carried) != maxCarriedAttempts {
+		t.Errorf("the connection remembers %d attempts, want %d", len(first.carried), maxCarriedAttempts)
+	}
+}
+
 // waitIdle waits until the connection to addr is back in the pool.
 func waitIdle(t *testing.T, c *Client, addr string) {
 	t.Helper()
 	for range 500 {
 		c.pool.mu.Lock()
-		n := len(c.pool.idle[addr])
+		n := len(c.pool.idle[poolKey{addr: addr}])
 		c.pool.mu.Unlock()
 		if n == 1 {
 			return
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -68,7 +68,7 @@
 		opts.IdleTimeout = defaultIdleTimeout
 	}
 	c := &Client{opts: opts, dialer: net.Dialer{Timeout: opts.DialTimeout, KeepAliveConfig: opts.KeepAlive}}
-	c.pool.idle = map[string][]*conn{}
+	c.pool.idle = map[poolKey][]*conn{}
 	return c
 }
 
@@ -188,13 +188,20 @@
 	r := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(r)
 	req.fill(ctx, r)
-	return c.start(ctx, req.Address, req.NewConnection, nil, r)
+	return c.start(ctx, destination{req.Address, req.AttemptID, req.NewConnection}, nil, r)
 }
 
-// start writes r to a connection to addr and reads the header of the response. permitted may be nil; if it returns
-// false once there is a connection, nothing is written.
-func (c *Client) start(ctx context.Context, addr string, fresh bool, permitted func() bool, r *fasthttp.Request) (*exchange, error) {
-	cn, err := c.connect(ctx, addr, fresh)
+// destination tells on which connections a request may be sent.
+type destination struct {
+	addr    string
+	attempt string // ID that the response must repeat; empty if it need not repeat any
+	fresh   bool   // only a new connection
+}
+
+// start writes r to a connection and reads the header of the response. permitted may be nil; if it returns false once
+// there is a connection, nothing is written.
+func (c *Client) start(ctx context.Context, to destination, permitted func() bool, r *fasthttp.Request) (*exchange, error) {
+	cn, err := c.connect(ctx, to)
 	if err != nil {
 		return nil, err
 	}
@@ -202,6 +209,7 @@
 		c.pool.put(cn)
 		return nil, &Failure{NotSent: true, NotPermitted: true, Err: errs.New(errs.Canceled, "resend the request if it is still wanted", "permission to send the request ended before it was written")}
 	}
+	cn.carry(to.attempt)
 	ex := &exchange{client: c, ctx: ctx, conn: cn, method: string(r.Header.Method())}
 	ex.stopWatching = context.AfterFunc(ctx, cn.abort)
 	if err := ex.write(r); err != nil {
@@ -215,17 +223,18 @@
 	return ex, nil
 }
 
-func (c *Client) connect(ctx context.Context, addr string, fresh bool) (*conn, error) {
-	if !fresh {
-		if cn := c.pool.get(addr, c.opts.IdleTimeout); cn != nil {
+func (c *Client) connect(ctx context.Context, to destination) (*conn, error) {
+	key := poolKey{addr: to.addr, named: to.attempt != ""}
+	if !to.fresh {
+		if cn := c.pool.get(key, to.attempt, c.opts.IdleTimeout); cn != nil {
 			return cn, nil
 		}
 	}
-	nc, err := c.dialer.DialContext(ctx, "tcp", addr)
+	nc, err := c.dialer.DialContext(ctx, "tcp", to.addr)
 	if err != nil {
 		return nil, dialFailure(ctx, err)
 	}
-	return newConn(nc, addr), nil
+	return newConn(nc, key), nil
 }
 
 func dialFailure(ctx context.Context, err error) error {
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -6,20 +6,28 @@
 	"io"
 	"net"
 	"net/http/httputil"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
 	"filbertledge/internal/errs"
 )
 
+// maxCarriedAttempts is how many attempts a connection remembers. A late copy of a response arrives where the response to
+// one of the next requests is expected.
+const maxCarriedAttempts = 32
+
 // conn is a connection to a backend server. It counts the bytes that the kernel accepted.
 type conn struct {
 	net.Conn
-	addr              string
+	key               poolKey
+	carried           []uint64 // hashes of the newest attempt IDs that were sent on it
+	nextCarried       int      // position in carried that is replaced next, once it is full
 	br                *bufio.Reader
 	bw                *bufio.Writer
 	bytesWritten      atomic.Int64 // in the current exchange
@@ -27,8 +35,8 @@
 	serverIdleTimeout time.Duration // after which the server closes an idle connection; zero if unknown
 }
 
-func newConn(nc net.Conn, addr string) *conn {
-	c := &conn{Conn: nc, addr: addr}
+func newConn(nc net.Conn, key poolKey) *conn {
+	c := &conn{Conn: nc, key: key}
 	c.br = bufio.NewReaderSize(nc, maxHeaderBytes)
 	c.bw = bufio.NewWriterSize(c, writeBufferSize)
 	return c
@@ -41,6 +49,26 @@
 	return n, err
 }
 
+// carry remembers that a request of the given attempt is sent on the connection.
+func (c *conn) carry(attempt string) {
+	if attempt == "" {
+		return
+	}
+	hash := xxhash.Sum64String(attempt)
+	if len(c.carried) < maxCarriedAttempts {
+		c.carried = append(c.carried, hash)
+		return
+	}
+	c.carried[c.nextCarried] = hash
+	c.nextCarried = (c.nextCarried + 1) % maxCarriedAttempts
+}
+
+// hasCarried reports whether a request of the given attempt was sent on the connection. A late copy of its response
+// could not be distinguished from the response to the same attempt sent again.
+func (c *conn) hasCarried(attempt string) bool {
+	return attempt != "" && slices.Contains(c.carried, xxhash.Sum64String(attempt))
+}
+
 // abort closes the connection with a reset. The kernel then discards the bytes that the server has not received: after
 // an orderly close it would deliver them later, for example once a partition heals, and the server would run a request
 // that was given up.
@@ -75,16 +103,24 @@
 	return err == nil && nothingToRead
 }
 
-// connPool holds the idle connections by address, the most recently used last.
+// poolKey identifies connections that serve the same requests. Requests with and without an attempt ID do not share
+// connections: a late response to a request without one could be taken for the response to any other.
+type poolKey struct {
+	addr  string
+	named bool // requests have attempt IDs
+}
+
+// connPool holds the idle connections by key, the most recently used last.
 type connPool struct {
 	mu     sync.Mutex
-	idle   map[string][]*conn
+	idle   map[poolKey][]*conn
 	closed bool
 }
 
-func (p *connPool) get(addr string, idleTimeout time.Duration) *conn {
+// get returns an idle connection that has not carried the given attempt, or nil.
+func (p *connPool) get(key poolKey, attempt string, idleTimeout time.Duration) *conn {
 	for {
-		c := p.pop(addr)
+		c := p.pop(key, attempt)
 		if c == nil {
 			return nil
 		}
@@ -100,32 +136,33 @@
 	}
 }
 
-func (p *connPool) pop(addr string) *conn {
+func (p *connPool) pop(key poolKey, attempt string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[addr]
-	if len(list) == 0 {
-		return nil
-	}
-	c := list[len(list)-1]
-	list[len(list)-1] = nil
-	if len(list) == 1 {
-		delete(p.idle, addr)
-	} else {
-		p.idle[addr] = list[:len(list)-1]
+	list := p.idle[key]
+	for i, c := range slices.Backward(list) {
+		if c.hasCarried(attempt) {
+			continue
+		}
+		if len(list) == 1 {
+			delete(p.idle, key)
+		} else {
+			p.idle[key] = slices.Delete(list, i, i+1)
+		}
+		return c
 	}
-	return c
+	return nil
 }
 
 func (p *connPool) put(c *conn) {
 	c.idleSince = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || len(p.idle[c.addr]) >= maxIdlePerHost {
+	if p.closed || len(p.idle[c.key]) >= maxIdlePerHost {
 		c.Close()
 		return
 	}
-	p.idle[c.addr] = append(p.idle[c.addr], c)
+	p.idle[c.key] = append(p.idle[c.key], c)
 }
 
 func (p *connPool) close() {
@@ -137,7 +174,7 @@
 			c.Close()
 		}
 	}
-	p.idle = map[string][]*conn{}
+	p.idle = map[poolKey][]*conn{}
 }
 
 // bodyReader returns a reader that ends with io.EOF only at the end of a complete body.
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -14,12 +14,15 @@
 
 // RawRequest is a request that is sent with exactly the given headers. Header names are not normalized.
 type RawRequest struct {
-	Address       string // IP:port
-	Method        string
-	URI           string // path and query, not normalized
-	Host          string
-	Header        []Header
-	Body          []byte
+	Address string // IP:port
+	Method  string
+	URI     string // path and query, not normalized
+	Host    string
+	Header  []Header
+	Body    []byte
+	// AttemptID is the ID of the request that its response must repeat, or empty. It is not sent as such. A request is not
+	// sent on a connection that has carried the same attempt before.
+	AttemptID     string
 	NewConnection bool // forbids the reuse of an idle connection
 	// Permitted, if not nil, is asked immediately before the request is written, after a connection may have taken its
 	// time. If it returns false, the request is not sent.
@@ -49,7 +52,7 @@
 		r.Header.Add(h.Name, h.Value)
 	}
 	r.SetBodyRaw(request.Body)
-	ex, err := c.start(ctx, request.Address, request.NewConnection, request.Permitted, r)
+	ex, err := c.start(ctx, destination{request.Address, request.AttemptID, request.NewConnection}, request.Permitted, r)
 	if err != nil {
 		return nil, err
 	}
