Close engines' connections after errors that name no attempt

Engines answer errors without an attempt ID, so a late copy of one could be taken for the response to the next request on the connection, also of another caller: a refused request of one caller made another one's fail with its error although the engine served it.

Change: the client returns a connection to its pool only after a response that names the attempt of its request, or if the request has none. Errors of engines cost a new connection.

Evidence: TestLateErrorOfEngineAnswersNoOtherRequest failed before for complete answers and streams (status 400); both pass. Not seen in operation. Requests that may run once used a new connection already.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -271,6 +271,57 @@
 	}
 }
 
+// Guards against the error of an engine that reaches another caller's request: engines do not repeat the attempt ID in
+// errors, so a late copy of one cannot be told from the response to the next request on the connection.
+func TestLateErrorOfEngineAnswersNoOtherRequest(t *testing.T) {
+	const refusal = "HTTP/1.1 400 Bad Request\r\nContent-Length: 2\r\n\r\n{}"
+	for name, send := range map[string]func(*Client, Request) error{
+		"complete answer": func(c *Client, r Request) error {
+			response, err := c.Do(context.Background(), r)
+			if err == nil && response.Status != 200 {
+				err = fmt.Errorf("status %d", response.Status)
+			}
+			return err
+		},
+		"stream": func(c *Client, r Request) error {
+			s, err := c.Stream(context.Background(), r, 0)
+			if err == nil {
+				s.Close()
+			}
+			return err
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr := startRawServer(t, func(c net.Conn) {
+				earlier := ""
+				for br := bufio.NewReader(c); ; {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					body := fmt.Sprintf(`{"filbertledge":{"attempt_id":%q}}`, r.Header.Get(api.HeaderAttemptID))
+					response := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+					if r.Header.Get(api.HeaderAttemptID) == "refused" {
+						response = refusal
+					}
+					_, _ = io.WriteString(c, earlier+response)
+					earlier = response
+				}
+			})
+			client := New(Options{})
+			defer client.Close()
+			request := Request{Address: addr, Method: "POST", Path: "/", AttemptID: "refused", AttemptIDInBody: true}
+			if err := send(client, request); err == nil {
+				t.Fatal("the first request was not refused")
+			}
+			request.AttemptID = "served"
+			if err := send(client, request); err != nil {
+				t.Fatalf("the second request was served and got %v", err)
+			}
+		})
+	}
+}
+
 // waitIdle waits until the connection to addr is back in the pool.
 func waitIdle(t *testing.T, c *Client, addr string) {
 	t.Helper()
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -141,32 +141,38 @@
 		return Response{}, err
 	}
 	response, err := ex.readResponse()
-	ex.release(err == nil)
 	if err != nil {
+		ex.release(false)
 		return Response{}, ex.classifyError(err)
 	}
-	if err := checkAttemptID(&req, ex, response); err != nil {
+	attempt := ex.attemptOf(&req, response)
+	ex.release(attempt == req.AttemptID)
+	if err := checkAttempt(&req, response, attempt); err != nil {
 		return Response{}, err
 	}
 	return response, nil
 }
 
-// checkAttemptID returns an error for a response that belongs to another attempt.
-func checkAttemptID(req *Request, ex *exchange, response Response) error {
-	if req.AttemptID == "" {
-		return nil
-	}
-	got := string(ex.header.Peek(api.HeaderAttemptID))
-	if req.AttemptIDInBody {
-		if response.Status != fasthttp.StatusOK {
-			return nil // engines' error bodies contain neither an attempt ID nor generated text
-		}
-		got = attemptIDOf(response.Body)
+// attemptOf returns the ID of the attempt that a response belongs to, or an empty string if it names none.
+func (ex *exchange) attemptOf(req *Request, response Response) string {
+	switch {
+	case req.AttemptID == "":
+		return ""
+	case !req.AttemptIDInBody:
+		return string(ex.header.Peek(api.HeaderAttemptID))
+	case response.Status == fasthttp.StatusOK:
+		return attemptIDOf(response.Body)
+	default:
+		return "" // engines' error bodies contain neither an attempt ID nor generated text
 	}
-	if got != req.AttemptID {
-		return &Failure{Err: errs.New(errs.BackendFailed, "resend the request", "response belongs to attempt %q, not %q", got, req.AttemptID)}
+}
+
+// checkAttempt returns an error for a response that belongs to another attempt.
+func checkAttempt(req *Request, response Response, got string) error {
+	if got == req.AttemptID || req.AttemptIDInBody && response.Status != fasthttp.StatusOK {
+		return nil
 	}
-	return nil
+	return &Failure{Err: errs.New(errs.BackendFailed, "resend the request", "response belongs to attempt %q, not %q", got, req.AttemptID)}
 }
 
 // exchange is a sent request with the header of its response.
--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -49,14 +49,14 @@
 		return nil, err
 	}
 	if ex.header.StatusCode() != fasthttp.StatusOK {
-		return nil, streamStatusError(ex)
+		return nil, streamStatusError(ex, &req)
 	}
 	return &Stream{exchange: ex, events: newEventReader(ex.body), attemptID: req.AttemptID, offset: offset}, nil
 }
 
-func streamStatusError(ex *exchange) error {
+func streamStatusError(ex *exchange, req *Request) error {
 	response, err := ex.readResponse()
-	ex.release(err == nil)
+	ex.release(err == nil && ex.attemptOf(req, response) == req.AttemptID)
 	if err != nil {
 		return ex.classifyError(err)
 	}
