--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -226,22 +226,25 @@
 
 // forwardState is the state of one request while it is forwarded.
 type forwardState struct {
-	forwarder   *Forwarder
-	request     *Request
-	route       *routes.Route
-	service     string
-	software    string // version that began the stream, if the request takes one up
-	startedAt   time.Time
-	deadline    time.Time
-	results     chan attemptResult
-	mayHaveRun  []string // servers that may have run the request
-	refused     []string // servers that did not run it
-	pending     int
-	failures    int // responses with a signed status 500
-	lastFailure attemptResult
-	retryAfter  time.Duration // until a limited server has a permission, if none had one, or until a suspect may run again
-	digest      uint64        // of the request's content
-	detoured    bool          // an attempt went through another VM
+	forwarder *Forwarder
+	request   *Request
+	route     *routes.Route
+	service   string
+	begin     StreamBegin // of the stream that the request continues, if any
+	// beginFoundAt is the boot time at which the leader was asked for begin, 0 if it was not.
+	beginFoundAt time.Duration
+	beginUnknown error // why begin is not known
+	startedAt    time.Time
+	deadline     time.Time
+	results      chan attemptResult
+	mayHaveRun   []string // servers that may have run the request
+	refused      []string // servers that did not run it
+	pending      int
+	failures     int // responses with a signed status 500
+	lastFailure  attemptResult
+	retryAfter   time.Duration // until a limited server has a permission, if none had one, or until a suspect may run again
+	digest       uint64        // of the request's content
+	detoured     bool          // an attempt went through another VM
 	// directRefusals is the number of refusals before the first attempt through another VM.
 	directRefusals int
 	alone          bool  // the request is a suspect that runs alone
@@ -264,15 +267,15 @@
 func (f *forwardState) run(ctx context.Context) (*Response, error) {
 	hedge := time.NewTimer(max(minHedgeDelay, time.Duration(hedgeTargetFraction*float64(f.route.LatencyTarget))))
 	defer hedge.Stop()
-	if err := f.findSoftware(ctx); err != nil {
-		return nil, err
-	}
 	if !f.startAttempt(ctx) {
 		if f.suspicion != nil {
 			return nil, f.suspicion
 		}
-		if f.software != "" {
-			return nil, errs.New(errs.Unavailable, "begin the stream again", "service %s has no server of software %q, which began stream %q", f.service, f.software, f.request.TakeUp.Attempt)
+		if f.beginUnknown != nil {
+			return nil, f.beginUnknown
+		}
+		if f.begin.Software != "" {
+			return nil, errs.New(errs.Unavailable, "begin the stream again", "service %s has no server of software %q, which began stream %q", f.service, f.begin.Software, f.request.TakeUp.Attempt)
 		}
 		if f.retryAfter > 0 {
 			return nil, errs.New(errs.Unavailable, "call again later", "all servers of service %s have reached their limits", f.service)
@@ -396,10 +399,16 @@
 	if f.usesPeers() {
 		return f.startThroughPeer(ctx)
 	}
+	if f.beginUnknown = f.findBegin(ctx); f.beginUnknown != nil {
+		return false
+	}
 	server, permittedUntil := f.chooseServer(ctx)
 	if server == nil || ctx.Err() != nil {
 		return false
 	}
+	if until := f.takeUpPermittedUntil(); until > 0 && (permittedUntil == 0 || until < permittedUntil) {
+		permittedUntil = until
+	}
 	f.mayHaveRun = append(f.mayHaveRun, server.ID)
 	f.pending++
 	f.forwarder.opts.Events.Record(events.Event{
--- a/internal/forward/limits.go
+++ b/internal/forward/limits.go
@@ -79,7 +79,7 @@
 // target: under a load above the limits, more patience would make every answer late without serving one more.
 func (f *forwardState) chooseServer(ctx context.Context) (server *fleet.Server, permittedUntil time.Duration) {
 	limiter, now := f.forwarder.opts.Limiter, f.forwarder.opts.Clock()
-	servers := f.ofSoftware(f.forwarder.opts.Registry.List(f.service, now))
+	servers := f.mayContinueOn(f.forwarder.opts.Registry.List(f.service, now))
 	best := f.forwarder.health.choose(servers, f.forwarder.opts.FailureDomain, now, f.refusalsOf)
 	if best == nil || !f.forwarder.isLimited(best.ID) {
 		return best, 0
