Leave odd entries out of the list of servers (LOST)

Report of another operator: one odd entry among the servers made the machines that read the list end or stop following it.

Cause, here: announcements were checked for missing fields only. The ID comes from the path; one that is no UTF-8 text was encoded into the list, which no VM could decode from then on. Entry VMs dropped their leader at each reply and learned of no server and no configuration. Starts at the end of time, port 0, names of 60,000 bytes and 100,000 models were taken too. Text that is not UTF-8 failed in every message between VMs, also a caller's header that was handed over.

Change: fleet.Server.Validate; the leader refuses other entries, VMs leave them out of lists and of stored state with a warning; messages between VMs carry any bytes.

TestUnpackServersReadsTextThatIsNotUTF8 and TestMessagesKeepTextThatIsNotUTF8 failed with the former decoders.

TestLeavingMarkOutranksSequence used servers without a service and with an address that is none; it uses sound ones now, its checks are as they were.

--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"time"
@@ -110,6 +111,11 @@
 	return link.Call[Q, R](ctx, n.client, leader, method, q)
 }
 
+// RecordInvalidAnnouncement records an event for an announcement or a departure that names no server that can be used.
+func (n *Node) RecordInvalidAnnouncement(err error) {
+	n.opts.Events.Record(events.Event{Name: events.AnnouncementInvalid, Detail: err.Error()})
+}
+
 // Announce passes the announcement of a server to the leader and returns the leader's link address.
 func (n *Node) Announce(ctx context.Context, s fleet.Server) (string, error) {
 	r, err := callLeader(ctx, n, methodAnnounce, (*session).announce, s)
@@ -328,6 +334,10 @@
 
 func (s *session) announce(ctx context.Context, v fleet.Server) (AnnounceReply, error) {
 	reply := AnnounceReply{Leader: s.node.opts.Address}
+	if err := cmp.Or(v.Validate(), v.ValidateStart(time.Now())); err != nil {
+		s.node.RecordInvalidAnnouncement(err)
+		return reply, err
+	}
 	known, _ := s.node.registry.Get(v.ID)
 	if v.Leaving && !(known.Leaving && known.Incarnation == v.Incarnation) && known.Incarnation <= v.Incarnation {
 		if _, err := s.node.propose(ctx, rollout.Command{Depart: &rollout.ServerIncarnation{Server: v.ID, Incarnation: v.Incarnation}}); err != nil {
@@ -376,6 +386,10 @@
 }
 
 func (s *session) depart(ctx context.Context, q DepartRequest) (Empty, error) {
+	if err := fleet.ValidateID(q.Server); err != nil {
+		s.node.RecordInvalidAnnouncement(err)
+		return Empty{}, err
+	}
 	known, found := s.node.registry.Get(q.Server)
 	if !found {
 		// A new leader may not know the server yet. With the current time, the departure applies to every start of the
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -343,7 +343,7 @@
 			continue
 		}
 		if reply.ServersSent {
-			n.registry.Replace(reply.Servers, boottime.Now())
+			n.logRejected(n.registry.Replace(reply.Servers, boottime.Now()))
 		}
 		if reply.LimitsSent {
 			n.limits.Merge(reply.Limits, boottime.Now())
@@ -355,6 +355,13 @@
 	}
 }
 
+// logRejected logs servers of a list that cannot be used.
+func (n *Node) logRejected(rejected []error) {
+	for _, err := range rejected {
+		n.opts.Events.Log().WithError(err).Warn("a server in the list of servers is left out")
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/internal/coordinator/packed.go
+++ b/internal/coordinator/packed.go
@@ -36,6 +36,18 @@
 	return servers, err
 }
 
+// packedDecoder accepts text that is not UTF-8: one odd server in the list of an older build's leader must not keep this VM
+// from the others.
+var packedDecoder = mustDecMode(cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid})
+
+func mustDecMode(o cbor.DecOptions) cbor.DecMode {
+	mode, err := o.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
 // pack encodes and compresses a value.
 func pack(value any) ([]byte, error) {
 	const remedy = "report this fault"
@@ -64,7 +76,7 @@
 	if len(data) > maxUnpackedBytes {
 		return errs.New(errs.Internal, remedy, "a message of %d compressed bytes exceeds %d bytes", len(packed), maxUnpackedBytes)
 	}
-	return errs.Wrap(cbor.Unmarshal(data, value), errs.Internal, remedy, "cannot decode %d bytes", len(data))
+	return errs.Wrap(packedDecoder.Unmarshal(data, value), errs.Internal, remedy, "cannot decode %d bytes", len(data))
 }
 
 // packedConfiguration keeps the packed form of the newest configuration, so that it is made once for all VMs.
--- a/internal/coordinator/packed_test.go
+++ b/internal/coordinator/packed_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"testing"
 
+	"filbertledge/internal/fleet"
 	"filbertledge/internal/link"
 	"filbertledge/internal/routes"
 )
@@ -138,3 +139,15 @@
 		t.Errorf("without a change a list was sent after %s", r.Held)
 	}
 }
+
+// Guards against a VM that follows a leader of an older build and cannot read any list once the name of one server in it is
+// no text.
+func TestUnpackServersReadsTextThatIsNotUTF8(t *testing.T) {
+	packed, err := packServers([]fleet.Server{{ID: "i-\xff"}, {ID: "i-1"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if servers, err := unpackServers(packed); err != nil || len(servers) != 2 || servers[1].ID != "i-1" {
+		t.Fatalf("got %+v, %v", servers, err)
+	}
+}
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -147,11 +147,16 @@
 }
 
 // Merge adds the servers known to another VM. It never replaces an incarnation by an older one and never clears the
-// leaving mark of an incarnation.
-func (r *Registry) Merge(list []Server, now time.Duration) {
+// leaving mark of an incarnation. Servers that cannot be used, which a VM of an older build may list, are left out; it
+// returns why.
+func (r *Registry) Merge(list []Server, now time.Duration) (rejected []error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, s := range list {
+		if err := s.Validate(); err != nil {
+			rejected = append(rejected, err)
+			continue
+		}
 		e := r.byID[s.ID]
 		if e != nil && isOlder(s, e.server) {
 			// The other VM may have received fewer announcements of the server but already know that it is leaving.
@@ -167,11 +172,12 @@
 		r.byID[s.ID] = &entry{server: s, lastAnnounced: lastAnnounced}
 	}
 	r.revision++
+	return rejected
 }
 
 // Replace sets the registry to the list of the leader VM. Servers that are not in the list are removed. For a
-// server in the list, newer state of this VM is kept as in Merge.
-func (r *Registry) Replace(list []Server, now time.Duration) {
+// server in the list, newer state of this VM is kept as in Merge, whose result it returns.
+func (r *Registry) Replace(list []Server, now time.Duration) (rejected []error) {
 	r.mu.Lock()
 	kept := make(map[string]*entry, len(list))
 	for _, s := range list {
@@ -181,7 +187,7 @@
 	}
 	r.byID = kept
 	r.mu.Unlock()
-	r.Merge(list, now)
+	return r.Merge(list, now)
 }
 
 // Get returns the server with the given ID.
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -108,13 +108,18 @@
 // the server is leaving.
 func TestLeavingMarkOutranksSequence(t *testing.T) {
 	r := NewRegistry(time.Second)
-	r.Replace([]Server{{ID: "a", Address: "1", Incarnation: 5, Sequence: 10}}, 0)
-	r.Replace([]Server{{ID: "a", Address: "1", Incarnation: 5, Sequence: 8, Leaving: true}}, 0)
+	leaving := func(sequence uint64) Server {
+		s := newServer("a", 5, sequence)
+		s.Leaving = true
+		return s
+	}
+	r.Replace([]Server{newServer("a", 5, 10)}, 0)
+	r.Replace([]Server{leaving(8)}, 0)
 	if got, _ := r.Get("a"); !got.Leaving {
 		t.Fatalf("the server is not marked as leaving: %+v", got)
 	}
-	r.Replace([]Server{{ID: "a", Address: "1", Incarnation: 7, Sequence: 1}}, 0)
-	r.Replace([]Server{{ID: "a", Address: "1", Incarnation: 5, Sequence: 11, Leaving: true}}, 0)
+	r.Replace([]Server{newServer("a", 7, 1)}, 0)
+	r.Replace([]Server{leaving(11)}, 0)
 	if got, _ := r.Get("a"); got.Leaving {
 		t.Fatalf("leaving of an earlier incarnation marked the new one: %+v", got)
 	}
--- a/internal/transport/codec.go
+++ b/internal/transport/codec.go
@@ -53,6 +53,8 @@
 		MaxNestedLevels:  maxNesting,
 		MaxArrayElements: maxElements,
 		MaxMapPairs:      maxElements,
+		// What callers and servers send, such as the values of their headers, may hold any bytes.
+		UTF8: cbor.UTF8DecodeInvalid,
 	}.DecMode()
 	if err != nil {
 		panic(err)
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -582,3 +582,19 @@
 		t.Fatalf("class %s counts %+v", ClassWireVM, wire)
 	}
 }
+
+// Guards against a message that the other VM cannot read because a header of a caller holds bytes that are no UTF-8 text.
+func TestMessagesKeepTextThatIsNotUTF8(t *testing.T) {
+	type header struct {
+		Name, Value string
+	}
+	sent := header{"X-Name", "B\xe9k\xe9s"}
+	data, err := Marshal(sent)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got header
+	if err := Unmarshal(data, &got); err != nil || got != sent {
+		t.Fatalf("got %q, %v", got, err)
+	}
+}
