Read events with long lines, comments and any line end

What trainers saw: items whose events have a line over the read buffer of 4 KiB, or whose stream holds a comment, never completed, without an error.

Change: backend.EventLines, one reader of lines for the platform's and the product's streams.

--- a/internal/backend/sse.go
+++ b/internal/backend/sse.go
@@ -1,12 +1,9 @@
 package backend
 
 import (
-	"bufio"
 	"bytes"
 	"errors"
 	"io"
-
-	"filbertledge/internal/errs"
 )
 
 // eventBufferBytes is the size of the read buffer of a stream.
@@ -14,13 +11,12 @@
 
 // eventReader parses server-sent events. It returns the data of the events and skips their other fields.
 type eventReader struct {
-	br   *bufio.Reader
-	line []byte
-	data []byte
+	lines *EventLines
+	data  []byte
 }
 
 func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{br: bufio.NewReaderSize(r, eventBufferBytes)}
+	return &eventReader{lines: NewEventLines(r, eventBufferBytes, maxEventBytes)}
 }
 
 var dataField = []byte("data:")
@@ -29,9 +25,10 @@
 // io.ErrUnexpectedEOF even between events, because a complete stream ends with an end marker.
 func (e *eventReader) next() ([]byte, error) {
 	e.data = e.data[:0]
+	e.lines.BeginEvent()
 	hasData := false
 	for {
-		line, err := e.readLine()
+		line, err := e.lines.Next()
 		if errors.Is(err, io.EOF) {
 			return nil, io.ErrUnexpectedEOF
 		}
@@ -42,64 +39,18 @@
 			if hasData {
 				return e.data, nil
 			}
+			e.lines.BeginEvent()
 			continue
 		}
-		if !bytes.HasPrefix(line, dataField) {
-			continue
-		}
-		if err := e.appendData(line[len(dataField):], hasData); err != nil {
-			return nil, err
+		if value, ok := bytes.CutPrefix(line, dataField); ok {
+			// The lines of one event are joined with line feeds.
+			if hasData {
+				e.data = append(e.data, '\n')
+			}
+			e.data, hasData = append(e.data, bytes.TrimPrefix(value, []byte(" "))...), true
 		}
-		hasData = true
 	}
 }
 
 // nextBuffered reports whether the buffer contains another complete event. It does not read from the connection.
-func (e *eventReader) nextBuffered() bool {
-	buffered, err := e.br.Peek(e.br.Buffered())
-	return err == nil && bytes.Contains(buffered, []byte("\n\n"))
-}
-
-// appendData appends the value of one data line. The lines of one event are joined with newlines.
-func (e *eventReader) appendData(value []byte, continued bool) error {
-	value = bytes.TrimPrefix(value, []byte(" "))
-	if len(e.data)+len(value) >= maxEventBytes {
-		return eventTooLongError()
-	}
-	if continued {
-		e.data = append(e.data, '\n')
-	}
-	e.data = append(e.data, value...)
-	return nil
-}
-
-func eventTooLongError() error {
-	return errs.New(errs.BackendFailed, "resend the request", "event of the stream exceeds %d bytes", maxEventBytes)
-}
-
-// readLine returns the next line without its line end. For a last line without a line end it returns io.EOF.
-func (e *eventReader) readLine() ([]byte, error) {
-	e.line = e.line[:0]
-	for {
-		fragment, err := e.br.ReadSlice('\n')
-		if err == nil && len(e.line) == 0 {
-			return trimLineEnd(fragment), nil
-		}
-		if len(e.line)+len(fragment) > maxEventBytes {
-			return nil, eventTooLongError()
-		}
-		e.line = append(e.line, fragment...)
-		if errors.Is(err, bufio.ErrBufferFull) {
-			continue
-		}
-		if err != nil {
-			return nil, err
-		}
-		return trimLineEnd(e.line), nil
-	}
-}
-
-func trimLineEnd(line []byte) []byte {
-	line = bytes.TrimSuffix(line, []byte("\n"))
-	return bytes.TrimSuffix(line, []byte("\r"))
-}
+func (e *eventReader) nextBuffered() bool { return e.lines.eventBuffered() }
--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"strconv"
 	"strings"
@@ -118,9 +117,9 @@
 // closes the connection.
 func (s *Stream) drain() {
 	s.exchange.conn.SetReadDeadline(time.Now().Add(drainTimeout))
-	_, err := s.events.br.ReadByte()
+	ended := s.events.lines.expectEnd()
 	s.exchange.conn.SetReadDeadline(time.Time{})
-	s.exchange.release(errors.Is(err, io.EOF))
+	s.exchange.release(ended)
 }
 
 // attemptIDOf returns the attempt ID in an engine's complete response.
