--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -45,7 +46,9 @@
 	r.Header.SetNoDefaultContentType(true)
 	r.Header.SetMethod(request.Method)
 	r.Header.SetRequestURI(request.URI)
-	r.URI().DisablePathNormalizing = true
+	if !strings.HasPrefix(request.URI, "/") {
+		r.URI().DisablePathNormalizing = true // the library reduces an absolute URI to its path and query
+	}
 	r.Header.SetHost(request.Host)
 	r.UseHostHeader = true
 	for _, h := range request.Header {
