Wait on a full disk also while the data file grows

Cause: bbolt returns the error of a failed growth of its file as text, which errors.Is does not match, so that the write was taken for permanently failed.

Change: isDiskFull knows these errors by their text. A retry is safe, because the growth comes before the first write.

Evidence: TestSaveWaitsForDiskSpaceToGrow before: the growth and the sync after it ended the store; after: both wait, an I/O error at the growth is still permanent.

--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -14,6 +14,7 @@
 	"os"
 	"path/filepath"
 	"runtime/debug"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -238,7 +239,7 @@
 		return s.writeErr
 	}
 	err := s.transact(write)
-	for start := time.Now(); errors.Is(err, syscall.ENOSPC); err = s.transact(write) {
+	for start := time.Now(); isDiskFull(err); err = s.transact(write) {
 		// A retry is safe here, because the transaction was rolled back and nothing was written. Until there is
 		// space again this replica does not answer, and the other replicas treat its VM as lost.
 		s.waitForDiskSpace(start, err)
@@ -249,6 +250,17 @@
 	return s.writeErr
 }
 
+// isDiskFull reports whether a transaction failed because the disk is full. If the file has to grow first, bbolt returns the
+// cause as text only; nothing of the transaction was written then.
+func isDiskFull(err error) bool {
+	if err == nil || errors.Is(err, syscall.ENOSPC) {
+		return err != nil
+	}
+	text := err.Error()
+	growth := strings.HasPrefix(text, "file resize error: ") || strings.HasPrefix(text, "file sync error: ")
+	return growth && strings.HasSuffix(text, syscall.ENOSPC.Error())
+}
+
 // waitForDiskSpace pauses before the next attempt to write to a full disk.
 func (s *Store) waitForDiskSpace(start time.Time, err error) {
 	if s.onDiskFull != nil {
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -245,6 +245,39 @@
 	}
 }
 
+// Guards against a replica that ends because the disk is full while the data file grows: bbolt formats that error as text.
+func TestSaveWaitsForDiskSpaceToGrow(t *testing.T) {
+	full := &os.PathError{Op: "truncate", Path: "raft.db", Err: syscall.ENOSPC}
+	for name, tc := range map[string]struct {
+		err   error
+		waits bool
+	}{
+		"growth":               {fmt.Errorf("file resize error: %s", full), true},
+		"sync after growth":    {fmt.Errorf("file sync error: %s", full), true},
+		"growth, other cause":  {fmt.Errorf("file resize error: %s", &os.PathError{Op: "truncate", Path: "raft.db", Err: syscall.EIO}), false},
+		"text of another step": {fmt.Errorf("mmap allocate error: %s", full), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			failures := 0
+			s, err := Open(Options{Folder: t.TempDir(), Commit: func(tx *bbolt.Tx) error {
+				if failures > 0 {
+					failures--
+					return tc.err
+				}
+				return tx.Commit()
+			}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer s.Close()
+			failures = 2
+			if err := s.Save(&raft.HardState{Term: 7}, entries(1, 3, 7), nil); (err == nil) != tc.waits {
+				t.Fatalf("got %v, want to wait: %t", err, tc.waits)
+			}
+		})
+	}
+}
+
 // TestSaveWaitsForDiskSpace guards against a store that fails permanently when the disk is full: the first commits
 // return ENOSPC, and Save must retry until one succeeds.
 func TestSaveWaitsForDiskSpace(t *testing.T) {
