--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -26,6 +26,7 @@
 	link.Handle(n.server, methodPeek, n.handlePeek)
 	handleOnLeader(n, methodFollow, (*session).follow)
 	handleOnLeader(n, MethodSubmitBatch, (*session).submit)
+	handleOnLeader(n, MethodReserveBatch, (*session).reserveBatch)
 	handleOnLeader(n, MethodReadBatch, (*session).read)
 	handleOnLeader(n, MethodItemBody, (*session).body)
 	handleOnLeader(n, MethodEndBatch, (*session).end)
@@ -283,7 +284,7 @@
 
 func (s *session) submit(ctx context.Context, b *rollout.Batch) (Empty, error) {
 	b.Submitted = time.Now().UnixMilli()
-	o, err := s.node.propose(ctx, rollout.Command{Accept: b})
+	o, err := s.submitWithRoom(ctx, b)
 	if err != nil {
 		return Empty{}, err
 	}
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -82,6 +82,8 @@
 	EngineClient EngineClient
 	Exchanger    forward.Exchanger // sends the scorer calls
 	Events       *events.Recorder
+	// MemoryLimit is what the process may use, in bytes; 0 means no limit.
+	MemoryLimit int64
 	// Fatal ends the process after a disk failure.
 	Fatal func(error)
 }
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -22,6 +22,8 @@
 	node *Node
 	ctx  context.Context // ends with the leadership
 	term uint64
+	// reservations is the room for batches that are being submitted.
+	reservations reservations
 
 	mu             sync.Mutex
 	batches        map[string]*batch
@@ -161,7 +163,8 @@
 
 func newSession(n *Node, ctx context.Context, term uint64) *session {
 	return &session{
-		node: n, ctx: ctx, term: term, limits: ratelimit.NewAllocator(n.limits, boottime.Now()), peers: newPeerTable(),
+		reservations: reservations{limit: int64(openBatchesFraction * float64(n.opts.MemoryLimit))},
+		node:         n, ctx: ctx, term: term, limits: ratelimit.NewAllocator(n.limits, boottime.Now()), peers: newPeerTable(),
 		batches: map[string]*batch{}, seenGroups: map[string]bool{}, engines: map[string]*engineState{}, promptCachedOn: map[string]string{},
 		reusableTexts: map[string]rollout.Partial{}, publishedAt: map[string]time.Duration{},
 		serversSignal: make(chan struct{}), results: make(chan rollout.BatchResult, resultQueueSize),
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -201,7 +201,7 @@
 	state.releaseSuspect()
 	state.record(start, response, err)
 	if state.retryAfter > 0 && errs.Is(err, errs.Unavailable) {
-		err = &RefusedError{error: err, RetryAfter: state.retryAfter}
+		err = NewRefusedError(err, state.retryAfter)
 	}
 	return response, err
 }
--- a/internal/forward/limits.go
+++ b/internal/forward/limits.go
@@ -43,12 +43,17 @@
 	maxLimitedCandidates = 16
 )
 
-// RefusedError is an error of a request that did not run, with the time after which a server may accept it.
+// RefusedError is an error of a request that did not run, with the time after which it may be accepted.
 type RefusedError struct {
 	error
 	RetryAfter time.Duration
 }
 
+// NewRefusedError returns err with the time after which the caller should call again.
+func NewRefusedError(err error, retryAfter time.Duration) error {
+	return &RefusedError{error: err, RetryAfter: retryAfter}
+}
+
 // Unwrap returns the cause, which tells the kind of the error.
 func (e *RefusedError) Unwrap() error { return e.error }
 
--- a/internal/gateway/batches.go
+++ b/internal/gateway/batches.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"filbertledge/internal/coordinator"
@@ -15,15 +16,39 @@
 const (
 	// batchCallTimeout limits a batch call to the leader, in addition to the wait time that the caller asks for.
 	batchCallTimeout = 1500 * time.Millisecond
+	// minRoomRetryDelay and maxRoomRetryDelay bound the random delay after which a trainer whose batch found no room should
+	// submit it again. The room comes back when another trainer's step ends.
+	minRoomRetryDelay = 500 * time.Millisecond
+	maxRoomRetryDelay = 1500 * time.Millisecond
 	// MaxPageBytes limits the total size of the result texts in one page of batch results.
 	MaxPageBytes = 900 << 10
 )
 
 // SubmitBatch sends a batch to the leader and returns nil once the batch is durable. An error of kind
-// errs.Unavailable or errs.NotLeader guarantees that this call did not add the batch.
+// errs.Unavailable, errs.NotLeader or errs.Overloaded guarantees that this call did not add the batch.
 func (g *Gateway) SubmitBatch(ctx context.Context, b *rollout.Batch) error {
-	_, err := callLeader[*rollout.Batch, coordinator.Empty](ctx, g, coordinator.MethodSubmitBatch, b, batchCallTimeout)
+	err := g.reserveBatch(ctx, b)
+	if err == nil {
+		_, err = callLeader[*rollout.Batch, coordinator.Empty](ctx, g, coordinator.MethodSubmitBatch, b, batchCallTimeout)
+	}
 	g.recordBatchEvent(events.BatchAccepted, b.ID, err)
+	if errs.Is(err, errs.Overloaded) {
+		err = forward.NewRefusedError(err, minRoomRetryDelay+rand.N(maxRoomRetryDelay-minRoomRetryDelay))
+	}
+	return err
+}
+
+// reserveBatch asks the leader for room for a large batch, so that it is not sent in vain.
+func (g *Gateway) reserveBatch(ctx context.Context, b *rollout.Batch) error {
+	bytes := b.RequestBytes()
+	if bytes < coordinator.LargeBatchBytes {
+		return nil
+	}
+	q := coordinator.ReserveBatchRequest{Batch: b.ID, Bytes: bytes}
+	_, err := callLeader[coordinator.ReserveBatchRequest, coordinator.Empty](ctx, g, coordinator.MethodReserveBatch, q, batchCallTimeout)
+	if errs.Is(err, errs.NotFound) {
+		return nil // a leader of an older build
+	}
 	return err
 }
 
