--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := bin
 GO ?= go
 
-.PHONY: all build test lint fmt demo overhead faults soak soak-roles rolling measure fuzz ci clean
+.PHONY: all build test lint fmt demo overhead faults soak soak-roles soak-upgrade rolling measure fuzz ci clean
 
 all: build
 
@@ -41,7 +41,11 @@
 
 # Runs the soak of the platform's roles with fifty new seeds; this takes about eight minutes.
 soak-roles:
-	$(GO) test ./platform -run TestSoak -v -count=1 -timeout 60m -soak.first 0 -soak.seeds 50 -soak.parallel 3 -soak.time 15s
+	$(GO) test ./platform -run 'TestSoak$$' -v -count=1 -timeout 60m -soak.first 0 -soak.seeds 50 -soak.parallel 3 -soak.time 15s
+
+# Runs the same with an upgrade from the version in production; this takes about ten minutes.
+soak-upgrade:
+	$(GO) test ./platform -run 'TestSoakUpgrade$$' -v -count=1 -timeout 60m -soak.first 0 -soak.seeds 50 -soak.parallel 3 -soak.time 15s
 
 ci: lint build test demo
 
