--- a/internal/coordinator/admission.go
+++ b/internal/coordinator/admission.go
@@ -11,6 +11,9 @@
 	"filbertledge/internal/rollout"
 )
 
+// MethodReserveBatch does not exist in older builds.
+const MethodReserveBatch = "batch.reserve"
+
 const (
 	// LargeBatchBytes is the size of a batch's requests from which an entry VM asks the leader for room before it sends the
 	// batch: a message of that size takes memory several times over.
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -345,7 +345,7 @@
 			continue
 		}
 		if reply.ServersSent {
-			n.logRejected(n.registry.Replace(reply.Servers, boottime.Now()))
+			LogRejectedServers(n.opts.Events, n.registry.Replace(reply.Servers, boottime.Now()))
 		}
 		if reply.LimitsSent {
 			n.limits.Merge(reply.Limits, boottime.Now())
@@ -357,10 +357,10 @@
 	}
 }
 
-// logRejected logs servers of a list that cannot be used.
-func (n *Node) logRejected(rejected []error) {
+// LogRejectedServers logs why servers of a list were left out.
+func LogRejectedServers(recorder *events.Recorder, rejected []error) {
 	for _, err := range rejected {
-		n.opts.Events.Log().WithError(err).Warn("a server in the list of servers is left out")
+		recorder.Log().WithError(err).Warn("a server in the list of servers is left out")
 	}
 }
 
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -181,7 +181,7 @@
 
 // start loads the open batches and starts the loops of the session.
 func (s *session) start() {
-	s.node.logRejected(s.node.registry.Merge(s.serversNotInRegistry(), boottime.Now()))
+	LogRejectedServers(s.node.opts.Events, s.node.registry.Merge(s.serversNotInRegistry(), boottime.Now()))
 	s.loadRegisteredVersions()
 	s.loadLimits()
 	s.loadSuspects()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -283,7 +283,7 @@
 // follow request.
 func (g *Gateway) applyReply(reply coordinator.FollowReply, next *coordinator.FollowRequest) {
 	if reply.ServersSent {
-		g.logRejected(g.registry.Replace(reply.Servers, boottime.Now()))
+		coordinator.LogRejectedServers(g.opts.Events, g.registry.Replace(reply.Servers, boottime.Now()))
 	}
 	if c := reply.Configuration; c != nil && c.Version > next.ConfigurationVersion {
 		next.ConfigurationVersion = c.Version
@@ -294,13 +294,6 @@
 	}
 }
 
-// logRejected logs servers of the leader's list that cannot be used.
-func (g *Gateway) logRejected(rejected []error) {
-	for _, err := range rejected {
-		g.opts.Events.Log().WithError(err).Warn("a server in the list of servers is left out")
-	}
-}
-
 // installIfNewer puts a configuration in force unless its version is at most the current one. It reports whether it
 // did.
 func (g *Gateway) installIfNewer(c *routes.Configuration) bool {
@@ -378,7 +371,7 @@
 			if r.Configuration == nil || !g.installIfNewer(r.Configuration) {
 				continue
 			}
-			g.logRejected(g.registry.Merge(r.Servers, boottime.Now()))
+			coordinator.LogRejectedServers(g.opts.Events, g.registry.Merge(r.Servers, boottime.Now()))
 			g.opts.Events.Record(events.Event{Name: events.ConfigurationInForce, Detail: fmt.Sprintf("version %d, not confirmed: there is no leader", r.Configuration.Version)})
 		case <-ctx.Done():
 			return
