--- /dev/null
+++ b/internal/rollout/requests.go
@@ -0,0 +1,33 @@
+package rollout
+
+// RequestBytes returns the size of the requests that are kept until the items have ended, in bytes.
+func (b *Batch) RequestBytes() int64 {
+	total := 0
+	for i := range b.Items {
+		total += b.Items[i].requestBytes()
+	}
+	return int64(total)
+}
+
+func (i *Item) requestBytes() int {
+	total := len(i.Path) + len(i.Body)
+	for _, h := range i.Headers {
+		total += len(h.Name) + len(h.Value)
+	}
+	if i.Scorer != nil {
+		total += len(i.Scorer.Path) + len(i.Scorer.Body)
+	}
+	return total
+}
+
+// OpenRequestBytes returns the size of the requests that the state keeps, in bytes, and whether it holds the batch.
+func (s *State) OpenRequestBytes(batch string) (total int64, known bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for _, b := range s.batches {
+		if !b.Ended {
+			total += b.Batch.RequestBytes()
+		}
+	}
+	return total, s.batches[batch] != nil
+}
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -288,18 +288,6 @@
 	return Outcome{Changed: changed, Found: true}
 }
 
-// OpenRequestBytes returns the size of the requests that the state keeps, in bytes, and whether it holds the batch.
-func (s *State) OpenRequestBytes(batch string) (total int64, known bool) {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	for _, b := range s.batches {
-		if !b.Ended {
-			total += b.Batch.RequestBytes()
-		}
-	}
-	return total, s.batches[batch] != nil
-}
-
 func (s *State) recordDeparture(d ServerIncarnation) Outcome {
 	for _, known := range s.departures {
 		if known == d {
--- a/internal/rollout/types.go
+++ b/internal/rollout/types.go
@@ -55,26 +55,6 @@
 	Submitted int64 `cbor:"9,keyasint"`
 }
 
-// RequestBytes returns the size of the requests that are kept until the items have ended, in bytes.
-func (b *Batch) RequestBytes() int64 {
-	total := 0
-	for i := range b.Items {
-		total += b.Items[i].requestBytes()
-	}
-	return int64(total)
-}
-
-func (i *Item) requestBytes() int {
-	total := len(i.Path) + len(i.Body)
-	for _, h := range i.Headers {
-		total += len(h.Name) + len(h.Value)
-	}
-	if i.Scorer != nil {
-		total += len(i.Scorer.Path) + len(i.Scorer.Body)
-	}
-	return total
-}
-
 // Result is the outcome of one item. Its position in the batch's result list never changes.
 type Result struct {
 	Item      int      `cbor:"1,keyasint"` // index in Batch.Items
