Foundation of workspaces and duties: types, settings, provider client, versions of the state

Cause: keys, usage reports and capacity orders need shared types, one implementation of the leader's hand-over for orders and calls to the provider, and a way to keep new commands out of the log while a replica of an earlier build is a member.

The order in which the members are asked, and a separate lease for each duty, were ruled out: the leader's lease exists and is enough.

Configurations without the new fields decode as before.

--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -59,7 +59,7 @@
 
 func (n *Node) handleLeader(context.Context, Empty) (LeaderReply, error) {
 	_, err := n.currentSession()
-	r := LeaderReply{Leader: n.replica.Status().LeaderAddress, Replicas: n.replicas(), IsLeader: err == nil}
+	r := LeaderReply{Leader: n.replica.Status().LeaderAddress, Replicas: n.replicas(), IsLeader: err == nil, StateVersion: rollout.StateVersion}
 	if at := n.lastLeaderAt.Load(); at != 0 {
 		r.WasLeader, r.SinceLeader = true, boottime.Now()-time.Duration(at)
 	}
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -84,7 +84,11 @@
 	Events       *events.Recorder
 	// MemoryLimit is what the process may use, in bytes; 0 means no limit.
 	MemoryLimit int64
-	// Fatal ends the process after a disk failure.
+	// Duties are the calls to the provider that the leader makes.
+	Duties DutyOptions
+	// ParseDocument parses an operator's document, as rollout.State.ParseDocument.
+	ParseDocument func([]byte) (*routes.Configuration, error)
+	// Fatal ends the process after a disk failure, or when the state requires a newer build.
 	Fatal func(error)
 }
 
@@ -121,7 +125,7 @@
 	n.suspects = newSuspects(n)
 	n.forwarder = forward.New(forward.Options{FailureDomain: o.FailureDomain, Registry: n.registry, Exchanger: o.Exchanger, Events: o.Events, Limiter: nodeLimiter{n}, Suspects: n.suspects})
 	n.state.OnApplied = n.onApplied
-	n.state.OnFailure = o.Fatal
+	n.state.OnFailure, n.state.ParseDocument = n.fail, o.ParseDocument
 	self := raft.Member{Name: o.Name, FailureDomain: o.FailureDomain, Address: o.Address}
 	r, err := replica.Open(replica.Options{
 		Folder: o.DataDir, Self: self, Peers: peersOf(o.Seeds), StateMachine: n.state, Sender: sender{n},
@@ -147,6 +151,14 @@
 	return n, nil
 }
 
+// fail ends the process after an error that the replicated state cannot recover from.
+func (n *Node) fail(err error) {
+	if errs.Is(err, errs.StateTooNew) {
+		n.opts.Events.Record(events.Event{Name: events.StateTooNew, Detail: err.Error()})
+	}
+	n.opts.Fatal(err)
+}
+
 func peersOf(addresses []string) []raft.Member {
 	out := make([]raft.Member, 0, len(addresses))
 	for _, a := range addresses {
--- a/internal/coordinator/packed.go
+++ b/internal/coordinator/packed.go
@@ -20,7 +20,7 @@
 // configuration at the same time: with 1,500 routes and 270 VMs, separate and uncompressed replies with the document took
 // more than the 294 MB that a leader may use.
 func PackConfiguration(c *routes.Configuration) ([]byte, error) {
-	return pack(&routes.Configuration{Version: c.Version, Routes: c.Routes, Services: c.Services})
+	return pack(c.WithoutDocument())
 }
 
 // UnpackConfiguration decodes the output of PackConfiguration.
@@ -90,7 +90,7 @@
 // read it, the configuration without its document.
 func (p *packedConfiguration) forReply(c *routes.Configuration, acceptsPacked bool) (*routes.Configuration, []byte, error) {
 	if !acceptsPacked {
-		return &routes.Configuration{Version: c.Version, Routes: c.Routes, Services: c.Services}, nil, nil
+		return c.WithoutDocument(), nil, nil
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -5,8 +5,11 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"filbertledge/internal/api"
 	"filbertledge/internal/boottime"
 	"filbertledge/internal/events"
@@ -24,6 +27,11 @@
 	term uint64
 	// reservations is the room for batches that are being submitted.
 	reservations reservations
+	// handedOver is closed once no order or call of a former leader can arrive any more.
+	handedOver  chan struct{}
+	dutyLimiter *rate.Limiter
+	// stateVersion is the version of the state that commands may require now.
+	stateVersion atomic.Uint64
 
 	mu             sync.Mutex
 	batches        map[string]*batch
@@ -164,7 +172,8 @@
 func newSession(n *Node, ctx context.Context, term uint64) *session {
 	return &session{
 		reservations: reservations{limit: int64(openBatchesFraction * float64(n.opts.MemoryLimit))},
-		node:         n, ctx: ctx, term: term, limits: ratelimit.NewAllocator(n.limits, boottime.Now()), peers: newPeerTable(),
+		handedOver:   make(chan struct{}), dutyLimiter: newDutyLimiter(n.opts.Duties),
+		node: n, ctx: ctx, term: term, limits: ratelimit.NewAllocator(n.limits, boottime.Now()), peers: newPeerTable(),
 		batches: map[string]*batch{}, seenGroups: map[string]bool{}, engines: map[string]*engineState{}, promptCachedOn: map[string]string{},
 		reusableTexts: map[string]rollout.Partial{}, publishedAt: map[string]time.Duration{},
 		serversSignal: make(chan struct{}), results: make(chan rollout.BatchResult, resultQueueSize),
@@ -193,7 +202,11 @@
 	go s.scoreLoop()
 	go s.resultLoop()
 	go s.progressLoop()
+	go s.handOver()
 	go s.loadLoop()
+	if s.node.opts.Duties.ReportsUsage {
+		go s.memberVersionLoop()
+	}
 }
 
 // serversNotInRegistry returns the servers in the replicated state that the registry of this VM does not contain, as
--- a/internal/coordinator/weights.go
+++ b/internal/coordinator/weights.go
@@ -46,7 +46,9 @@
 
 // loadLoop brings the engines to the published versions until the leadership ends.
 func (s *session) loadLoop() {
-	s.waitForOrderHandover()
+	if s.waitForHandover() != nil {
+		return
+	}
 	ticker := time.NewTicker(loadCheckInterval)
 	defer ticker.Stop()
 	for {
@@ -62,47 +64,6 @@
 	}
 }
 
-// waitForOrderHandover waits until the engines no longer receive orders from the former leader. If the engines enforce
-// fencing, a former leader that was killed, suspended or cut off can send no more orders that they accept.
-func (s *session) waitForOrderHandover() {
-	// A leader that transfers its leadership may hold its lease, and have an order in flight, for up to leaderLease.
-	delay := s.node.opts.OrderHandoverDelay + leaderLease
-	if s.node.opts.EnginesEnforceFencing {
-		delay = s.formerLeaderDelay()
-	}
-	s.record(events.Event{Name: events.OrderHandover, Detail: "orders begin after " + delay.Round(time.Millisecond).String()})
-	sleep(s.ctx, delay)
-}
-
-// formerLeaderDelay asks the other VMs when they last were the leader, and returns how long to wait until none of their
-// orders can still arrive.
-func (s *session) formerLeaderDelay() time.Duration {
-	ctx, cancel := context.WithTimeout(s.ctx, formerLeaderTimeout)
-	defer cancel()
-	var others []string
-	for _, a := range s.node.replicas() {
-		if a != s.node.opts.Address {
-			others = append(others, a)
-		}
-	}
-	delays := make(chan time.Duration, len(others))
-	for _, address := range others {
-		go func() {
-			r, err := QueryLeader(ctx, s.node.client, address)
-			if err != nil || !r.WasLeader {
-				delays <- 0 // engines do not accept orders of a former leader that does not answer
-				return
-			}
-			delays <- s.node.opts.OrderHandoverDelay - r.SinceLeader
-		}()
-	}
-	var longest time.Duration
-	for range others {
-		longest = max(longest, <-delays)
-	}
-	return longest
-}
-
 // startLoads orders engines to load, as many as may load at once.
 func (s *session) startLoads() {
 	c := s.node.state.Configuration()
@@ -345,10 +306,10 @@
 		return false
 	}
 	// The order is aborted with the lease at the latest: the next leader counts its delay from then on.
-	orderCtx, cancelOrder := context.WithTimeout(ctx, min(orderTimeout, s.node.replica.LeaseLeft()))
+	orderCtx, cancelOrder := s.withinLease(ctx, orderTimeout)
 	result, err := client.Load(orderCtx, l.server, LoadOrder{
 		Model: l.model, Version: l.version, Holder: s.node.opts.Name, FencingToken: s.term, ExpectedSequence: sequence,
-		DrainFirst: s.mustDrainFirst(service.Name), Permitted: func() bool { return s.checkLeadership() == nil },
+		DrainFirst: s.mustDrainFirst(service.Name), Permitted: s.permitted,
 	})
 	cancelOrder()
 	s.mu.Lock()
--- a/internal/coordinator/wire.go
+++ b/internal/coordinator/wire.go
@@ -124,10 +124,11 @@
 
 // ReadBatchRequest asks for results of a batch.
 type ReadBatchRequest struct {
-	Batch    string        `cbor:"1,keyasint"`
-	After    int           `cbor:"2,keyasint,omitempty"` // number of results to skip
-	MaxWait  time.Duration `cbor:"3,keyasint,omitempty"` // maximum wait for a result if there is none yet
-	MaxBytes int           `cbor:"4,keyasint,omitempty"` // limit of the reply's size
+	Workspace string        `cbor:"5,keyasint,omitempty"` // that must own the batch; checked by the leader
+	Batch     string        `cbor:"1,keyasint"`
+	After     int           `cbor:"2,keyasint,omitempty"` // number of results to skip
+	MaxWait   time.Duration `cbor:"3,keyasint,omitempty"` // maximum wait for a result if there is none yet
+	MaxBytes  int           `cbor:"4,keyasint,omitempty"` // limit of the reply's size
 }
 
 // ReadBatchReply holds a page of results. Found is false if the batch does not exist.
@@ -138,8 +139,9 @@
 
 // ItemBodyRequest asks for the request body of an item.
 type ItemBodyRequest struct {
-	Batch string `cbor:"1,keyasint"`
-	Item  string `cbor:"2,keyasint"`
+	Workspace string `cbor:"3,keyasint,omitempty"` // as in ReadBatchRequest
+	Batch     string `cbor:"1,keyasint"`
+	Item      string `cbor:"2,keyasint"`
 }
 
 // ItemBodyReply holds the body if Found is true.
@@ -148,8 +150,10 @@
 	Body  []byte `cbor:"2,keyasint,omitempty"`
 }
 
+// EndBatchRequest ends a batch.
 type EndBatchRequest struct {
-	Batch string `cbor:"1,keyasint"`
+	Batch     string `cbor:"1,keyasint"`
+	Workspace string `cbor:"2,keyasint,omitempty"` // as in ReadBatchRequest
 }
 
 // AnnounceReply names the leader. The VM that passed the announcement on may tell the server to announce itself there
@@ -188,6 +192,9 @@
 	// the lease.
 	WasLeader   bool          `cbor:"4,keyasint,omitempty"`
 	SinceLeader time.Duration `cbor:"5,keyasint,omitempty"`
+	// StateVersion is the highest version of the replicated state that the queried process understands. Builds that do not
+	// send it understand version 0.
+	StateVersion uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // PeekRequest asks for what a VM knows.
--- a/internal/errs/errs.go
+++ b/internal/errs/errs.go
@@ -38,6 +38,7 @@
 	StorageCorrupt     Kind = "storage_corrupt"
 	Canceled           Kind = "canceled"
 	FencingTokenTooOld Kind = "fencing_token_too_old"
+	StateTooNew        Kind = "state_too_new"
 	Internal           Kind = "internal"
 )
 
@@ -88,6 +89,7 @@
 	StorageCorrupt:     {http.StatusInternalServerError, ExitStorage},
 	Canceled:           {statusClientClosedRequest, ExitUnavailable},
 	FencingTokenTooOld: {http.StatusConflict, ExitConflict},
+	StateTooNew:        {http.StatusInternalServerError, ExitStorage},
 	Internal:           {http.StatusInternalServerError, ExitInternal},
 }
 
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -113,6 +113,19 @@
 	ScoreReceived         Name = "item.scored"
 	ScoreFailed           Name = "item.score_failed"  // no score; the call is sent again, or the item is given up
 	LabelRefused          Name = "item.label_refused" // the engine reported weights older than the batch allows
+	KeyRefused            Name = "key.refused"        // a request without a valid key of a workspace
+	UsageClosed           Name = "usage.closed"       // the counts of a window are fixed
+	UsageReported         Name = "usage.reported"     // the provider accepted the report of a window
+	UsageFailed           Name = "usage.failed"       // a report got no positive answer; it is sent again
+	UsageLate             Name = "usage.late"         // counts of a window that is closed already; they are dropped
+	CapacityPlanned       Name = "capacity.planned"   // the wanted numbers of servers changed
+	CapacityOrdered       Name = "capacity.ordered"   // the provider accepted an order
+	CapacityFailed        Name = "capacity.failed"    // an order got no positive answer
+	DutyStopped           Name = "duty.stopped"       // the provider has seen a newer holder
+	StateVersionInForce   Name = "state.version_in_force"
+	StateVersionWithheld  Name = "state.version_withheld" // a member of the group does not understand the version, or is not known to
+	StateTooNew           Name = "state.too_new"          // this build does not understand the state
+	ConnectionDropped     Name = "connection.dropped"     // to keep the process within its budget for callers
 )
 
 // Event is one entry of the timeline. Sequence orders the events of one process that have the same timestamp.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -46,6 +46,10 @@
 	// have run it already.
 	From     string
 	Excluded []string
+	// Workspace is the workspace of the caller, empty if the route needs no key. Its header is among Headers.
+	Workspace string
+	// Priority is that of the workspace or, without one, of the route; 0 is the highest.
+	Priority int
 	// ConfigurationVersion is the version of the configuration that determined the route, for the log.
 	ConfigurationVersion uint64
 }
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -72,6 +72,9 @@
 	Streams       []StreamBegin         `cbor:"7,keyasint,omitempty"`
 	Limits        []ServerLimit         `cbor:"8,keyasint,omitempty"`
 	Suspects      []CrashReport         `cbor:"9,keyasint,omitempty"`
+	// Requires is the version of the state that a replica must understand to restore the snapshot.
+	Requires       uint64            `cbor:"10,keyasint,omitempty"`
+	MemberVersions map[uint64]uint64 `cbor:"11,keyasint,omitempty"`
 }
 
 // State is the replicated state. Apply must be called from a single goroutine; the read methods are safe for
@@ -89,16 +92,22 @@
 	streams       streamTable
 	limits        map[string]ServerLimit // by server ID
 	suspects      map[crashKey]CrashReport
-	changed       chan struct{} // closed and replaced on every change
+	// requires is the highest version of the state that a command required so far.
+	requires       uint64
+	memberVersions map[uint64]uint64 // version of the state that a member understands, by instance number
+	changed        chan struct{}     // closed and replaced on every change
 	// OnApplied, if not nil, is called after each command, without holding the lock.
 	OnApplied func(Command, Outcome)
-	// OnFailure is called when a text cannot be stored. It must be set and must terminate the replica.
+	// OnFailure is called when a text cannot be stored, or when a command requires a newer build. It must be set and must
+	// terminate the replica.
 	OnFailure func(error)
+	// ParseDocument parses an operator's document. It completes configurations that an earlier build parsed. It may be nil.
+	ParseDocument func([]byte) (*routes.Configuration, error)
 }
 
 // NewState returns an empty state that stores its texts in texts.
 func NewState(texts TextStore) *State {
-	return &State{texts: texts, versions: map[string]uint64{}, batches: map[string]*batchState{}, servers: map[string]fleet.Server{}, retired: map[string]bool{}, streams: newStreamTable(nil), limits: map[string]ServerLimit{}, suspects: map[crashKey]CrashReport{}, changed: make(chan struct{})}
+	return &State{texts: texts, versions: map[string]uint64{}, batches: map[string]*batchState{}, servers: map[string]fleet.Server{}, retired: map[string]bool{}, streams: newStreamTable(nil), limits: map[string]ServerLimit{}, suspects: map[crashKey]CrashReport{}, memberVersions: map[uint64]uint64{}, changed: make(chan struct{})}
 }
 
 var decMode = mustDecMode()
@@ -136,7 +145,12 @@
 		// Decoding is deterministic, so every replica rejects the entry and the replicas stay identical.
 		return nil
 	}
+	if err := checkVersion(c.Requires, "a command"); err != nil {
+		s.OnFailure(err)
+		return nil
+	}
 	s.mu.Lock()
+	s.requires = max(s.requires, c.Requires)
 	o := s.apply(c)
 	if o.Changed {
 		close(s.changed)
@@ -184,17 +198,48 @@
 	case c.Retire != nil:
 		s.retired[c.Retire.VM] = true
 		return Outcome{Changed: true, Found: true}
+	case c.MemberVersion != nil:
+		s.memberVersions[c.MemberVersion.Member] = c.MemberVersion.Version
+		return Outcome{Found: true}
 	}
 	return Outcome{}
 }
 
+// checkVersion returns an error if what requires the given version of the state needs a newer build.
+func checkVersion(requires uint64, what string) error {
+	if requires <= StateVersion {
+		return nil
+	}
+	return errs.New(errs.StateTooNew, "start a build that understands it", "%s requires version %d of the state; this build understands version %d", what, requires, StateVersion)
+}
+
+// complete returns the configuration with everything that its document holds, if an earlier build parsed it.
+func (s *State) complete(c *routes.Configuration) *routes.Configuration {
+	if c == nil || c.Schema >= routes.CurrentSchema || len(c.Document) == 0 || s.ParseDocument == nil {
+		return c
+	}
+	parsed, err := s.ParseDocument(c.Document)
+	if err != nil || parsed.Version != c.Version {
+		return c // the earlier build accepted what this one does not
+	}
+	return parsed
+}
+
+// MemberVersion returns the version of the state that a member understands, as far as it is recorded.
+func (s *State) MemberVersion(member uint64) (version uint64, known bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	version, known = s.memberVersions[member]
+	return version, known
+}
+
 // setConfiguration ignores versions that are not higher than the current one, because configurations may arrive
 // repeatedly and out of order.
 func (s *State) setConfiguration(c *routes.Configuration) Outcome {
 	if s.configuration != nil && c.Version <= s.configuration.Version {
 		return Outcome{Found: true}
 	}
-	s.configuration = c
+	s.configuration = s.complete(c)
 	return Outcome{Changed: true, Found: true}
 }
 
@@ -358,6 +403,7 @@
 		Configuration: s.configuration, Versions: maps.Clone(s.versions),
 		Departures: slices.Clone(s.departures), Retired: slices.Sorted(maps.Keys(s.retired)),
 		Servers: s.sortedServers(), Streams: slices.Clone(s.streams.list), Limits: s.sortedLimits(), Suspects: s.sortedSuspects(),
+		Requires: s.requires, MemberVersions: maps.Clone(s.memberVersions),
 	}
 	for _, id := range s.batchOrder {
 		batch := s.batches[id]
@@ -407,9 +453,16 @@
 	if err != nil {
 		return err
 	}
+	if err := checkVersion(snap.Requires, "a snapshot"); err != nil {
+		return err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.configuration, s.departures = snap.Configuration, snap.Departures
+	s.configuration, s.departures = s.complete(snap.Configuration), snap.Departures
+	s.requires, s.memberVersions = snap.Requires, snap.MemberVersions
+	if s.memberVersions == nil {
+		s.memberVersions = map[uint64]uint64{}
+	}
 	s.versions, s.streams = snap.Versions, newStreamTable(snap.Streams)
 	if s.versions == nil {
 		s.versions = map[string]uint64{}
--- a/internal/rollout/types.go
+++ b/internal/rollout/types.go
@@ -53,6 +53,10 @@
 	Items        []Item `cbor:"8,keyasint"`
 	// Submitted is the wall-clock time in Unix milliseconds, taken on the VM that accepted the batch.
 	Submitted int64 `cbor:"9,keyasint"`
+	// Workspace owns the batch; empty if the route needs no key.
+	Workspace string `cbor:"10,keyasint,omitempty"`
+	// Priority is that of the workspace or, without one, of the route; 0 is the highest.
+	Priority int `cbor:"11,keyasint,omitempty"`
 }
 
 // Result is the outcome of one item. Its position in the batch's result list never changes.
@@ -130,6 +134,22 @@
 	BeginStream *StreamBegin        `cbor:"12,keyasint,omitempty"`
 	Limits      []ServerLimit       `cbor:"13,keyasint,omitempty"`
 	Suspects    []CrashReport       `cbor:"14,keyasint,omitempty"`
+	// Requires is the version of the state that a replica must understand to apply the command.
+	Requires uint64 `cbor:"15,keyasint,omitempty"`
+	// MemberVersion records which version of the state a member understands. Replicas that do not know the field ignore it.
+	MemberVersion *MemberVersion `cbor:"16,keyasint,omitempty"`
+}
+
+// StateVersion is the highest version of the replicated state that this build understands. A command with a new kind or a
+// new meaning requires a higher one and is proposed only while all members of the group understand it.
+//
+// Version 1 adds the usage of workspaces.
+const StateVersion = 1
+
+// MemberVersion is the version of the state that a member of the replicated group understands.
+type MemberVersion struct {
+	Member  uint64 `cbor:"1,keyasint"` // instance number, which changes when the disk of the VM is lost
+	Version uint64 `cbor:"2,keyasint"`
 }
 
 // Retirement requests that a VM leaves the replication group. Once it has left, nothing depends on its disk, so that it
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -53,6 +53,8 @@
 	// SingleVersion rejects samples that were generated with more than one version of the weights.
 	SingleVersion bool `cbor:"12,keyasint,omitempty"`
 	Resumable     bool `cbor:"13,keyasint,omitempty"`
+	// Public routes need no key.
+	Public bool `cbor:"14,keyasint,omitempty"`
 }
 
 // Service is a named group of interchangeable backend servers.
@@ -64,6 +66,30 @@
 	// announcement applies.
 	Slots  int      `cbor:"4,keyasint,omitempty"`
 	Models []string `cbor:"5,keyasint,omitempty"`
+	// Autoscale is set if the provider adds and removes servers of the service on order.
+	Autoscale *Autoscale `cbor:"6,keyasint,omitempty"`
+}
+
+// Autoscale holds the bounds and prices of a service whose servers are ordered. The bounds hold for each failure domain
+// and for spot and other servers together.
+type Autoscale struct {
+	MinServers int `cbor:"1,keyasint,omitempty"`
+	MaxServers int `cbor:"2,keyasint,omitempty"`
+	// BootTime is the time from an order until new servers serve.
+	BootTime time.Duration `cbor:"3,keyasint,omitempty"`
+	// SpotPrice is the price of a spot server relative to that of another server in the same failure domain. 0 means that
+	// there are no spot servers.
+	SpotPrice float64 `cbor:"4,keyasint,omitempty"`
+	// ZonePrices are the prices of a server second by failure domain.
+	ZonePrices map[string]float64 `cbor:"5,keyasint,omitempty"`
+}
+
+// Workspace is a group of callers that the operators identify by its keys. Its batches and its usage are its own.
+type Workspace struct {
+	Name     string `cbor:"1,keyasint"`
+	Priority int    `cbor:"2,keyasint,omitempty"` // goes before the priority of the route; 0 is the highest
+	// KeyDigests are the keyed hashes of the workspace's keys.
+	KeyDigests [][]byte `cbor:"3,keyasint,omitempty"`
 }
 
 // Configuration is one version of the operators' configuration.
@@ -73,11 +99,27 @@
 	Services []Service `cbor:"3,keyasint,omitempty"`
 	// Document is the configuration exactly as the operator sent it, returned unchanged on reads.
 	Document []byte `cbor:"4,keyasint,omitempty"`
+	// Schema tells how much of the document the other fields reflect; see CurrentSchema.
+	Schema uint64 `cbor:"5,keyasint,omitempty"`
+	// RequiresKeys is true if requests on routes that are not public need a key of one of the Workspaces.
+	RequiresKeys bool        `cbor:"6,keyasint,omitempty"`
+	Workspaces   []Workspace `cbor:"7,keyasint,omitempty"`
+	// KeySalt is the key of the hash in KeyDigests.
+	KeySalt []byte `cbor:"8,keyasint,omitempty"`
 
 	// index is built by the first Match. Routes must not change after it.
 	index atomic.Pointer[routeIndex]
 }
 
+// CurrentSchema is the schema of configurations that this build parses. Schema 0 has no workspaces, public routes and
+// autoscaling.
+const CurrentSchema = 1
+
+// WithoutDocument returns a copy that lacks the operator's document, which only the replicas of the state need.
+func (c *Configuration) WithoutDocument() *Configuration {
+	return &Configuration{Version: c.Version, Routes: c.Routes, Services: c.Services, Schema: c.Schema, RequiresKeys: c.RequiresKeys, Workspaces: c.Workspaces, KeySalt: c.KeySalt}
+}
+
 // routeIndex maps the lower-case host and the prefix of each route to its position in Configuration.Routes.
 type routeIndex map[hostPrefix]int
 
