Keep connections to servers as long as the servers state

Cause: connections were closed after 4 s of rest even if the server states a longer time. Steps of trainers come every four seconds, so each of them opened connections again.

A longer default for servers that state nothing was ruled out: nothing is known of them.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -126,7 +126,7 @@
 		}
 		limit := idleTimeout
 		if c.serverIdleTimeout > 0 {
-			limit = min(limit, c.serverIdleTimeout)
+			limit = c.serverIdleTimeout
 		}
 		if time.Since(c.idleSince) < limit && c.alive() {
 			c.bytesWritten.Store(0)
