Place and move items by the kind of their engines

Cause: in a fleet of engines 2.4 times apart in speed, an idle engine of the slower kind counted as unknown after 1.5 s and got a part of each step, since it was the least loaded.

Change: the lowest interval of an engine since its start tells its kind. Where a quarter of the engines is of a slower kind, these get items only if no other has room, one item at a time measures an idle one again, and only items that may be the last of their step move. Fleets with one kind are placed as before.

--- a/internal/coordinator/moves.go
+++ b/internal/coordinator/moves.go
@@ -38,6 +38,10 @@
 	baselineStep = 0.02
 	// idleIntervalLifetime is how long the recent interval of an idle engine is used. Slowdowns last 5 to 8 seconds.
 	idleIntervalLifetime = 1500 * time.Millisecond
+	// minKindIntervals is the number of measured intervals from which the baseline interval shows the kind of the engine.
+	minKindIntervals = 35
+	// baselineLifetime is how long after its last measurement an idle engine counts as measured.
+	baselineLifetime = 5 * time.Second
 	// minLongItemMoveSaving is the minimum time that moving a long item to a permanently faster engine must save. A
 	// move costs about 60 ms, for a connection and for processing the prompt and the text so far.
 	minLongItemMoveSaving = 250 * time.Millisecond
@@ -54,12 +58,34 @@
 // moveFromSlowEngine moves a long item away from an engine that is transiently slow, if another engine has room. The
 // caller holds the mutex.
 func (s *session) moveFromSlowEngine(t *task, interval float64, now time.Duration) {
-	if now-t.startedAt < minRunBeforeMove || s.freeNormalSlots(t, s.medianIntervals(now), now) == 0 {
+	medians := s.medianIntervals(now)
+	if now-t.startedAt < minRunBeforeMove || s.freeNormalSlots(t, medians, now) == 0 || medians.Uneven && !scheduling.MayDecideStep(s.timeLeft(t, medians), s.longestLeft(t.batch, medians)) {
 		return
 	}
 	s.moveItem(t, fmt.Sprintf("long, %.0f ms between two events", interval), now+avoidAfterTransientSlowdown)
 }
 
+// timeLeft returns the expected time until an unfinished item is complete where it runs, in seconds. The caller holds the
+// mutex.
+func (s *session) timeLeft(t *task, medians scheduling.MedianIntervals) float64 {
+	left := s.runTimes.remainingOfLong(&t.batch.Items[t.item], t.events)
+	if e := s.engines[t.engine]; e != nil && t.state == taskRunning && medians.Recent > 0 {
+		left *= max(e.recentInterval/medians.Recent, 1)
+	}
+	return left
+}
+
+// longestLeft returns the longest timeLeft of a batch. The caller holds the mutex.
+func (s *session) longestLeft(b *batch, medians scheduling.MedianIntervals) float64 {
+	longest := 0.0
+	for _, t := range b.tasks {
+		if t.state == taskWaiting || t.state == taskRunning {
+			longest = max(longest, s.timeLeft(t, medians))
+		}
+	}
+	return longest
+}
+
 // moveItem ends a run, so that another engine continues the item. The caller holds the mutex.
 func (s *session) moveItem(t *task, reason string, avoidUntil time.Duration) {
 	t.moving = true
@@ -85,6 +111,9 @@
 	} else {
 		e.baselineInterval *= 1 - baselineStep
 	}
+	if e.intervals++; e.intervals >= minKindIntervals && (e.kindInterval == 0 || e.baselineInterval < e.kindInterval) {
+		e.kindInterval = e.baselineInterval
+	}
 }
 
 // usableRecentInterval returns the recent interval for the choice of an engine, or 0 if it is unknown. An engine that
@@ -115,6 +144,10 @@
 	freeSlots := map[moveTarget]int{} // of engines of normal speed
 	for _, b := range s.batchesByAge {
 		late := timeOfDay.After(b.giveUpAt)
+		longest := 0.0
+		if medians.Uneven {
+			longest = s.longestLeft(b, medians)
+		}
 		for _, t := range b.tasks {
 			switch {
 			case late && (t.state == taskWaiting || s.unscored[t]):
@@ -123,7 +156,7 @@
 			case late && (t.state == taskRunning || t.state == taskScoring):
 				t.cancel()
 			case t.state == taskRunning && !t.moving:
-				s.checkRun(t, now, medians, freeSlots)
+				s.checkRun(t, now, medians, longest, freeSlots)
 			}
 		}
 	}
@@ -133,8 +166,9 @@
 // its text.
 type moveTarget struct{ model, software string }
 
-// checkRun moves an item if its run makes no progress or if its engine is slow and others have room.
-func (s *session) checkRun(t *task, now time.Duration, medians scheduling.MedianIntervals, freeSlots map[moveTarget]int) {
+// checkRun moves an item if its run makes no progress or if its engine is slow and others have room. longest is the result
+// of longestLeft in an uneven fleet.
+func (s *session) checkRun(t *task, now time.Duration, medians scheduling.MedianIntervals, longest float64, freeSlots map[moveTarget]int) {
 	e := s.engines[t.engine]
 	if e == nil {
 		return
@@ -152,7 +186,7 @@
 	case silence > limit:
 		reason = fmt.Sprintf("no event for %s", silence.Round(time.Millisecond))
 		e.blockedUntil = now + stalledBackoff
-	case now-t.startedAt > minRunBeforeMove && freeSlots[target] > 0:
+	case now-t.startedAt > minRunBeforeMove && freeSlots[target] > 0 && (!medians.Uneven || scheduling.MayDecideStep(s.timeLeft(t, medians), longest)):
 		if reason = e.moveReason(t.events, medians, now); reason != "" {
 			freeSlots[target]--
 		}
@@ -209,7 +243,7 @@
 func (s *session) medianIntervals(now time.Duration) scheduling.MedianIntervals {
 	list := make([]scheduling.Engine, 0, len(s.engines))
 	for _, e := range s.engines {
-		list = append(list, scheduling.Engine{RecentInterval: e.usableRecentInterval(now), BaselineInterval: e.baselineInterval})
+		list = append(list, scheduling.Engine{RecentInterval: e.usableRecentInterval(now), BaselineInterval: e.baselineInterval, KindInterval: e.kindInterval})
 	}
 	return scheduling.ComputeMedianIntervals(list)
 }
--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -52,6 +52,15 @@
 	return left * r.seconds / r.hint
 }
 
+// remainingOfLong returns remaining, but at least the time for half of the events that the item has produced: an item that
+// has outlived its hint is a long one, which has about that many left.
+func (r *runTimes) remainingOfLong(item *rollout.Item, events int) float64 {
+	if r.events == 0 {
+		return 0
+	}
+	return max(r.remaining(item, events), float64(events)/producedPerRemaining*r.seconds/r.events)
+}
+
 // planBatch plans the groups of a batch again if its plan is old. The caller holds the mutex.
 func (s *session) planBatch(b *batch, c *routes.Configuration, now time.Duration) {
 	if b.plannedAt != 0 && now-b.plannedAt < planInterval {
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -152,6 +152,8 @@
 	recentInterval   float64           // moving average of the time between events, in ms
 	recentIntervalAt time.Duration     // time of the last measurement
 	baselineInterval float64           // median of the time between events of a single running request, in ms
+	kindInterval     float64           // lowest baseline interval since the engine started, in ms
+	intervals        int               // number of measured intervals
 	slowSince        time.Duration     // boot time since which isSlow holds at each check; 0 if it does not
 	blockedUntil     time.Duration     // the engine gets no items until then
 	failures         int               // consecutive failures
@@ -535,7 +537,7 @@
 			continue
 		}
 		c.engines = append(c.engines, scheduling.Engine{
-			ID: v.ID, Slots: max(v.Slots, 1), RecentInterval: e.usableRecentInterval(now), BaselineInterval: e.baselineInterval,
+			ID: v.ID, Slots: max(v.Slots, 1), RecentInterval: e.usableRecentInterval(now), BaselineInterval: e.baselineInterval, KindInterval: e.kindInterval,
 			Scarce: s.hasScarceRequests(v),
 		})
 		c.servers = append(c.servers, v)
@@ -560,6 +562,7 @@
 		e.KeptForOther = s.runsOrWaitsAlone(state, now) && state.alone != t
 		e.OtherSoftware = !t.mayContinueOn(state.softwareOf(c.servers[i]))
 		e.PromptCached = promptCachedOn == e.ID
+		e.MeasuredLongAgo = now-state.recentIntervalAt > baselineLifetime
 		e.Avoid = c.servers[i].Silent || state.failures > 0 || t.avoidUntil[e.ID] > now
 	}
 	return medians.ChooseEngine(c.engines, traits)
--- a/internal/scheduling/choose.go
+++ b/internal/scheduling/choose.go
@@ -25,6 +25,12 @@
 	// recentSlowdownToAvoid is the ratio of an engine's recent interval to the median above which new items go to it only
 	// if no other engine has room.
 	recentSlowdownToAvoid = 1.8
+	// unevenInterval is the ratio of an engine's kind interval to the median above which the engine counts as one of a
+	// slower kind, and unevenShare the share of such engines from which a fleet counts as uneven. In fleets of several
+	// generations a third of the engines is 2.4 times slower. In others the slowest are a third slower, and a fault slows
+	// down a fifth of them at most.
+	unevenInterval = 1.8
+	unevenShare    = 0.25
 	// RecentSlowdownToMove is the ratio of an engine's recent interval to the median above which its running items move
 	// to other engines.
 	RecentSlowdownToMove = 2.2
@@ -53,21 +59,28 @@
 	RunningLong      int     // long items among the running requests
 	RecentInterval   float64 // recent interval between events, in milliseconds; 0 if unknown
 	BaselineInterval float64 // typical interval with a single running request, in milliseconds; 0 if unknown
+	KindInterval     float64 // lowest BaselineInterval since the engine started, which faults do not raise; 0 if unknown
 	PromptCached     bool    // the engine has processed the item's prompt with the same weights
 	AtLimit          bool    // the engine limits its requests and has no permission for another one now
 	Scarce           bool    // the engine limits its requests to fewer than its slots can run
 	KeptForOther     bool    // another item runs alone here, or will
 	OtherSoftware    bool    // the item has a text that other software began
 	Avoid            bool    // the item failed here before, or the engine does not answer at present
+	MeasuredLongAgo  bool    // the engine has been idle for so long that its intervals may have changed
 }
 
 // MedianIntervals holds the medians over all engines, with which each engine is compared, in milliseconds; 0 if
 // unknown.
-type MedianIntervals struct{ Recent, Baseline float64 }
+type MedianIntervals struct {
+	Recent, Baseline float64
+	// Kind is the median of the kind intervals. Uneven is true if the fleet has a slower kind of engine.
+	Kind   float64
+	Uneven bool
+}
 
 // ComputeMedianIntervals returns the medians over the engines whose intervals are known.
 func ComputeMedianIntervals(engines []Engine) MedianIntervals {
-	var recent, baseline []float64
+	var recent, baseline, kind []float64
 	for i := range engines {
 		if engines[i].RecentInterval > 0 {
 			recent = append(recent, engines[i].RecentInterval)
@@ -75,8 +88,19 @@
 		if engines[i].BaselineInterval > 0 {
 			baseline = append(baseline, engines[i].BaselineInterval)
 		}
+		if engines[i].KindInterval > 0 {
+			kind = append(kind, engines[i].KindInterval)
+		}
+	}
+	m := MedianIntervals{Recent: median(recent), Baseline: median(baseline), Kind: median(kind)}
+	slower := 0
+	for _, k := range kind {
+		if k > unevenInterval*m.Kind {
+			slower++
+		}
 	}
-	return MedianIntervals{Recent: median(recent), Baseline: median(baseline)}
+	m.Uneven = slower > 0 && float64(slower) >= unevenShare*float64(len(kind))
+	return m
 }
 
 // ItemTraits holds the properties of an item that decide its placement.
@@ -146,10 +170,25 @@
 	}
 }
 
+// isSlow reports whether an engine gets items only if no other one has room. An engine of a slower kind stays slow while it
+// is idle: each step would otherwise send a part of its items to all of them. One item at a time finds out whether an engine
+// that was not measured lately is still slow.
 func (m MedianIntervals) isSlow(e *Engine) bool {
-	return m.Recent > 0 && e.RecentInterval > recentSlowdownToAvoid*m.Recent
+	if m.Recent > 0 && e.RecentInterval > recentSlowdownToAvoid*m.Recent {
+		return true
+	}
+	return m.Uneven && e.KindInterval > unevenInterval*m.Kind && (e.Running > 0 || !e.MeasuredLongAgo)
 }
 
+// decidingShare is the share of the longest expected run time among the unfinished items of a step from which an item may
+// decide when the step is complete. Length hints are off by half.
+const decidingShare = 0.5
+
+// MayDecideStep reports whether an item with the given expected run time left can be one of the last of its step, whose
+// longest item has longest left. Moving another one completes no step earlier, and costs a connection and the processing of
+// its prompt.
+func MayDecideStep(left, longest float64) bool { return left >= decidingShare*longest }
+
 // ExpectedInterval returns the interval between events that one more item would see on the engine, in milliseconds.
 func (m MedianIntervals) ExpectedInterval(e *Engine) float64 {
 	return cmp.Or(e.BaselineInterval, m.Baseline) * LoadSlowdown(e.Running+1, e.Slots)
--- a/internal/scheduling/trainers_test.go
+++ b/internal/scheduling/trainers_test.go
@@ -58,6 +58,11 @@
 	dark     []bool
 	planned  bool // steps are planned by PlanStep
 	now      float64
+	// adjust, if not nil, changes what is known of the candidates before the choice.
+	adjust func([]Engine, *MedianIntervals)
+	// steps counts the steps that have ended, and stepTime is the sum of their durations.
+	steps    int
+	stepTime float64
 }
 
 // newFleet returns a fleet of the given number of engines with steps of load times the work that the engines can do.
@@ -138,6 +143,7 @@
 		}
 	}
 	tr.open, tr.items = false, nil
+	f.steps, f.stepTime = f.steps+1, f.stepTime+f.now-tr.startedAt
 	tr.nextAt = max(tr.nextAt+fleetStepInterval, f.now+fleetTraining)
 }
 
@@ -187,6 +193,9 @@
 		}
 	}
 	medians := ComputeMedianIntervals(candidates)
+	if f.adjust != nil {
+		f.adjust(candidates, &medians)
+	}
 	for _, w := range waiting {
 		it := tr.items[w.ItemIndex]
 		urgent := f.now-tr.startedAt > 2 || f.planned && tr.plan.Tight
--- /dev/null
+++ b/internal/scheduling/uneven_test.go
@@ -0,0 +1,102 @@
+package scheduling
+
+import "testing"
+
+const (
+	unevenEngines  = 44
+	unevenSlowdown = 1.7 / 0.7 // of every third engine
+)
+
+// playUnevenFleet plays trainers on a fleet of which every third engine is slowdown times slower, and returns the mean
+// duration of a step. An engine that is idle has no recent interval, as in the coordinator.
+func playUnevenFleet(seed uint64, slowdown float64, useBaseline bool) float64 {
+	f := newFleet(seed, unevenEngines, true, 0.4)
+	for i := range f.engines {
+		f.engines[i].BaselineInterval = fleetEventSeconds
+		if i%3 == 2 {
+			f.engines[i].BaselineInterval *= slowdown
+		}
+		f.engines[i].RecentInterval, f.engines[i].KindInterval = f.engines[i].BaselineInterval, f.engines[i].BaselineInterval
+	}
+	f.adjust = func(candidates []Engine, m *MedianIntervals) {
+		for i := range candidates {
+			if candidates[i].Running == 0 {
+				candidates[i].RecentInterval = 0
+			}
+		}
+		m.Uneven = m.Uneven && useBaseline
+	}
+	f.divideByWork()
+	f.run()
+	return f.stepTime / float64(f.steps)
+}
+
+// TestStepsAvoidSlowerKindOfEngine guards against steps that wait for items on engines of a slower kind while faster engines
+// have room: after a short pause, idle slow engines were taken for fast ones and got a third of each step. The faster kind
+// can do the load with six tenths of its time, so that steps may last a fifth longer than on equal engines.
+func TestStepsAvoidSlowerKindOfEngine(t *testing.T) {
+	const seeds, maxLonger = 4, 0.2
+	var with, without, even float64
+	for seed := range uint64(seeds) {
+		with += playUnevenFleet(seed, unevenSlowdown, true) / seeds
+		without += playUnevenFleet(seed, unevenSlowdown, false) / seeds
+		even += playUnevenFleet(seed, 1, true) / seeds
+	}
+	t.Logf("mean step %.2f s, without the rule %.2f s, on equal engines %.2f s", with, without, even)
+	if with > (1+maxLonger)*even || with >= without {
+		t.Errorf("mean step %.2f s, without the rule %.2f s, want at most %.2f s and less", with, without, (1+maxLonger)*even)
+	}
+}
+
+// TestUnevenFleet guards against a rule for fleets of several kinds of engines that acts where a fault slows down some
+// engines, or for engines whose state is unknown.
+func TestUnevenFleet(t *testing.T) {
+	fleet := func(slow, all int) []Engine {
+		list := make([]Engine, all)
+		for i := range list {
+			list[i] = Engine{Slots: 8, KindInterval: 40}
+			if i < slow {
+				list[i].KindInterval = 97
+			}
+		}
+		return list
+	}
+	for _, tc := range []struct {
+		name   string
+		fleet  []Engine
+		uneven bool
+	}{{"a third", fleet(15, 44), true}, {"a fifth", fleet(9, 44), false}, {"none", fleet(0, 44), false}, {"no engines", nil, false}} {
+		if got := ComputeMedianIntervals(tc.fleet); got.Uneven != tc.uneven {
+			t.Errorf("%s slow: uneven %t", tc.name, got.Uneven)
+		}
+	}
+	m := MedianIntervals{Recent: 40, Kind: 40, Uneven: true}
+	for _, tc := range []struct {
+		name   string
+		engine Engine
+		slow   bool
+	}{
+		{"idle, measured", Engine{KindInterval: 97}, true},
+		{"idle, measured long ago", Engine{KindInterval: 97, MeasuredLongAgo: true}, false},
+		{"runs one item that measures it", Engine{KindInterval: 97, MeasuredLongAgo: true, Running: 1}, true},
+		{"fast", Engine{KindInterval: 44}, false},
+		{"slowed down by a fault", Engine{BaselineInterval: 97, KindInterval: 40}, false},
+		{"unknown", Engine{}, false},
+	} {
+		if got := m.isSlow(&tc.engine); got != tc.slow {
+			t.Errorf("%s: slow %t", tc.name, got)
+		}
+	}
+}
+
+// TestMayDecideStep guards against moves of items that end before others of their step in any case.
+func TestMayDecideStep(t *testing.T) {
+	for _, tc := range []struct {
+		left, longest float64
+		want          bool
+	}{{4, 4, true}, {2, 4, true}, {1, 4, false}, {0, 0, true}} {
+		if got := MayDecideStep(tc.left, tc.longest); got != tc.want {
+			t.Errorf("%g of %g s: %t", tc.left, tc.longest, got)
+		}
+	}
+}
