Announcements: spot servers and the time until a server is gone

Cause: capacity orders count spot servers separately and must tell a reclaimed server from one that was given back.

Change: spot-enabled and leaves_ms are decoded into fleet.Server.Spot and LeavesIn (CBOR 12 and 13, left out if unset). Ruled out: an absolute time of departure, since the clocks of VMs differ.

--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -45,6 +45,10 @@
 	// Software is the version of the server's software, not of its weights. Servers of several versions may serve side by
 	// side in one service.
 	Software string `cbor:"11,keyasint,omitempty"`
+	// Spot is true if the provider may reclaim the server at any time.
+	Spot bool `cbor:"12,keyasint,omitempty"`
+	// LeavesIn is the time from the announcement until a leaving server is gone; 0 means unknown.
+	LeavesIn time.Duration `cbor:"13,keyasint,omitempty"`
 }
 
 // Version returns the announced version of a model, or 0 if the server has not loaded it.
--- a/internal/fleet/validate.go
+++ b/internal/fleet/validate.go
@@ -42,6 +42,9 @@
 	if s.Incarnation < 0 || s.Sequence > maxCount {
 		return invalidServer(s, "start time %d is negative, or sequence number %d exceeds %d", s.Incarnation, s.Sequence, uint64(maxCount))
 	}
+	if s.LeavesIn < 0 {
+		return invalidServer(s, "it leaves in %s", s.LeavesIn)
+	}
 	if len(s.Models) > maxModels {
 		return invalidServer(s, "%d models exceed %d", len(s.Models), maxModels)
 	}
