Leader orders servers of services with autoscale

Cause: the provider adds and removes servers only on order, and one VM at a time may order.

Change: coordinator/capacity.go plans once a second while Options.Duties.OrdersServers is set and a service has Autoscale, and sends the orders that are due through callProvider, one at a time for each service and zone. The demand comes from the open batches, the moving averages of the steps' work and the run times. The base of a service that callers use too is kept, since the leader does not know their load. Targets and refusals are in memory only. Ruled out: targets in the replicated state, which would cost a commit for each change and a new command, while the announced servers tell the same.

--- a/internal/coordinator/duties.go
+++ b/internal/coordinator/duties.go
@@ -52,6 +52,7 @@
 	// CallsPerSecond is the number of calls that the provider accepts from all VMs together; 0 means no limit.
 	CallsPerSecond float64
 	OrdersServers  bool
+	Metrics        CapacityMetrics // may be nil
 	ReportsUsage   bool
 	UsageWindow    time.Duration
 	// UsageDeadline is the time after the end of a window at which its report is due.
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -207,6 +207,9 @@
 	if s.node.opts.Duties.ReportsUsage {
 		go s.memberVersionLoop()
 	}
+	if s.node.opts.Duties.OrdersServers {
+		go s.capacityLoop()
+	}
 }
 
 // serversNotInRegistry returns the servers in the replicated state that the registry of this VM does not contain, as
--- a/internal/metrics/event_metrics.go
+++ b/internal/metrics/event_metrics.go
@@ -16,6 +16,8 @@
 type EventMetrics struct {
 	events    metric.Int64Counter
 	durations metric.Float64Histogram
+	servers   metric.Int64Gauge
+	orders    metric.Int64Counter
 	handler   http.Handler
 }
 
@@ -29,6 +31,8 @@
 	p := &EventMetrics{
 		events:    b.counter("filbertledge.events", "Events of the log by name; names of failures are counted like the others."),
 		durations: b.seconds("filbertledge.event.duration", "Time that what ended with the event took, by name."),
+		servers:   b.gauge("filbertledge.capacity.servers", "Servers by service, zone, kind and state: wanted or announced. 0 on VMs that do not lead."),
+		orders:    b.counter("filbertledge.capacity.orders", "Orders of servers by service, zone, kind and result."),
 		handler:   handler,
 	}
 	return p, b.err
@@ -45,3 +49,15 @@
 		p.durations.Record(context.Background(), took.Seconds(), attrs)
 	}
 }
+
+// CapacityServers sets the number of servers of a kind in a zone. state is "wanted" or "announced".
+func (p *EventMetrics) CapacityServers(service, zone, kind, state string, servers int) {
+	p.servers.Record(context.Background(), int64(servers), metric.WithAttributes(
+		attribute.String("service", service), attribute.String("zone", zone), attribute.String("kind", kind), attribute.String("state", state)))
+}
+
+// CapacityOrder counts an order of servers. result is "ok" or an errs.Kind.
+func (p *EventMetrics) CapacityOrder(service, zone, kind, result string) {
+	p.orders.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.String("service", service), attribute.String("zone", zone), attribute.String("kind", kind), attribute.String("result", result)))
+}
--- a/internal/metrics/event_metrics_test.go
+++ b/internal/metrics/event_metrics_test.go
@@ -17,10 +17,12 @@
 	p.Event("request.refused", 0)
 	p.Event("request.finished", 30*time.Millisecond)
 	p.Event("request.finished", 40*time.Millisecond)
+	p.CapacityServers("llm", "a", "spot", "wanted", 3)
+	p.CapacityOrder("llm", "a", "spot", "ok")
 	w := httptest.NewRecorder()
 	p.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
 	got := w.Body.String()
-	for _, want := range []string{`event="request.refused"`, `event="request.finished"`, "filbertledge_event_duration_seconds_bucket"} {
+	for _, want := range []string{`event="request.refused"`, `event="request.finished"`, "filbertledge_event_duration_seconds_bucket", `filbertledge_capacity_servers{`, `state="wanted"`, "filbertledge_capacity_orders_total{"} {
 		if !strings.Contains(got, want) {
 			t.Errorf("no %s in the metrics", want)
 		}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -109,6 +109,12 @@
 	return c
 }
 
+func (b *instrumentBuilder) gauge(name, help string) metric.Int64Gauge {
+	g, err := b.meter.Int64Gauge(name, metric.WithDescription(help))
+	b.keepFirstError(err)
+	return g
+}
+
 func (b *instrumentBuilder) seconds(name, help string) metric.Float64Histogram {
 	h, err := b.meter.Float64Histogram(name, metric.WithDescription(help), metric.WithUnit("s"),
 		metric.WithExplicitBucketBoundaries(secondsBuckets...))
