--- a/internal/coordinator/capacity.go
+++ b/internal/coordinator/capacity.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -21,6 +22,10 @@
 	capacityInterval = time.Second
 	// trainerIdle is the time without a step after which a trainer's usual work no longer counts. Steps arrive every few seconds.
 	trainerIdle = 30 * time.Second
+	// forgetTrainer is the time without a step after which nothing is kept of a trainer.
+	forgetTrainer = 10 * time.Minute
+	// usualSlots is assumed until a server is known.
+	usualSlots = 8
 	// stepIntervalWeight is the weight of a new measurement in the averages of the time between steps and between versions.
 	stepIntervalWeight = 0.2
 	// minStepInterval is the shortest measurement of the time between steps. A new leader adds all open batches at once.
@@ -146,6 +151,7 @@
 	for model, count := range fresh {
 		c.steps[model].add(newest[model], count)
 	}
+	maps.DeleteFunc(c.steps, func(_ string, e *paceEstimate) bool { return now-e.last > forgetTrainer })
 	for model, version := range s.node.state.Versions() {
 		v := c.versions[model]
 		if v == nil {
@@ -215,8 +221,11 @@
 		zones = append(zones, *z)
 	}
 	slices.SortFunc(zones, func(a, b scheduling.ObservedZone) int { return strings.Compare(a.Name, b.Name) })
-	if service.Slots > 0 {
+	switch {
+	case service.Slots > 0:
 		slots = float64(service.Slots)
+	case slots == 0:
+		slots = usualSlots
 	}
 	return zones, slots
 }
--- a/internal/scheduling/capacity.go
+++ b/internal/scheduling/capacity.go
@@ -136,6 +136,14 @@
 	History  []DemandSample // of the former plan
 }
 
+// atMost returns n, or MaxServers if that is lower.
+func (in *CapacityInput) atMost(n int) int {
+	if in.MaxServers > 0 {
+		return min(n, in.MaxServers)
+	}
+	return n
+}
+
 // WantedServers are the wanted servers of a zone.
 type WantedServers struct {
 	Zone                string
@@ -174,7 +182,7 @@
 	p.Servers = p.within(p.Demand / perServer)
 	for i := range in.Zones {
 		z := &in.Zones[i]
-		p.Zones = append(p.Zones, WantedServers{Zone: z.Name, Base: max(z.Base, in.MinServers)})
+		p.Zones = append(p.Zones, WantedServers{Zone: z.Name, Base: in.atMost(max(z.Base, in.MinServers))})
 	}
 	floor := p.within(lossNeed / (max(in.SlotsPerServer, 1) * lossUse))
 	p.lowerBase(&in, floor, perServer)
@@ -304,6 +312,7 @@
 		if s.Overdue && missing > 0 {
 			w.Spot = s.Ordered // the order is repeated; other zones take its part
 		}
+		w.Spot = max(in.atMost(w.Base+w.Spot)-w.Base, 0)
 	}
 	canAdd := func(z *CapacityZone, w *WantedServers) bool {
 		return in.SpotPrice > 0 && z.Spot.RefusedUntil <= in.Now && !z.Spot.Overdue && !z.cutOff() && hasRoom(in, w.Base+w.Spot)
--- a/internal/scheduling/capacity_test.go
+++ b/internal/scheduling/capacity_test.go
@@ -14,6 +14,7 @@
 	booting     map[string]*[2][]float64 // times at which servers are ready
 	leaving     map[string]int           // spot servers that leave
 	cut         map[string]bool
+	hidden      bool               // servers run and do not announce themselves
 	ignoring    map[string]bool    // zones whose orders are accepted and have no effect
 	unavailable map[string]float64 // until when there are no spot servers
 	late        []lateOrder
@@ -110,6 +111,9 @@
 func (f *fakeSite) observe() (zones []ObservedZone, slots float64) {
 	for _, name := range f.names {
 		z := ObservedZone{Name: name, Price: sitePrices[name], Announced: *f.live[name], Leaving: [2]int{0, f.leaving[name]}}
+		if f.hidden {
+			z.Announced, z.Leaving = [2]int{}, [2]int{}
+		}
 		if f.cut[name] {
 			z.Silent = z.Announced
 		} else {
@@ -182,6 +186,10 @@
 			check: wantLive("a", 15, 6), // half of the spot servers
 		},
 		{name: "zone that ignores orders", demand: after(usual, 550), change: func(f *fakeSite) { f.ignoring["a"] = true }, until: 100, maxShort: 14, maxCost: 1.15, orders: 10},
+		{
+			name: "servers that are announced late", demand: after(usual, usual), until: 140, maxCost: 1.1, orders: 50,
+			setup: func(f *fakeSite) { f.hidden = true }, change: func(f *fakeSite) { f.hidden = false }, check: wantLive("a", 15, 0),
+		},
 		{name: "lost orders", demand: after(usual, large), change: func(f *fakeSite) { f.lost = 3 }, until: 100, maxShort: 7, maxCost: 1.1, orders: 6},
 		{
 			name: "older order carried out late", demand: after(large, large), change: func(f *fakeSite) { f.carryOut(ServerOrder{"b", SpotServers, 0}) }, until: 50,
--- a/internal/scheduling/capacityorders.go
+++ b/internal/scheduling/capacityorders.go
@@ -32,6 +32,11 @@
 	// to this VM yet. spotGrace is the same for orders of further spot servers.
 	startGrace = 10.0
 	spotGrace  = 2.0
+	// unseenGrace is the same for regular servers of a zone from which no server has announced itself in this leadership. An order
+	// for such a zone may give back servers that run, but that this VM does not hear of.
+	unseenGrace = 60.0
+	// minBootTime is the shortest boot time that is assumed; servers announce themselves about every second.
+	minBootTime = 2.0
 	// leavingCredit is how long a leaving spot server may be explained by an earlier reduction.
 	leavingCredit = 20.0
 )
@@ -84,6 +89,7 @@
 	ObservedZone
 	base        int
 	baseKnown   bool // the base no longer follows the announced servers
+	seen        bool // a server has announced itself in this leadership
 	sending     bool
 	nextReduced float64 // no reduction before
 	kinds       [2]trackedKind
@@ -120,6 +126,7 @@
 
 // Plan takes the announced servers and makes a plan with them. Zones and History of in are set by the tracker.
 func (t *CapacityTracker) Plan(in CapacityInput, observed []ObservedZone) CapacityPlan {
+	in.BootTime = max(in.BootTime, minBootTime)
 	t.bootTime = in.BootTime
 	in.History, in.Zones = t.history, nil
 	seen := map[string]bool{}
@@ -179,8 +186,9 @@
 		}
 	}
 	z.ObservedZone = o
-	if !z.baseKnown {
-		z.base = max(z.base, o.Announced[RegularServers])
+	z.seen = z.seen || o.Announced != [2]int{} || o.Leaving != [2]int{}
+	if regular := &z.kinds[RegularServers]; !z.baseKnown || !regular.sent && o.Announced[RegularServers] > regular.ordered {
+		z.base = max(z.base, o.Announced[RegularServers]) // servers that exist without an order are kept
 		z.baseKnown = now-t.startedAt >= startGrace
 	}
 	for kind := range z.kinds {
@@ -235,7 +243,14 @@
 func (t *CapacityTracker) dueServers(z *trackedZone, kind ServerKind, now float64) (int, bool) {
 	k := &z.kinds[kind]
 	age := now - t.startedAt
-	if now < k.notBefore || kind == RegularServers && age < startGrace || age < spotGrace {
+	grace := spotGrace
+	if kind == RegularServers {
+		grace = startGrace
+		if !z.seen {
+			grace = unseenGrace
+		}
+	}
+	if now < k.notBefore || age < grace {
 		return 0, false
 	}
 	n, announced := k.wanted, z.Announced[kind]
