Capacity orders: keep the base while the load of trainers is unknown between steps

Cause: steps without length hints or without a due time count as unknown load only while one of their batches was open. In a pause between two steps the demand counted as zero, and after a minute the base would have been given back.

Ruled out: a guess of the work from the number of items, for which no run time is known either.

Measured: TestDemandTellsUnknownLoad passes with -race; without the rule the cases "no run times" and "no due time" fail.

--- a/internal/coordinator/capacity.go
+++ b/internal/coordinator/capacity.go
@@ -246,7 +246,7 @@
 }
 
 // demand returns the work of the trainers that use a service. other is true if it is used by load whose work is not known: callers'
-// requests, and batches before the first item has run or without a time at which they are due.
+// requests, and trainers before the first of their items has run, or whose steps have no length hints or no due time.
 func (c *capacity) demand(configuration *routes.Configuration, service *routes.Service, now time.Duration) (trainers []scheduling.TrainerDemand, other bool) {
 	for i := range configuration.Routes {
 		r := &configuration.Routes[i]
@@ -258,10 +258,16 @@
 	byModel := map[string]*scheduling.TrainerDemand{}
 	for model, e := range c.steps {
 		route := configuration.Match(e.host, e.path)
-		if share := shareOf(route, service.Name); share > 0 && now-e.last <= trainerIdle && s.runTimes.hint > 0 {
-			work := share * s.stepWork[model] * s.runTimes.seconds / s.runTimes.hint
-			byModel[model] = &scheduling.TrainerDemand{UsualWork: work, Due: route.CompletionTarget.Seconds(), Interval: e.interval}
+		share := shareOf(route, service.Name)
+		if share == 0 || now-e.last > trainerIdle {
+			continue
+		}
+		if s.runTimes.hint == 0 || route.CompletionTarget <= 0 {
+			other = true
+			continue
 		}
+		work := share * s.stepWork[model] * s.runTimes.seconds / s.runTimes.hint
+		byModel[model] = &scheduling.TrainerDemand{UsualWork: work, Due: route.CompletionTarget.Seconds(), Interval: e.interval}
 	}
 	for _, b := range s.batchesByAge {
 		route := configuration.Match(b.Host, b.Path)
--- a/internal/coordinator/capacity_test.go
+++ b/internal/coordinator/capacity_test.go
@@ -171,3 +171,32 @@
 		t.Errorf("got %+v, %g slots", zones, slots)
 	}
 }
+
+// Guards against servers that are given back because the leader does not know the load of their service: callers' requests, steps
+// without length hints, and steps without a due time.
+func TestDemandTellsUnknownLoad(t *testing.T) {
+	const now = time.Minute
+	service := &routes.Service{Name: testService}
+	rollouts := routes.Route{Host: testHost, Prefix: "/p/", Kind: routes.Rollout, CompletionTarget: 7500 * time.Millisecond, ServiceWeights: []routes.ServiceWeight{{Service: testService, Weight: 1}, {Service: "other", Weight: 3}}}
+	noDue, callers := rollouts, rollouts
+	noDue.CompletionTarget = 0
+	callers.Prefix, callers.Kind = "/c/", routes.Streaming
+	for name, tc := range map[string]struct {
+		routes   []routes.Route
+		runTimes runTimes
+		lastStep time.Duration
+		trainers int
+		other    bool
+	}{
+		"known": {[]routes.Route{rollouts}, runTimes{100, 5, 2}, now, 1, false}, "idle trainer": {[]routes.Route{rollouts}, runTimes{}, now - trainerIdle - 1, 0, false},
+		"no run times": {[]routes.Route{rollouts}, runTimes{}, now, 0, true}, "no due time": {[]routes.Route{noDue}, runTimes{100, 5, 2}, now, 0, true},
+		"callers": {[]routes.Route{rollouts, callers}, runTimes{100, 5, 2}, now, 1, true},
+	} {
+		s := &session{stepWork: map[string]float64{testModel: 4000}, runTimes: tc.runTimes}
+		c := &capacity{session: s, steps: map[string]*paceEstimate{testModel: {last: tc.lastStep, host: testHost, path: "/p/x"}}}
+		trainers, other := c.demand(&routes.Configuration{Routes: tc.routes}, service, now)
+		if len(trainers) != tc.trainers || other != tc.other || len(trainers) > 0 && trainers[0].UsualWork != 4000*2/100/4 {
+			t.Errorf("%s: got %+v, other load %t", name, trainers, other)
+		}
+	}
+}
