Capacity orders: added regular servers go back with the usual work

Cause: regular servers that the usual work needed for some seconds stayed until the demand was under a third of all of them for a minute. The usual work is an estimate that rises with slow runs.

Change: the base of the start is kept apart from the servers that the usual work of the last minute adds. Ruled out: smoothing the estimate further, which would delay servers that are needed.

--- a/internal/scheduling/capacity.go
+++ b/internal/scheduling/capacity.go
@@ -119,7 +119,11 @@
 }
 
 // DemandSample is the demand at a time.
-type DemandSample struct{ At, Slots float64 }
+type DemandSample struct {
+	At     float64
+	Slots  float64 // to do the work of the steps in dueShare of the time until due
+	InTime float64 // slots to do the usual work just in time
+}
 
 // CapacityInput describes a service. Bounds are for each zone and both kinds of servers together.
 type CapacityInput struct {
@@ -148,6 +152,8 @@
 type WantedServers struct {
 	Zone                string
 	Regular, Spot, Base int
+	// Kept is the base without the servers that only the usual work of the last lowHold asks for.
+	Kept int
 }
 
 // CapacityPlan is the result of PlanCapacity.
@@ -169,23 +175,27 @@
 // above their capacity. Regular servers are added for spot servers that cannot be had in any zone.
 func PlanCapacity(in CapacityInput) CapacityPlan {
 	perServer := max(in.SlotsPerServer, 1) * plannedUse
-	now, lossNeed := 0.0, 0.0
+	now, usualInTime := 0.0, 0.0
 	for i := range in.Trainers {
 		usual, open := in.Trainers[i].slots(dueShare, in.BootTime)
 		now += max(usual, open)
 		inTime, _ := in.Trainers[i].slots(1, in.BootTime)
-		lossNeed += inTime
+		usualInTime += inTime
 	}
-	p := CapacityPlan{History: addSample(in.History, DemandSample{in.Now, now})}
-	p.Demand = peakSince(p.History, in.Now-demandHold)
+	p := CapacityPlan{History: addSample(in.History, DemandSample{in.Now, now, usualInTime})}
+	p.Demand, _ = peaksSince(p.History, in.Now-demandHold)
 	p.Limit = loadLimit(&in)
 	p.Servers = p.within(p.Demand / perServer)
 	for i := range in.Zones {
 		z := &in.Zones[i]
 		p.Zones = append(p.Zones, WantedServers{Zone: z.Name, Base: in.atMost(max(z.Base, in.MinServers))})
 	}
+	peak, lossNeed := peaksSince(p.History, in.Now-lowHold)
 	floor := p.within(lossNeed / (max(in.SlotsPerServer, 1) * lossUse))
-	p.lowerBase(&in, floor, perServer)
+	p.lowerBase(&in, floor, peak, perServer)
+	for i := range p.Zones {
+		p.Zones[i].Kept = p.Zones[i].Base
+	}
 	p.raiseBase(&in, floor)
 	p.planSpot(&in)
 	return p
@@ -210,14 +220,14 @@
 	return append(out, s)
 }
 
-func peakSince(history []DemandSample, since float64) float64 {
-	peak := 0.0
+// peaksSince returns the highest Slots and InTime.
+func peaksSince(history []DemandSample, since float64) (slots, inTime float64) {
 	for _, s := range history {
 		if s.At >= since {
-			peak = max(peak, s.Slots)
+			slots, inTime = max(slots, s.Slots), max(inTime, s.InTime)
 		}
 	}
-	return peak
+	return slots, inTime
 }
 
 // loadLimit returns how many engines can load the versions of the weights in time, or 0 if that is unknown. Each engine loads the
@@ -231,9 +241,8 @@
 
 // lowerBase gives back regular servers after the demand has been low for lowHold, but no more than remain with floor servers after
 // the loss of a zone.
-func (p *CapacityPlan) lowerBase(in *CapacityInput, floor int, perServer float64) {
+func (p *CapacityPlan) lowerBase(in *CapacityInput, floor int, peak, perServer float64) {
 	total := p.baseTotal()
-	peak := peakSince(p.History, in.Now-lowHold)
 	if in.KeepBase || p.History[0].At > in.Now-lowHold || peak >= lowUse*float64(total)*perServer {
 		return
 	}
--- a/internal/scheduling/capacity_test.go
+++ b/internal/scheduling/capacity_test.go
@@ -171,6 +171,15 @@
 				return nil
 			},
 		},
+		{
+			name: "more trainers for a minute", growth: large - usual, until: 400, maxShort: 5, maxCost: 1.1, orders: 40, check: wantLive("a", 15, 0),
+			demand: func(now float64) float64 {
+				if now >= changeAt && now < 2*changeAt {
+					return large
+				}
+				return usual
+			},
+		},
 		{
 			name: "pause of four seconds", until: 100, maxShort: 0, maxCost: 1.15, orders: 3,
 			demand: func(now float64) float64 {
--- a/internal/scheduling/capacityorders.go
+++ b/internal/scheduling/capacityorders.go
@@ -150,7 +150,7 @@
 		z := t.zones[w.Zone]
 		z.kinds[RegularServers].wanted, z.kinds[SpotServers].wanted = w.Regular, w.Spot
 		if z.baseKnown {
-			z.base = w.Base
+			z.base = w.Kept
 		}
 	}
 	return plan
