Workspaces of a configuration: parse, validate, look up a key

Cause: requests are to be identified by the keys of a list in the operators' configuration.

The salt is derived from the document, so all replicas that parse it derive the same digests; a key is found by the first bytes of its digest and compared in constant time. Errors name the field, never a key. Names and keys that a header cannot carry unchanged (control characters, white space at the ends, more than 4,096 bytes) are refused too, since they could never match; a key repeated within one workspace is not. Ruled out: a scan of all digests (hundreds of comparisons for each request on a fifth of a core) and a random salt (replicas would differ). `null` counts as a missing list, as for the other fields.

--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -109,6 +109,8 @@
 
 	// index is built by the first Match. Routes must not change after it.
 	index atomic.Pointer[routeIndex]
+	// keys is built by the first WorkspaceOf. Workspaces must not change after it.
+	keys atomic.Pointer[keyIndex]
 }
 
 // CurrentSchema is the schema of configurations that this build parses. Schema 0 has no workspaces, public routes and
@@ -146,7 +148,7 @@
 		}
 		routeNames[key] = r.Name
 	}
-	return nil
+	return c.validateWorkspaces()
 }
 
 func (r *Route) validate(services map[string]bool) error {
