Entry VMs identify callers by their key, and ask again before each attempt

Cause: requests on routes that are not public need a key of a workspace, and a removed key must not reach a server again, not even with a request that waits for its next attempt.

Change: after the route is found, a call is identified by its one key or refused: 401 while the configuration is confirmed to be the newest, else 503. The headers with the key and the workspace that the caller sent are dropped and the workspace's is set. Attempts, hedges, hand-overs and calls to the leader ask the newest configuration of the VM again, attempts once more when they are written. The VM that takes a request over checks the hash of the key with its own configuration. A configuration of a lower schema counts as none if the settings list workspaces; each new leader is asked for the whole one. Keys count only once a leader has confirmed the configuration since the start of the process: what a VM fetches without a leader may be an older list than before its restart. The time of the confirmation is now stored after the configuration that it confirms. Refusals are the event key.refused with a reason, also a counter. A call about a batch without a valid key goes to the leader without a workspace: batches of public routes need none. Ruled out: the key itself on the links between VMs; a salted digest there, which VMs with another version cannot check; keeping the last whole configuration beside one of a lower schema, which may keep a removed key.

Measured: the tests of internal/gateway and internal/forward pass with the race detector.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -141,6 +141,8 @@
 	Detail   string       `json:"detail,omitempty" cbor:"9,keyasint,omitempty"`
 	// Took is the duration of the operation whose end this event records; zero for any other event.
 	Took time.Duration `json:"took,omitempty" cbor:"10,keyasint,omitempty"`
+	// Reason is why a call was refused for its key, for the metrics. It is one of a few words.
+	Reason string `json:"reason,omitempty" cbor:"11,keyasint,omitempty"`
 }
 
 // Filter selects events. Empty fields select everything.
@@ -234,6 +236,7 @@
 	setIfNotEmpty(fields, "row", string(e.Row))
 	setIfNotEmpty(fields, "server", string(e.Server))
 	setIfNotEmpty(fields, "peer", string(e.Peer))
+	setIfNotEmpty(fields, "reason", e.Reason)
 	r.log.WithTime(e.Time).WithFields(fields).Log(level, e.Detail)
 }
 
@@ -250,7 +253,7 @@
 	switch n {
 	case RequestReceived, RequestDispatched, RequestHandedOver, RequestFinished, RequestLimited, ScoreRequested, SampleFinished, SampleDelivered, SampleAcknowledged:
 		return logrus.DebugLevel
-	case RequestRefused, RequestFailed, CallUnknown, TableLeaseExpired, VMLost, SwapFailed, CredentialRefused, ReplicaRefused:
+	case RequestRefused, RequestFailed, CallUnknown, TableLeaseExpired, VMLost, SwapFailed, CredentialRefused, ReplicaRefused, KeyRefused:
 		return logrus.WarnLevel
 	default:
 		return logrus.InfoLevel
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -50,6 +50,10 @@
 	Workspace string
 	// Priority is that of the workspace or, without one, of the route; 0 is the highest.
 	Priority int
+	// KeyHash is the hash of the caller's key, for a VM that takes the request over. It is nil without a Workspace.
+	KeyHash []byte
+	// Authorize, if not nil, is asked before each attempt. If it returns an error, no attempt is started.
+	Authorize func() error
 	// ConfigurationVersion is the version of the configuration that determined the route, for the log.
 	ConfigurationVersion uint64
 }
@@ -253,6 +257,7 @@
 	directRefusals int
 	alone          bool  // the request is a suspect that runs alone
 	suspicion      error // why the request may not run, if it is a suspect
+	unauthorized   error // why the caller may not send the request any more
 }
 
 // ranOn returns the servers that may have run the request.
@@ -272,6 +277,9 @@
 	hedge := time.NewTimer(max(minHedgeDelay, time.Duration(hedgeTargetFraction*float64(f.route.LatencyTarget))))
 	defer hedge.Stop()
 	if !f.startAttempt(ctx) {
+		if f.unauthorized != nil {
+			return nil, f.unauthorized
+		}
 		if f.suspicion != nil {
 			return nil, f.suspicion
 		}
@@ -397,7 +405,7 @@
 // startAttempt sends the request to the server with the lowest expected latency among those that cannot have run it and
 // whose limits admit it. Each refusal makes a server less preferred. It returns false if there is no such server.
 func (f *forwardState) startAttempt(ctx context.Context) bool {
-	if !f.checkSuspect() {
+	if !f.authorized() || !f.checkSuspect() {
 		return false
 	}
 	if f.usesPeers() {
@@ -407,7 +415,7 @@
 		return false
 	}
 	server, permittedUntil := f.chooseServer(ctx)
-	if server == nil || ctx.Err() != nil {
+	if server == nil || ctx.Err() != nil || !f.authorized() { // the choice may have waited for a permission
 		return false
 	}
 	if until := f.takeUpPermittedUntil(); until > 0 && (permittedUntil == 0 || until < permittedUntil) {
@@ -423,16 +431,35 @@
 	return true
 }
 
+// authorized reports whether the caller may still send the request. It keeps the refusal in unauthorized.
+func (f *forwardState) authorized() bool {
+	if f.request.Authorize != nil {
+		f.unauthorized = f.request.Authorize()
+	}
+	return f.unauthorized == nil
+}
+
+// permission returns what must be asked immediately before an attempt is written: whether the boot time permittedUntil has
+// passed, if it is not 0, and whether the key of the caller is still valid, since a connection may take a while.
+func (f *forwardState) permission(permittedUntil time.Duration) func() bool {
+	clock := f.forwarder.opts.Clock
+	inTime := func() bool { return permittedUntil == 0 || clock() <= permittedUntil }
+	switch authorize := f.request.Authorize; {
+	case authorize != nil && f.request.Workspace != "":
+		return func() bool { return inTime() && authorize() == nil }
+	case permittedUntil > 0:
+		return inTime
+	}
+	return nil
+}
+
 // exchange sends the request to one server, until the boot time permittedUntil if that is not 0. It is canceled when
 // Forward returns, for example because another server responded first.
 func (f *forwardState) exchange(ctx context.Context, server fleet.Server, permittedUntil time.Duration) {
 	health, clock := f.forwarder.health, f.forwarder.opts.Clock
 	health.recordStart(server.ID)
 	start := clock()
-	attempt := Attempt{TimeLeft: time.Until(f.deadline)}
-	if permittedUntil > 0 {
-		attempt.Permitted = func() bool { return clock() <= permittedUntil }
-	}
+	attempt := Attempt{TimeLeft: time.Until(f.deadline), Permitted: f.permission(permittedUntil)}
 	response, notSent, err := f.forwarder.opts.Exchanger.Exchange(ctx, server, f.request, attempt)
 	result := attemptResult{response: response, notSent: notSent, err: err, server: server}
 	if response != nil {
@@ -449,6 +476,8 @@
 func (f *forwardState) failureResponse(ctx context.Context) (*Response, error) {
 	mayHaveRun := f.pending > 0 || len(f.mayHaveRun) > 0
 	switch {
+	case !mayHaveRun && f.unauthorized != nil:
+		return nil, f.unauthorized
 	case !mayHaveRun:
 		return nil, errs.New(errs.Unavailable, "call again shortly", "no server of %s accepted the request", f.service)
 	case ctx.Err() != nil:
--- a/internal/gateway/batches.go
+++ b/internal/gateway/batches.go
@@ -26,10 +26,10 @@
 
 // SubmitBatch sends a batch to the leader and returns nil once the batch is durable. An error of kind
 // errs.Unavailable, errs.NotLeader or errs.Overloaded guarantees that this call did not add the batch.
-func (g *Gateway) SubmitBatch(ctx context.Context, b *rollout.Batch) error {
-	err := g.reserveBatch(ctx, b)
+func (g *Gateway) SubmitBatch(ctx context.Context, caller *Caller, b *rollout.Batch) error {
+	err := g.reserveBatch(ctx, caller, b)
 	if err == nil {
-		_, err = callLeader[*rollout.Batch, coordinator.Empty](ctx, g, coordinator.MethodSubmitBatch, b, batchCallTimeout)
+		_, err = callLeaderFor[*rollout.Batch, coordinator.Empty](ctx, g, caller, coordinator.MethodSubmitBatch, b, batchCallTimeout)
 	}
 	g.recordBatchEvent(events.BatchAccepted, b.ID, err)
 	if errs.Is(err, errs.Overloaded) {
@@ -39,23 +39,27 @@
 }
 
 // reserveBatch asks the leader for room for a large batch, so that it is not sent in vain.
-func (g *Gateway) reserveBatch(ctx context.Context, b *rollout.Batch) error {
+func (g *Gateway) reserveBatch(ctx context.Context, caller *Caller, b *rollout.Batch) error {
 	bytes := b.RequestBytes()
 	if bytes < coordinator.LargeBatchBytes {
 		return nil
 	}
 	q := coordinator.ReserveBatchRequest{Batch: b.ID, Bytes: bytes}
-	_, err := callLeader[coordinator.ReserveBatchRequest, coordinator.Empty](ctx, g, coordinator.MethodReserveBatch, q, batchCallTimeout)
+	_, err := callLeaderFor[coordinator.ReserveBatchRequest, coordinator.Empty](ctx, g, caller, coordinator.MethodReserveBatch, q, batchCallTimeout)
 	if errs.Is(err, errs.NotFound) {
 		return nil // a leader of an older build
 	}
 	return err
 }
 
-// ReadBatch returns the results of a batch that follow position after. If there are none yet, it waits up to wait.
-func (g *Gateway) ReadBatch(ctx context.Context, batch string, after int, wait time.Duration) (coordinator.ReadBatchReply, error) {
-	q := coordinator.ReadBatchRequest{Batch: batch, After: after, MaxWait: wait, MaxBytes: MaxPageBytes}
-	r, err := callLeader[coordinator.ReadBatchRequest, coordinator.ReadBatchReply](ctx, g, coordinator.MethodReadBatch, q, wait+batchCallTimeout)
+// ReadBatch returns the results of a batch that follow position after. If there are none yet, it waits up to wait. A batch
+// of another workspace is not found.
+func (g *Gateway) ReadBatch(ctx context.Context, caller *Caller, batch string, after int, wait time.Duration) (coordinator.ReadBatchReply, error) {
+	q := coordinator.ReadBatchRequest{Workspace: caller.Workspace, Batch: batch, After: after, MaxWait: wait, MaxBytes: MaxPageBytes}
+	r, err := callLeaderFor[coordinator.ReadBatchRequest, coordinator.ReadBatchReply](ctx, g, caller, coordinator.MethodReadBatch, q, wait+batchCallTimeout)
+	if err == nil {
+		err = caller.Check() // the key may have been removed during the wait for results
+	}
 	if err != nil {
 		g.recordBatchEvent(events.RequestFailed, batch, err)
 	}
@@ -63,9 +67,9 @@
 }
 
 // ItemBody returns the request body of a batch item whose result is not listed yet.
-func (g *Gateway) ItemBody(ctx context.Context, batch, item string) (coordinator.ItemBodyReply, error) {
-	q := coordinator.ItemBodyRequest{Batch: batch, Item: item}
-	r, err := callLeader[coordinator.ItemBodyRequest, coordinator.ItemBodyReply](ctx, g, coordinator.MethodItemBody, q, batchCallTimeout)
+func (g *Gateway) ItemBody(ctx context.Context, caller *Caller, batch, item string) (coordinator.ItemBodyReply, error) {
+	q := coordinator.ItemBodyRequest{Workspace: caller.Workspace, Batch: batch, Item: item}
+	r, err := callLeaderFor[coordinator.ItemBodyRequest, coordinator.ItemBodyReply](ctx, g, caller, coordinator.MethodItemBody, q, batchCallTimeout)
 	if err != nil {
 		g.recordBatchEvent(events.RequestFailed, item, err)
 	}
@@ -73,8 +77,9 @@
 }
 
 // EndBatch ends a batch. The error is of kind errs.NotFound if the batch does not exist.
-func (g *Gateway) EndBatch(ctx context.Context, batch string) error {
-	_, err := callLeader[coordinator.EndBatchRequest, coordinator.Empty](ctx, g, coordinator.MethodEndBatch, coordinator.EndBatchRequest{Batch: batch}, batchCallTimeout)
+func (g *Gateway) EndBatch(ctx context.Context, caller *Caller, batch string) error {
+	q := coordinator.EndBatchRequest{Batch: batch, Workspace: caller.Workspace}
+	_, err := callLeaderFor[coordinator.EndBatchRequest, coordinator.Empty](ctx, g, caller, coordinator.MethodEndBatch, q, batchCallTimeout)
 	g.recordBatchEvent(events.BatchEnded, batch, err)
 	return err
 }
@@ -85,12 +90,20 @@
 	if err != nil {
 		e.Name, e.Detail = events.RequestFailed, err.Error()
 	}
+	if reason := refusalReason(err); reason != "" {
+		e.Name, e.Reason = events.KeyRefused, reason
+	}
 	g.opts.Events.Record(e)
 }
 
 // callLeader calls a method of the leader. If the call certainly did not run, it is retried once, at the leader that
 // is known by then.
 func callLeader[Q, R any](ctx context.Context, g *Gateway, method string, request Q, timeout time.Duration) (R, error) {
+	return callLeaderFor[Q, R](ctx, g, nil, method, request, timeout)
+}
+
+// callLeaderFor is callLeader for a caller, which may be nil. Its key must still be valid when a leader has been found.
+func callLeaderFor[Q, R any](ctx context.Context, g *Gateway, caller *Caller, method string, request Q, timeout time.Duration) (R, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var zero R
@@ -99,6 +112,11 @@
 		if err != nil {
 			return zero, err
 		}
+		if caller != nil {
+			if err := caller.Check(); err != nil {
+				return zero, err
+			}
+		}
 		reply, err := link.Call[Q, R](ctx, g.client, leader, method, request)
 		notRun := errs.Is(err, errs.NotLeader) || errs.Is(err, errs.Unavailable)
 		if !notRun || !first {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,6 +3,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -55,6 +56,15 @@
 	Prober           forward.Prober
 	PeerAddress      string // where other VMs reach this one's link; empty if it takes no requests of them
 	Events           *events.Recorder
+	// MinSchema is the lowest schema of a configuration that is used. One of a lower schema, which a leader of an earlier
+	// build sends, counts as none: it does not tell which requests need a key.
+	MinSchema uint64
+	// KeyHeader and WorkspaceHeader are the names of the headers with a caller's key and with its workspace.
+	KeyHeader       string
+	WorkspaceHeader string
+	// RevokeStrictly refuses requests that need a key once the configuration has not been confirmed for RevocationTime.
+	RevokeStrictly bool
+	RevocationTime time.Duration // 0 means 5 s
 }
 
 // Gateway forwards the requests and batch calls of an entry VM. Its methods are safe for concurrent use.
@@ -84,6 +94,7 @@
 
 // New returns a gateway without a configuration. Run obtains one.
 func New(o Options) *Gateway {
+	o.RevocationTime = cmp.Or(o.RevocationTime, defaultRevocationTime)
 	registry := fleet.NewRegistry(o.AnnounceInterval)
 	g := &Gateway{opts: o, client: link.NewClient(), registry: registry, seeds: o.Seeds, leaderFound: make(chan struct{})}
 	g.requestsEnd, g.endRequests = context.WithCancel(context.Background())
@@ -103,17 +114,23 @@
 }
 
 // Ready reports whether requests can be forwarded, which needs a configuration.
-func (g *Gateway) Ready() bool { return g.configuration.Load() != nil }
+func (g *Gateway) Ready() bool { return g.Configuration() != nil }
 
 // InFlight returns the number of calls to Forward that have not returned yet.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
-// Configuration returns the configuration in force on this VM, or nil if there is none yet.
-func (g *Gateway) Configuration() *routes.Configuration { return g.configuration.Load() }
+// Configuration returns the configuration in force on this VM, or nil if there is none that it may use.
+func (g *Gateway) Configuration() *routes.Configuration {
+	c := g.configuration.Load()
+	if c == nil || c.Schema < g.opts.MinSchema {
+		return nil
+	}
+	return c
+}
 
 // RetryAfter returns the delay after which a caller that is refused with err should retry.
 func (g *Gateway) RetryAfter(err error) time.Duration {
-	if g.configuration.Load() == nil {
+	if g.Configuration() == nil {
 		return startupRetryAfter
 	}
 	var refused *forward.RefusedError
@@ -132,9 +149,9 @@
 // MatchRoute returns the route for a host and a path. The error is of kind errs.NotFound only if the leader recently
 // confirmed that the configuration without such a route is the newest, otherwise of kind errs.Unavailable.
 func (g *Gateway) MatchRoute(host, path string) (*routes.Route, error) {
-	c := g.configuration.Load()
+	c := g.Configuration()
 	if c == nil {
-		return nil, errs.New(errs.Unavailable, "call again in a second", "this VM has no configuration yet")
+		return nil, errNoConfiguration()
 	}
 	if r := c.Match(host, path); r != nil {
 		return r, nil
@@ -158,7 +175,11 @@
 	}
 	ctx, release := g.untilStop(ctx)
 	defer release()
-	return g.forwarder.Forward(ctx, r, route)
+	response, err := g.forwarder.Forward(ctx, r, route)
+	if refusalReason(err) != "" {
+		g.RecordRefusal(r.ID, err)
+	}
+	return response, err
 }
 
 // RecordRefusal records an event for a refused call, with the version of the configuration that was in force.
@@ -168,7 +189,11 @@
 		age := boottime.Now() - time.Duration(g.confirmedAt.Load())
 		detail = fmt.Sprintf("configuration %d, confirmed %s ago", c.Version, age.Round(time.Millisecond))
 	}
-	g.opts.Events.Record(events.Event{Name: events.RequestRefused, Request: id, Detail: detail + ": " + err.Error()})
+	e := events.Event{Name: events.RequestRefused, Request: id, Detail: detail + ": " + err.Error()}
+	if reason := refusalReason(err); reason != "" {
+		e.Name, e.Reason = events.KeyRefused, reason
+	}
+	g.opts.Events.Record(e)
 }
 
 const (
@@ -228,7 +253,7 @@
 	lostAt := time.Now()
 	for ctx.Err() == nil {
 		leader := g.currentLeader()
-		if leader == "" && g.configuration.Load() == nil {
+		if leader == "" && g.Configuration() == nil {
 			go g.fetchUnconfirmed(ctx)
 		}
 		if leader == "" {
@@ -246,12 +271,15 @@
 			forward.SleepWithJitter(ctx, leaderRetryDelay)
 			continue
 		}
-		g.confirmedAt.Store(int64(confirmationTime(sentAt, boottime.Now(), reply.Held)))
+		receivedAt := boottime.Now()
 		if q.Term != reply.Term {
 			g.limiter.wakeReports() // a new leader may not know the limits yet
+			q.ConfigurationVersion = g.versionForLeader(q.ConfigurationVersion)
 		}
 		q.Term, q.ServersRevision, q.LimitsRevision, q.SuspectsRevision = reply.Term, reply.ServersRevision, reply.LimitsRevision, reply.SuspectsRevision
 		g.applyReply(reply, &q)
+		// Only now is the configuration that the reply confirms in force.
+		g.confirmedAt.Store(int64(confirmationTime(sentAt, receivedAt, reply.Held)))
 		g.suspects.merge(reply.Suspects)
 		if q.PeersDigest = reply.PeersDigest; reply.PeersSent {
 			g.handover.setPeers(reply.Peers)
@@ -290,17 +318,22 @@
 		if !g.installIfNewer(c) {
 			return // this version was already in force, unconfirmed, and its event is recorded
 		}
+		if c.Schema < g.opts.MinSchema {
+			g.opts.Events.Record(events.Event{Name: events.ConfigurationRefused, Detail: describeVersion(c.Version, reply.Term) + " does not tell which requests need a key: the leader runs an earlier build; requests are refused"})
+			return
+		}
 		g.opts.Events.Record(events.Event{Name: events.ConfigurationInForce, Detail: describeVersion(c.Version, reply.Term)})
 	}
 }
 
-// installIfNewer puts a configuration in force unless its version is at most the current one. It reports whether it
-// did.
+// installIfNewer puts a configuration in force unless its version is at most the current one. The same version with a
+// higher schema is newer: the earlier build that sent the current one left parts of the document out. It reports whether
+// it did.
 func (g *Gateway) installIfNewer(c *routes.Configuration) bool {
 	c.Document = nil // only the leader needs the document
 	for {
 		current := g.configuration.Load()
-		if current != nil && current.Version >= c.Version {
+		if current != nil && (current.Version > c.Version || current.Version == c.Version && current.Schema >= c.Schema) {
 			return false
 		}
 		if g.configuration.CompareAndSwap(current, c) {
@@ -309,6 +342,15 @@
 	}
 }
 
+// versionForLeader returns the version of the configuration that a new leader is told: none if an earlier build sent the
+// configuration, since the new leader may send it with everything that its document holds.
+func (g *Gateway) versionForLeader(held uint64) uint64 {
+	if c := g.configuration.Load(); c != nil && c.Schema < routes.CurrentSchema {
+		return 0
+	}
+	return held
+}
+
 func (g *Gateway) currentLeader() string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -55,6 +55,11 @@
 	TakenUpAttempt       string           `cbor:"13,keyasint,omitempty"` // of the stream that the request continues
 	NewConnection        bool             `cbor:"14,keyasint,omitempty"`
 	Excluded             []string         `cbor:"15,keyasint,omitempty"` // servers that may have run the request
+	// Workspace, Priority and KeyHash are those of the caller, if its configuration has workspaces and the route is not
+	// public.
+	Workspace string `cbor:"16,keyasint,omitempty"`
+	Priority  int    `cbor:"17,keyasint,omitempty"`
+	KeyHash   []byte `cbor:"18,keyasint,omitempty"`
 }
 
 // handoverReply holds the response of a server, or an error. Without a response, Ran is empty if the request did not run.
@@ -139,6 +144,7 @@
 	q := handoverRequest{
 		VM: h.gateway.opts.Name, Number: h.last.Add(1), ConfigurationVersion: r.ConfigurationVersion, ID: r.ID, Method: r.Method, URI: r.URI, Path: r.Path, Host: r.Host,
 		Headers: toLink(r.Headers), Body: r.Body, TimeLeft: timeLeft, NewConnection: r.NewConnection, Excluded: excluded,
+		Workspace: r.Workspace, Priority: r.Priority, KeyHash: r.KeyHash,
 	}
 	if r.TakeUp != nil {
 		q.TakesUp, q.TakenUpAttempt = true, r.TakeUp.Attempt
@@ -154,7 +160,7 @@
 		return nil, nil, notSent, errs.Wrap(err, errs.BackendFailed, "call again if the call may be repeated", "VM %s did not answer for the servers", p.VM)
 	}
 	if !reply.HasResponse {
-		if len(reply.Ran) == 0 {
+		if len(reply.Ran) == 0 && reply.Kind != errs.Unauthenticated {
 			h.avoidPeer(p.VM)
 		}
 		return nil, reply.Ran, len(reply.Ran) == 0, errs.New(reply.Kind, "call again if the call may be repeated", "VM %s: %s", p.VM, reply.Message)
@@ -216,7 +222,10 @@
 	if !h.accepts() {
 		return ctx, nil, errs.New(errs.Unavailable, "ask another VM", "this VM is cut off from the servers itself, starts or stops")
 	}
-	if c := h.gateway.Configuration(); c.Version < q.ConfigurationVersion {
+	if c := h.gateway.Configuration(); c == nil || c.Version < q.ConfigurationVersion {
+		if c == nil {
+			return ctx, nil, errNoConfiguration()
+		}
 		return ctx, nil, errs.New(errs.Unavailable, "ask another VM", "this VM has configuration %d, older than %d", c.Version, q.ConfigurationVersion)
 	}
 	h.mu.Lock()
@@ -242,12 +251,18 @@
 	if err != nil {
 		return handoverReply{Kind: errs.Unavailable, Message: err.Error()}, nil
 	}
+	caller, headers, err := h.gateway.takeOver(route, &q)
+	if err != nil {
+		h.gateway.RecordRefusal(q.ID, err)
+		return handoverReply{Kind: errs.KindOf(err), Message: err.Error()}, nil
+	}
 	once := *route
 	once.MaxAttempts = 1 // the VM that received the request counts the attempts
 	r := &forward.Request{
-		ID: q.ID, Method: q.Method, URI: q.URI, Path: q.Path, Host: q.Host, Headers: fromLink(q.Headers), Body: q.Body, Deadline: time.Now().Add(q.TimeLeft),
+		ID: q.ID, Method: q.Method, URI: q.URI, Path: q.Path, Host: q.Host, Headers: headers, Body: q.Body, Deadline: time.Now().Add(q.TimeLeft),
 		NewConnection: q.NewConnection, From: cmp.Or(q.VM, "unknown"), Excluded: q.Excluded,
 	}
+	caller.Identify(r, &once)
 	if q.TakesUp {
 		r.TakeUp = &forward.TakeUp{Attempt: q.TakenUpAttempt}
 	}
--- a/internal/metrics/event_metrics.go
+++ b/internal/metrics/event_metrics.go
@@ -16,6 +16,7 @@
 type EventMetrics struct {
 	events    metric.Int64Counter
 	durations metric.Float64Histogram
+	refusals  metric.Int64Counter
 	handler   http.Handler
 }
 
@@ -28,6 +29,7 @@
 	b := instrumentBuilder{meter: meter}
 	p := &EventMetrics{
 		events:    b.counter("filbertledge.events", "Events of the log by name; names of failures are counted like the others."),
+		refusals:  b.counter("filbertledge.keys.refused", "Calls refused for their key, by reason."),
 		durations: b.seconds("filbertledge.event.duration", "Time that what ended with the event took, by name."),
 		handler:   handler,
 	}
@@ -45,3 +47,8 @@
 		p.durations.Record(context.Background(), took.Seconds(), attrs)
 	}
 }
+
+// KeyRefused counts a call that was refused for its key.
+func (p *EventMetrics) KeyRefused(reason string) {
+	p.refusals.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
+}
