--- a/internal/coordinator/admission.go
+++ b/internal/coordinator/admission.go
@@ -103,5 +103,5 @@
 		return rollout.Outcome{}, err
 	}
 	defer s.reservations.release(b.ID)
-	return s.node.propose(ctx, rollout.Command{Accept: b})
+	return s.node.propose(ctx, rollout.Command{Accept: b, Requires: requiredVersion(b)})
 }
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -284,7 +284,13 @@
 
 func (s *session) submit(ctx context.Context, b *rollout.Batch) (Empty, error) {
 	b.Submitted = time.Now().UnixMilli()
+	if err := s.checkWorkspace(b, s.membersStateVersion); err != nil {
+		return Empty{}, err
+	}
 	o, err := s.submitWithRoom(ctx, b)
+	if err == nil && !o.Changed {
+		err = s.checkOwner(b) // another workspace may have submitted the ID at the same time
+	}
 	if err != nil {
 		return Empty{}, err
 	}
@@ -297,6 +303,9 @@
 	defer timeout.Stop()
 	for waiting := q.MaxWait > 0; ; {
 		changed := s.node.state.Changed()
+		if !s.mayAccess(q.Batch, q.Workspace) {
+			return ReadBatchReply{}, s.checkLeadership()
+		}
 		page, found, err := s.node.state.ReadResults(q.Batch, q.After, q.MaxBytes)
 		if err != nil {
 			return ReadBatchReply{}, err
@@ -317,12 +326,20 @@
 }
 
 func (s *session) body(_ context.Context, q ItemBodyRequest) (ItemBodyReply, error) {
+	if !s.mayAccess(q.Batch, q.Workspace) {
+		return ItemBodyReply{}, s.checkLeadership()
+	}
 	body, found, _ := s.node.state.ItemBody(q.Batch, q.Item)
 	return ItemBodyReply{Found: found, Body: body}, s.checkLeadership()
 }
 
 func (s *session) end(ctx context.Context, q EndBatchRequest) (Empty, error) {
-	o, err := s.node.propose(ctx, rollout.Command{EndBatch: q.Batch})
+	o := rollout.Outcome{}
+	owner, _ := s.node.state.BatchWorkspace(q.Batch)
+	err := s.checkLeadership()
+	if owner == "" || owner == q.Workspace {
+		o, err = s.node.propose(ctx, rollout.Command{EndBatch: q.Batch})
+	}
 	if err != nil {
 		return Empty{}, err
 	}
@@ -458,6 +475,7 @@
 		return Empty{}, err
 	}
 	s.record(events.Event{Name: events.ConfigurationAccepted, Detail: describeVersions(c.Version, 0)})
+	s.askForWorkspaces()
 	return Empty{}, nil
 }
 
--- a/internal/coordinator/engine.go
+++ b/internal/coordinator/engine.go
@@ -25,6 +25,10 @@
 	AfterEvent int
 	// TimeLeft is how long the result remains useful.
 	TimeLeft time.Duration
+	// Workspace is the workspace of the batch, which the engine is told. WithoutIdentity drops the headers of the item that
+	// state a key or a workspace.
+	Workspace       string
+	WithoutIdentity bool
 	// Permitted, if not nil, must be asked immediately before the request is written. If it returns false, the request
 	// must not be sent, and Start fails with NotPermitted.
 	Permitted func() bool
--- a/internal/coordinator/placement.go
+++ b/internal/coordinator/placement.go
@@ -171,7 +171,10 @@
 	})
 	g := GenerationRequest{
 		ID: item.ID, Host: t.batch.Host, Path: item.Path, Headers: item.Headers, Body: item.Body,
-		AfterEvent: t.events, TimeLeft: time.Until(t.batch.giveUpAt),
+		AfterEvent: t.events, TimeLeft: time.Until(t.batch.giveUpAt), Workspace: t.batch.Workspace,
+	}
+	if c := s.node.state.Configuration(); t.batch.Workspace != "" || c != nil && c.RequiresKeys {
+		g.WithoutIdentity = true
 	}
 	if _, limited := s.node.limits.Get(v.ID); limited {
 		g.Permitted = func() bool { return boottime.Now()-now <= ratelimit.PermissionLifetime }
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -35,8 +35,8 @@
 
 	mu             sync.Mutex
 	batches        map[string]*batch
-	batchesByAge   []*batch        // oldest first
-	seenGroups     map[string]bool // names of groups of earlier batches
+	batchesByAge   []*batch         // oldest first
+	seenGroups     map[ownedID]bool // names of groups of earlier batches
 	engines        map[string]*engineState
 	runningItems   int
 	limits         *ratelimit.Allocator
@@ -60,8 +60,8 @@
 	packedList     []byte // the servers at packedRevision of the registry, packed
 	packedRevision uint64
 
-	// reusableTexts holds the texts of unfinished groups of ended batches, by item ID.
-	reusableTexts map[string]rollout.Partial
+	// reusableTexts holds the texts of unfinished groups of ended batches, by item.
+	reusableTexts map[ownedID]rollout.Partial
 }
 
 // batch is a batch that has not ended.
@@ -174,8 +174,8 @@
 		reservations: reservations{limit: int64(openBatchesFraction * float64(n.opts.MemoryLimit))},
 		handedOver:   make(chan struct{}), dutyLimiter: newDutyLimiter(n.opts.Duties),
 		node: n, ctx: ctx, term: term, limits: ratelimit.NewAllocator(n.limits, boottime.Now()), peers: newPeerTable(),
-		batches: map[string]*batch{}, seenGroups: map[string]bool{}, engines: map[string]*engineState{}, promptCachedOn: map[string]string{},
-		reusableTexts: map[string]rollout.Partial{}, publishedAt: map[string]time.Duration{},
+		batches: map[string]*batch{}, seenGroups: map[ownedID]bool{}, engines: map[string]*engineState{}, promptCachedOn: map[string]string{},
+		reusableTexts: map[ownedID]rollout.Partial{}, publishedAt: map[string]time.Duration{},
 		serversSignal: make(chan struct{}), results: make(chan rollout.BatchResult, resultQueueSize),
 		schedulerWake: make(chan struct{}, 1), loaderWake: make(chan struct{}, 1), scorerWake: make(chan struct{}, 1),
 		stepWork: map[string]float64{}, unscored: map[*task]bool{}, runningCalls: map[string]int{},
@@ -204,6 +204,7 @@
 	go s.progressLoop()
 	go s.handOver()
 	go s.loadLoop()
+	s.askForWorkspaces()
 	if s.node.opts.Duties.ReportsUsage {
 		go s.memberVersionLoop()
 	}
@@ -257,7 +258,7 @@
 		b.meanLength += float64(item.LengthHint) / float64(len(b.Items))
 		g := b.groups[item.Group]
 		if g == nil {
-			g = &group{index: len(b.groups), carriedOver: item.Group != "" && s.seenGroups[item.Group]}
+			g = &group{index: len(b.groups), carriedOver: item.Group != "" && s.seenGroups[ownedID{b.Workspace, item.Group}]}
 			b.groups[item.Group] = g
 		}
 		t := &task{batch: b, item: i, group: g, avoidUntil: map[string]time.Duration{}, waitingSince: b.addedAt, digest: digestOf(&b.Batch, &item)}
@@ -285,7 +286,7 @@
 	}
 	for name := range b.groups {
 		if name != "" {
-			s.seenGroups[name] = true
+			s.seenGroups[ownedID{b.Workspace, name}] = true
 		}
 	}
 	s.batches[b.ID] = b
@@ -298,11 +299,12 @@
 func (s *session) reuseTexts(b *batch) {
 	for _, t := range b.tasks {
 		id := b.Items[t.item].ID
-		reusable, ok := s.reusableTexts[id]
+		owned := ownedID{b.Workspace, id}
+		reusable, ok := s.reusableTexts[owned]
 		if !ok || t.state != taskWaiting || t.events > 0 {
 			continue
 		}
-		delete(s.reusableTexts, id)
+		delete(s.reusableTexts, owned)
 		if len(reusable.Versions) == 0 || reusable.Versions[0] < b.MinVersion {
 			continue
 		}
@@ -325,7 +327,7 @@
 	for _, t := range b.tasks {
 		failed := t.state == taskFinished && !t.completed
 		if t.group.unfinished > 0 && t.events > 0 && !failed && len(b.Items[t.item].Group) > 0 {
-			s.reusableTexts[b.Items[t.item].ID] = rollout.Partial{
+			s.reusableTexts[ownedID{b.Workspace, b.Items[t.item].ID}] = rollout.Partial{
 				Text: slices.Clone(t.text), Events: t.events, Versions: slices.Clone(t.versions), Complete: t.textComplete, Software: t.software,
 			}
 		}
--- a/internal/coordinator/software_test.go
+++ b/internal/coordinator/software_test.go
@@ -174,13 +174,13 @@
 // Guards against a text of a group that returns in a later batch and goes on at another software version.
 func TestReusedTextKeepsItsSoftwareVersion(t *testing.T) {
 	s, _ := newStandaloneSession(t, newFakeEngines())
-	s.reusableTexts["i"] = rollout.Partial{Text: []byte("a"), Events: 1, Versions: []uint64{1}, Software: "v1"}
+	s.reusableTexts[ownedID{id: "i"}] = rollout.Partial{Text: []byte("a"), Events: 1, Versions: []uint64{1}, Software: "v1"}
 	s.addBatch(rollout.OpenBatch{Batch: rollout.Batch{ID: "b", Items: []rollout.Item{{ID: "i", Group: "g"}}}, HasResult: []bool{false}})
 	if got := s.batches["b"].tasks[0]; got.software != "v1" || got.events != 1 {
 		t.Fatalf("the reused text has %d events of software %q", got.events, got.software)
 	}
 	s.keepReusableTexts(s.batches["b"])
-	if got := s.reusableTexts["i"]; got.Software != "v1" {
+	if got := s.reusableTexts[ownedID{id: "i"}]; got.Software != "v1" {
 		t.Fatalf("the kept text is of software %q", got.Software)
 	}
 }
--- a/internal/rollout/requests.go
+++ b/internal/rollout/requests.go
@@ -31,3 +31,14 @@
 	}
 	return total, s.batches[batch] != nil
 }
+
+// BatchWorkspace returns the workspace that owns a batch, empty if none does, and whether the state holds the batch.
+func (s *State) BatchWorkspace(batch string) (workspace string, found bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	b := s.batches[batch]
+	if b == nil {
+		return "", false
+	}
+	return b.Batch.Workspace, true
+}
