--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -55,11 +55,9 @@
 	TakenUpAttempt       string           `cbor:"13,keyasint,omitempty"` // of the stream that the request continues
 	NewConnection        bool             `cbor:"14,keyasint,omitempty"`
 	Excluded             []string         `cbor:"15,keyasint,omitempty"` // servers that may have run the request
-	// Workspace, Priority and KeyHash are those of the caller, if its configuration has workspaces and the route is not
-	// public.
+	// Workspace and KeyHash are those of the caller, if the configuration has workspaces and the route is not public.
 	Workspace string `cbor:"16,keyasint,omitempty"`
-	Priority  int    `cbor:"17,keyasint,omitempty"`
-	KeyHash   []byte `cbor:"18,keyasint,omitempty"`
+	KeyHash   []byte `cbor:"17,keyasint,omitempty"`
 }
 
 // handoverReply holds the response of a server, or an error. Without a response, Ran is empty if the request did not run.
@@ -144,7 +142,7 @@
 	q := handoverRequest{
 		VM: h.gateway.opts.Name, Number: h.last.Add(1), ConfigurationVersion: r.ConfigurationVersion, ID: r.ID, Method: r.Method, URI: r.URI, Path: r.Path, Host: r.Host,
 		Headers: toLink(r.Headers), Body: r.Body, TimeLeft: timeLeft, NewConnection: r.NewConnection, Excluded: excluded,
-		Workspace: r.Workspace, Priority: r.Priority, KeyHash: r.KeyHash,
+		Workspace: r.Workspace, KeyHash: r.KeyHash,
 	}
 	if r.TakeUp != nil {
 		q.TakesUp, q.TakenUpAttempt = true, r.TakeUp.Attempt
--- a/internal/metrics/event_metrics_test.go
+++ b/internal/metrics/event_metrics_test.go
@@ -17,10 +17,11 @@
 	p.Event("request.refused", 0)
 	p.Event("request.finished", 30*time.Millisecond)
 	p.Event("request.finished", 40*time.Millisecond)
+	p.KeyRefused("no_key")
 	w := httptest.NewRecorder()
 	p.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
 	got := w.Body.String()
-	for _, want := range []string{`event="request.refused"`, `event="request.finished"`, "filbertledge_event_duration_seconds_bucket"} {
+	for _, want := range []string{`event="request.refused"`, `event="request.finished"`, `filbertledge_keys_refused_total{`, `reason="no_key"`, "filbertledge_event_duration_seconds_bucket"} {
 		if !strings.Contains(got, want) {
 			t.Errorf("no %s in the metrics", want)
 		}
