--- a/internal/coordinator/placement.go
+++ b/internal/coordinator/placement.go
@@ -171,10 +171,8 @@
 	})
 	g := GenerationRequest{
 		ID: item.ID, Host: t.batch.Host, Path: item.Path, Headers: item.Headers, Body: item.Body,
-		AfterEvent: t.events, TimeLeft: time.Until(t.batch.giveUpAt), Workspace: t.batch.Workspace,
-	}
-	if c := s.node.state.Configuration(); t.batch.Workspace != "" || c != nil && c.RequiresKeys {
-		g.WithoutIdentity = true
+		AfterEvent: t.events, TimeLeft: time.Until(t.batch.giveUpAt),
+		Workspace: t.batch.Workspace, WithoutIdentity: s.dropsIdentity(&t.batch.Batch),
 	}
 	if _, limited := s.node.limits.Get(v.ID); limited {
 		g.Permitted = func() bool { return boottime.Now()-now <= ratelimit.PermissionLifetime }
--- a/internal/coordinator/workspaces.go
+++ b/internal/coordinator/workspaces.go
@@ -9,6 +9,13 @@
 // ownedID is the ID of an item or a group of a workspace. Texts and groups of one workspace are not used for another.
 type ownedID struct{ workspace, id string }
 
+// dropsIdentity reports whether the headers of a batch's items may not state a key or a workspace. The VM that took the batch
+// drops them, unless its configuration had no workspaces then.
+func (s *session) dropsIdentity(b *rollout.Batch) bool {
+	c := s.node.state.Configuration()
+	return b.Workspace != "" || c != nil && c.RequiresKeys
+}
+
 // mayAccess reports whether a caller of a workspace may read or end a batch. A batch without a workspace belongs to a
 // public route, or an earlier build accepted it; no key is needed for it.
 func (s *session) mayAccess(batch, workspace string) bool {
