--- a/internal/gateway/workspaces.go
+++ b/internal/gateway/workspaces.go
@@ -51,11 +51,12 @@
 // Unwrap returns the cause, which tells the kind of the error.
 func (e *keyRefusedError) Unwrap() error { return e.error }
 
-// refuseKey returns the error of a call without a valid key. Callers do not repeat a call that is not authenticated, so it
-// is refused as such only while the configuration is confirmed to be the newest: a newer one may have the key.
-func (g *Gateway) refuseKey(reason string) error {
+// refuseKey returns the error of a call without a valid key of configuration c. Callers do not repeat a call that is not
+// authenticated, so it is refused as such only while c is confirmed to be the newest: a newer one may have the key. The
+// confirmation is read first, because it is stored after the configuration that it confirms.
+func (g *Gateway) refuseKey(c *routes.Configuration, reason string) error {
 	err := errs.New(errs.Unauthenticated, "send one valid key", "the call has no valid key (%s)", reason)
-	if reason == reasonNotConfirmed || reason == reasonNotChecked || !g.ConfigurationConfirmed() {
+	if reason == reasonNotConfirmed || reason == reasonNotChecked || !g.ConfigurationConfirmed() || g.Configuration() != c {
 		err = errs.New(errs.Unavailable, "call again in a second", "this VM cannot check the key of the call with the newest configuration (%s)", reason)
 	}
 	return &keyRefusedError{err, reason}
@@ -95,24 +96,24 @@
 func (g *Gateway) identify(c *routes.Configuration, keys []string) (*Caller, error) {
 	switch {
 	case len(keys) == 0:
-		return nil, g.refuseKey(reasonNoKey)
+		return nil, g.refuseKey(c, reasonNoKey)
 	case len(keys) > 1:
-		return nil, g.refuseKey(reasonSeveralKeys)
+		return nil, g.refuseKey(c, reasonSeveralKeys)
 	case keys[0] == "":
-		return nil, g.refuseKey(reasonEmptyKey)
+		return nil, g.refuseKey(c, reasonEmptyKey)
 	case len(keys[0]) > routes.MaxKeyBytes:
-		return nil, g.refuseKey(reasonOversizedKey)
+		return nil, g.refuseKey(c, reasonOversizedKey)
 	}
 	return g.identifyHash(c, routes.HashKey(keys[0]))
 }
 
 func (g *Gateway) identifyHash(c *routes.Configuration, hash routes.KeyHash) (*Caller, error) {
 	if !g.acceptsKeys() {
-		return nil, g.refuseKey(reasonNotConfirmed)
+		return nil, g.refuseKey(c, reasonNotConfirmed)
 	}
 	w := c.WorkspaceOf(hash)
 	if w == nil {
-		return nil, g.refuseKey(reasonUnknownKey)
+		return nil, g.refuseKey(c, reasonUnknownKey)
 	}
 	return &Caller{gateway: g, Managed: true, Workspace: w.Name, Priority: w.Priority, hash: hash, checked: c}, nil
 }
@@ -135,17 +136,17 @@
 	case !newest.RequiresKeys || c.Managed && c.Workspace == "":
 		return nil
 	case !c.Managed:
-		return c.gateway.refuseKey(reasonNotChecked)
+		return c.gateway.refuseKey(newest, reasonNotChecked)
 	case !c.gateway.acceptsKeys():
-		return c.gateway.refuseKey(reasonNotConfirmed)
+		return c.gateway.refuseKey(newest, reasonNotConfirmed)
 	case newest == c.checked:
 		return nil
 	}
 	switch w := newest.WorkspaceOf(c.hash); {
 	case w == nil:
-		return c.gateway.refuseKey(reasonUnknownKey)
+		return c.gateway.refuseKey(newest, reasonUnknownKey)
 	case w.Name != c.Workspace:
-		return c.gateway.refuseKey(reasonOtherOwner)
+		return c.gateway.refuseKey(newest, reasonOtherOwner)
 	}
 	return nil
 }
@@ -182,14 +183,14 @@
 		return &Caller{gateway: g, Managed: true, checked: c}, kept, nil
 	}
 	if len(q.KeyHash) != len(routes.KeyHash{}) {
-		return nil, nil, g.refuseKey(reasonNotChecked)
+		return nil, nil, g.refuseKey(c, reasonNotChecked)
 	}
 	caller, err := g.identifyHash(c, routes.KeyHash(q.KeyHash))
 	switch {
 	case err != nil:
 		return nil, nil, err
 	case caller.Workspace != q.Workspace:
-		return nil, nil, g.refuseKey(reasonOtherOwner)
+		return nil, nil, g.refuseKey(c, reasonOtherOwner)
 	}
 	return caller, append(kept, forward.Header{Name: g.opts.WorkspaceHeader, Value: caller.Workspace}), nil
 }
--- a/internal/gateway/workspaces_test.go
+++ b/internal/gateway/workspaces_test.go
@@ -85,6 +85,16 @@
 	}
 }
 
+// Guards against a final refusal by the configuration before the one that was just confirmed and has the key.
+func TestRefusalByReplacedConfigurationIsNotFinal(t *testing.T) {
+	g, _ := keyedGateway(Options{})
+	replaced := g.Configuration()
+	g.installIfNewer(keyedConfiguration(6, map[string]string{"kc": "a"}))
+	if _, err := g.identify(replaced, []string{"kc"}); !errs.Is(err, errs.Unavailable) {
+		t.Errorf("got %v", err)
+	}
+}
+
 // Guards against another attempt of a request whose key is gone or has moved, or which was never asked for a key.
 func TestCheckFollowsNewestConfiguration(t *testing.T) {
 	plain := &routes.Configuration{Version: 5, Schema: routes.CurrentSchema}
