--- a/internal/metrics/event_metrics.go
+++ b/internal/metrics/event_metrics.go
@@ -18,6 +18,7 @@
 	durations metric.Float64Histogram
 	servers   metric.Int64Gauge
 	orders    metric.Int64Counter
+	refusals  metric.Int64Counter
 	handler   http.Handler
 }
 
@@ -30,6 +31,7 @@
 	b := instrumentBuilder{meter: meter}
 	p := &EventMetrics{
 		events:    b.counter("filbertledge.events", "Events of the log by name; names of failures are counted like the others."),
+		refusals:  b.counter("filbertledge.keys.refused", "Calls refused for their key, by reason."),
 		durations: b.seconds("filbertledge.event.duration", "Time that what ended with the event took, by name."),
 		servers:   b.gauge("filbertledge.capacity.servers", "Servers by service, zone, kind and state: wanted or announced. 0 on VMs that do not lead."),
 		orders:    b.counter("filbertledge.capacity.orders", "Orders of servers by service, zone, kind and result."),
@@ -61,3 +63,8 @@
 	p.orders.Add(context.Background(), 1, metric.WithAttributes(
 		attribute.String("service", service), attribute.String("zone", zone), attribute.String("kind", kind), attribute.String("result", result)))
 }
+
+// KeyRefused counts a call that was refused for its key.
+func (p *EventMetrics) KeyRefused(reason string) {
+	p.refusals.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
+}
