Count the requests of workspaces and report them once for each window

Cause: the provider must get, for each window of true time, exactly the number of requests that servers began to run for each workspace, whatever VM is killed, cut off or has a wrong time of day.

Change: internal/usage counts on the entry VMs, adds up in the replicated state and determines the agreed time. Entry VMs report deltas to the leader (usage.report), which commits them, closes windows and sends them through callProvider, the oldest first. All commands require version 1 of the state. Without the duty nothing is proposed and no request is counted. A count begins when the request is written (stream: at its first event) and is taken back if the server did not run it.

Ruled out: the time of day of the counting VM (it may jump by seconds), counts in the leader's memory (lost with it).

Measured: the tests of internal/usage pass with the race detector; those of forward, gateway, rollout and backend pass.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -93,6 +93,9 @@
 // Body returns the reader of the body. It ends with io.EOF only if the body is complete.
 func (x *Exchange) Body() io.Reader { return x.ex.body }
 
+// CopyBody makes what is read of the body from now on also go to w, before it is returned.
+func (x *Exchange) CopyBody(w io.Writer) { x.ex.body = io.TeeReader(x.ex.body, w) }
+
 // ReadAll returns the complete body, of at most limit bytes. The error is a *Failure.
 func (x *Exchange) ReadAll(limit int64) ([]byte, error) {
 	var body bytes.Buffer
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -41,6 +41,7 @@
 	handleOnLeader(n, MethodBeginStream, (*session).beginStream)
 	handleOnLeader(n, MethodFindStream, (*session).findStream)
 	handleOnLeader(n, MethodLeaving, (*session).serverLeaves)
+	handleOnLeader(n, methodUsage, (*session).reportUsage)
 	handleOnLeader(n, methodRetire, (*session).retire)
 	handleOnLeader(n, methodRetired, (*session).retired)
 }
@@ -177,6 +178,7 @@
 
 func (s *session) follow(ctx context.Context, q FollowRequest) (FollowReply, error) {
 	arrived := boottime.Now()
+	s.recordUsageContact(&q, arrived)
 	if q.Forwards {
 		s.limits.Contact(q.VM, q.SinceContact, q.Members, arrived)
 		s.mu.Lock()
@@ -221,6 +223,7 @@
 			s.addLimits(&r, q)
 			s.addPeers(&r, q, boottime.Now())
 			r.Replicas = s.node.replicas()
+			s.addAgreedTime(&r, arrived)
 			return r, s.checkLeadership()
 		}
 		if changed {
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -32,6 +32,7 @@
 	dutyLimiter *rate.Limiter
 	// stateVersion is the version of the state that commands may require now.
 	stateVersion atomic.Uint64
+	usage        *usageDuty // nil if usage reports are no duty
 
 	mu             sync.Mutex
 	batches        map[string]*batch
@@ -172,6 +173,7 @@
 func newSession(n *Node, ctx context.Context, term uint64) *session {
 	return &session{
 		reservations: reservations{limit: int64(openBatchesFraction * float64(n.opts.MemoryLimit))},
+		usage:        newUsageDuty(n.opts.Duties),
 		handedOver:   make(chan struct{}), dutyLimiter: newDutyLimiter(n.opts.Duties),
 		node: n, ctx: ctx, term: term, limits: ratelimit.NewAllocator(n.limits, boottime.Now()), peers: newPeerTable(),
 		batches: map[string]*batch{}, seenGroups: map[string]bool{}, engines: map[string]*engineState{}, promptCachedOn: map[string]string{},
@@ -206,6 +208,8 @@
 	go s.loadLoop()
 	if s.node.opts.Duties.ReportsUsage {
 		go s.memberVersionLoop()
+		go s.usageLoop()
+		go s.usageReportLoop()
 	}
 }
 
--- a/internal/coordinator/wire.go
+++ b/internal/coordinator/wire.go
@@ -33,6 +33,7 @@
 	MethodBeginStream = "stream.begin"
 	MethodFindStream  = "stream.find"
 	MethodLeaving     = "server.leaving"
+	methodUsage       = "usage.report"
 	methodRetire      = "vm.retire"
 	methodRetired     = "vm.retired"
 	methodLeader      = "leader"
@@ -64,6 +65,13 @@
 	PeerAddress   string `cbor:"12,keyasint,omitempty"`
 	TakesRequests bool   `cbor:"13,keyasint,omitempty"`
 	PeersDigest   uint64 `cbor:"14,keyasint,omitempty"`
+	// TimeOfDay is that of the VM when the request presumably arrives, in nanoseconds since the start of 1970. Follow sets it
+	// from the time of day and Delay, which the caller estimates.
+	TimeOfDay int64         `cbor:"15,keyasint,omitempty"`
+	Delay     time.Duration `cbor:"-"`
+	// UsageInstance and UsageWatermark are as in UsageRequest.
+	UsageInstance  uint64 `cbor:"16,keyasint,omitempty"`
+	UsageWatermark int64  `cbor:"17,keyasint,omitempty"`
 }
 
 // FollowReply confirms that its sender was the leader when it sent the reply.
@@ -93,6 +101,10 @@
 	PeersSent   bool   `cbor:"17,keyasint,omitempty"`
 	Peers       []Peer `cbor:"18,keyasint,omitempty"`
 	PeersDigest uint64 `cbor:"19,keyasint,omitempty"`
+	// UsageWindow is the length of the windows in which the requests of workspaces are counted; 0 if they are not.
+	UsageWindow time.Duration `cbor:"20,keyasint,omitempty"`
+	// AgreedTime is the agreed time when the reply was sent, in nanoseconds since the start of 1970; 0 if it is unknown.
+	AgreedTime int64 `cbor:"21,keyasint,omitempty"`
 }
 
 // unpack decodes Packed and PackedServers into Configuration and Servers.
@@ -111,6 +123,7 @@
 // Follow sends a follow request to the VM at address.
 func Follow(ctx context.Context, c *link.Client, address string, q FollowRequest) (FollowReply, error) {
 	q.AcceptsPacked = true
+	q.TimeOfDay = time.Now().Add(q.Delay).UnixNano()
 	r, err := link.Call[FollowRequest, FollowReply](ctx, c, address, methodFollow, q)
 	if err == nil {
 		err = r.unpack()
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -116,6 +116,7 @@
 	KeyRefused            Name = "key.refused"        // a request without a valid key of a workspace
 	UsageClosed           Name = "usage.closed"       // the counts of a window are fixed
 	UsageReported         Name = "usage.reported"     // the provider accepted the report of a window
+	UsageOverdue          Name = "usage.overdue"      // the provider accepted the report of a window after it was due
 	UsageFailed           Name = "usage.failed"       // a report got no positive answer; it is sent again
 	UsageLate             Name = "usage.late"         // counts of a window that is closed already; they are dropped
 	CapacityPlanned       Name = "capacity.planned"   // the wanted numbers of servers changed
--- a/internal/forward/detour.go
+++ b/internal/forward/detour.go
@@ -218,9 +218,12 @@
 	f.forwarder.opts.Events.Record(events.Event{
 		Name: events.RequestHandedOver, Request: f.request.ID, Detail: fmt.Sprintf("to %s, %s left, content %016x, may have run on %v", peer.VM, time.Until(f.deadline).Round(time.Millisecond), f.digest, excluded),
 	})
+	count := f.countHandover()
 	go func() {
 		response, ran, notSent, err := peers.Send(ctx, peer, f.request, time.Until(f.deadline), excluded)
-		f.results <- attemptResult{response: response, notSent: notSent, err: err, server: fleet.Server{ID: id}, ran: ran}
+		result := attemptResult{response: response, notSent: notSent, err: err, server: fleet.Server{ID: id}, ran: ran}
+		count(result)
+		f.results <- result
 	}()
 	return true
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -70,6 +70,8 @@
 	EarlierFailures int
 	// Ran are the servers that may have run the request.
 	Ran []string
+	// SinceFirstEvent is the time from the first event of a stream to the end of the response; 0 if it is unknown.
+	SinceFirstEvent time.Duration
 }
 
 // failed reports whether the server ran the request and states that it failed.
@@ -91,6 +93,9 @@
 	// Permitted, if not nil, must be asked immediately before the request is written. If it returns false, the request
 	// must not be sent.
 	Permitted func() bool
+	// FirstEvent, if not nil, must be called when the first event of a stream arrives. The response then states how long
+	// ago that was.
+	FirstEvent func()
 }
 
 // Options configures a Forwarder.
@@ -109,6 +114,8 @@
 	Suspects *Suspects
 	// Detour sends requests through other VMs while this one reaches no server. If it is nil, requests go directly only.
 	Detour *Detour
+	// Usage counts the requests of workspaces. If it is nil, none are counted.
+	Usage Usage
 }
 
 // Forwarder forwards requests and remembers how each server answered. It is safe for concurrent use.
@@ -195,7 +202,9 @@
 		forwarder: f, request: r, route: route, service: route.PickService(rand.Float64()), startedAt: start, deadline: deadline,
 		results: make(chan attemptResult, maxRefusals+defaultMaxAttempts),
 	}
+	state.beginUsage()
 	response, err := state.run(ctx)
+	state.endUsage()
 	ran := state.ranOn()
 	if response != nil {
 		response.Ran = ran
@@ -253,6 +262,8 @@
 	directRefusals int
 	alone          bool  // the request is a suspect that runs alone
 	suspicion      error // why the request may not run, if it is a suspect
+	usage          UsageCount
+	attempts       int // that usage was told of
 }
 
 // ranOn returns the servers that may have run the request.
@@ -419,20 +430,22 @@
 		Name: events.RequestDispatched, Request: f.request.ID, Server: api.ServerID(server.ID),
 		Detail: fmt.Sprintf("attempt %d, %s left, content %016x", len(f.mayHaveRun)+len(f.refused), time.Until(f.deadline).Round(time.Millisecond), f.digest),
 	})
-	go f.exchange(ctx, *server, permittedUntil)
+	attempt := Attempt{}
+	if permittedUntil > 0 {
+		attempt.Permitted = func() bool { return f.forwarder.opts.Clock() <= permittedUntil }
+	}
+	count := f.countAttempt(&attempt)
+	go f.exchange(ctx, *server, attempt, count)
 	return true
 }
 
-// exchange sends the request to one server, until the boot time permittedUntil if that is not 0. It is canceled when
-// Forward returns, for example because another server responded first.
-func (f *forwardState) exchange(ctx context.Context, server fleet.Server, permittedUntil time.Duration) {
+// exchange sends the request to one server. It is canceled when Forward returns, for example because another server
+// responded first. count is told the result.
+func (f *forwardState) exchange(ctx context.Context, server fleet.Server, attempt Attempt, count func(attemptResult)) {
 	health, clock := f.forwarder.health, f.forwarder.opts.Clock
 	health.recordStart(server.ID)
 	start := clock()
-	attempt := Attempt{TimeLeft: time.Until(f.deadline)}
-	if permittedUntil > 0 {
-		attempt.Permitted = func() bool { return clock() <= permittedUntil }
-	}
+	attempt.TimeLeft = time.Until(f.deadline)
 	response, notSent, err := f.forwarder.opts.Exchanger.Exchange(ctx, server, f.request, attempt)
 	result := attemptResult{response: response, notSent: notSent, err: err, server: server}
 	if response != nil {
@@ -442,6 +455,7 @@
 	health.recordEnd(server.ID, now, now-start, result, ctx.Err() != nil)
 	f.recordSuspect(result, ctx.Err() != nil)
 	f.noteReachability(result, ctx.Err() != nil)
+	count(result)
 	f.results <- result
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,6 +67,7 @@
 	suspects  *suspectReporter
 	handover  *handover
 	detour    *forward.Detour
+	usage     *usageReporter
 
 	configuration atomic.Pointer[routes.Configuration]
 	confirmedAt   atomic.Int64 // confirmationTime of the last answered follow call, in nanoseconds since boot
@@ -89,9 +90,10 @@
 	g.requestsEnd, g.endRequests = context.WithCancel(context.Background())
 	g.limiter = newLimiter(o.Name, g.client, g.currentLeader, o.Events)
 	g.suspects = newSuspectReporter(o, g.client, g.currentLeader)
+	g.usage = newUsageReporter(o, g.client, g.currentLeader)
 	g.handover = newHandover(g)
 	g.detour = forward.NewDetour(forward.DetourOptions{Registry: registry, Prober: o.Prober, Peers: g.handover, Events: o.Events, Clock: boottime.Now})
-	g.forwarder = forward.New(forward.Options{FailureDomain: o.FailureDomain, Registry: registry, Exchanger: o.Exchanger, Events: o.Events, Limiter: g.limiter, Streams: streamRecords{g}, Suspects: g.suspects.suspects, Detour: g.detour})
+	g.forwarder = forward.New(forward.Options{FailureDomain: o.FailureDomain, Registry: registry, Exchanger: o.Exchanger, Events: o.Events, Limiter: g.limiter, Streams: streamRecords{g}, Suspects: g.suspects.suspects, Detour: g.detour, Usage: g.usage})
 	return g
 }
 
@@ -224,6 +226,7 @@
 func (g *Gateway) Run(ctx context.Context) {
 	go g.limiter.reportLoop(ctx)
 	go g.suspects.loop(ctx)
+	go g.usage.loop(ctx)
 	q := coordinator.FollowRequest{VM: g.opts.Name, Forwards: true, FailureDomain: g.opts.FailureDomain, PeerAddress: g.opts.PeerAddress}
 	lostAt := time.Now()
 	for ctx.Err() == nil {
@@ -237,6 +240,7 @@
 		sentAt := boottime.Now()
 		q.SinceContact, q.Members = g.limiter.contact(sentAt)
 		q.TakesRequests = g.handover.accepts()
+		g.usage.addTo(&q)
 		reply, err := g.follow(ctx, leader, q)
 		if err != nil {
 			if g.clearLeader() {
@@ -246,7 +250,9 @@
 			forward.SleepWithJitter(ctx, leaderRetryDelay)
 			continue
 		}
-		g.confirmedAt.Store(int64(confirmationTime(sentAt, boottime.Now(), reply.Held)))
+		receivedAt := boottime.Now()
+		g.confirmedAt.Store(int64(confirmationTime(sentAt, receivedAt, reply.Held)))
+		g.usage.applyFollowReply(&reply, sentAt, receivedAt)
 		if q.Term != reply.Term {
 			g.limiter.wakeReports() // a new leader may not know the limits yet
 		}
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -68,6 +68,8 @@
 	Ran         []string         `cbor:"7,keyasint,omitempty"` // servers that may have run the request
 	Kind        errs.Kind        `cbor:"8,keyasint,omitempty"`
 	Message     string           `cbor:"9,keyasint,omitempty"`
+	// SinceFirstEvent is as in forward.Response.
+	SinceFirstEvent time.Duration `cbor:"10,keyasint,omitempty"`
 }
 
 // handoverCancel names a request whose caller has left.
@@ -159,7 +161,7 @@
 		}
 		return nil, reply.Ran, len(reply.Ran) == 0, errs.New(reply.Kind, "call again if the call may be repeated", "VM %s: %s", p.VM, reply.Message)
 	}
-	return &forward.Response{Status: reply.Status, Headers: fromLink(reply.Headers), Body: reply.Body, NotRun: reply.NotRun, Signature: reply.Signature}, reply.Ran, false, nil
+	return &forward.Response{Status: reply.Status, Headers: fromLink(reply.Headers), Body: reply.Body, NotRun: reply.NotRun, Signature: reply.Signature, SinceFirstEvent: reply.SinceFirstEvent}, reply.Ran, false, nil
 }
 
 func (h *handover) count(vm string, n int) {
@@ -256,7 +258,7 @@
 		return handoverReply{Kind: errs.KindOf(err), Message: err.Error(), Ran: forward.RanOn(err)}, nil
 	}
 	return handoverReply{
-		HasResponse: true, Status: response.Status, Headers: toLink(response.Headers), Body: response.Body, NotRun: response.NotRun, Signature: response.Signature, Ran: response.Ran,
+		HasResponse: true, Status: response.Status, Headers: toLink(response.Headers), Body: response.Body, NotRun: response.NotRun, Signature: response.Signature, Ran: response.Ran, SinceFirstEvent: response.SinceFirstEvent,
 	}, nil
 }
 
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -13,6 +13,7 @@
 	"filbertledge/internal/errs"
 	"filbertledge/internal/fleet"
 	"filbertledge/internal/routes"
+	"filbertledge/internal/usage"
 )
 
 // maxDepartures bounds the list of departed server incarnations, which cannot be registered again. The oldest
@@ -75,6 +76,7 @@
 	// Requires is the version of the state that a replica must understand to restore the snapshot.
 	Requires       uint64            `cbor:"10,keyasint,omitempty"`
 	MemberVersions map[uint64]uint64 `cbor:"11,keyasint,omitempty"`
+	Usage          *usage.Ledger     `cbor:"12,keyasint,omitempty"`
 }
 
 // State is the replicated state. Apply must be called from a single goroutine; the read methods are safe for
@@ -95,6 +97,7 @@
 	// requires is the highest version of the state that a command required so far.
 	requires       uint64
 	memberVersions map[uint64]uint64 // version of the state that a member understands, by instance number
+	usage          *usage.Ledger     // nil until the first Usage command
 	changed        chan struct{}     // closed and replaced on every change
 	// OnApplied, if not nil, is called after each command, without holding the lock.
 	OnApplied func(Command, Outcome)
@@ -162,7 +165,7 @@
 	}
 	result, err := cbor.Marshal(o)
 	if err != nil {
-		return nil // unreachable: a struct of two booleans can always be encoded
+		return nil // unreachable: an Outcome can always be encoded
 	}
 	return result
 }
@@ -201,6 +204,8 @@
 	case c.MemberVersion != nil:
 		s.memberVersions[c.MemberVersion.Member] = c.MemberVersion.Version
 		return Outcome{Found: true}
+	case c.Usage != nil:
+		return s.changeUsage(c.Usage)
 	}
 	return Outcome{}
 }
@@ -405,6 +410,9 @@
 		Servers: s.sortedServers(), Streams: slices.Clone(s.streams.list), Limits: s.sortedLimits(), Suspects: s.sortedSuspects(),
 		Requires: s.requires, MemberVersions: maps.Clone(s.memberVersions),
 	}
+	if s.usage != nil {
+		snap.Usage = s.usage.Clone()
+	}
 	for _, id := range s.batchOrder {
 		batch := s.batches[id]
 		batchCopy := batchState{Batch: batch.Batch, Results: batch.Results[:len(batch.Results):len(batch.Results)], Ended: batch.Ended, Partials: maps.Clone(batch.Partials)}
@@ -459,7 +467,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.configuration, s.departures = s.complete(snap.Configuration), snap.Departures
-	s.requires, s.memberVersions = snap.Requires, snap.MemberVersions
+	s.requires, s.memberVersions, s.usage = snap.Requires, snap.MemberVersions, snap.Usage
 	if s.memberVersions == nil {
 		s.memberVersions = map[uint64]uint64{}
 	}
--- a/internal/rollout/types.go
+++ b/internal/rollout/types.go
@@ -6,6 +6,7 @@
 import (
 	"filbertledge/internal/fleet"
 	"filbertledge/internal/routes"
+	"filbertledge/internal/usage"
 )
 
 // Header is an HTTP header of an item that is forwarded to the backend server.
@@ -138,6 +139,8 @@
 	Requires uint64 `cbor:"15,keyasint,omitempty"`
 	// MemberVersion records which version of the state a member understands. Replicas that do not know the field ignore it.
 	MemberVersion *MemberVersion `cbor:"16,keyasint,omitempty"`
+	// Usage requires version 1 of the state.
+	Usage *UsageChange `cbor:"17,keyasint,omitempty"`
 }
 
 // StateVersion is the highest version of the replicated state that this build understands. A command with a new kind or a
@@ -164,4 +167,6 @@
 	Changed bool `cbor:"1,keyasint,omitempty"`
 	// Found is false if the command refers to an unknown batch.
 	Found bool `cbor:"2,keyasint,omitempty"`
+	// LateUsage are counts that a Usage command dropped: their windows were closed or too many waited for a report.
+	LateUsage []usage.Count `cbor:"3,keyasint,omitempty"`
 }
