--- a/internal/coordinator/fakes_test.go
+++ b/internal/coordinator/fakes_test.go
@@ -246,6 +246,7 @@
 	scorers *fakeScorers
 	// enginesIgnoreFencing is the opposite of Options.EnginesEnforceFencing of the nodes that start.
 	enginesIgnoreFencing bool
+	duties               DutyOptions
 
 	mu        sync.Mutex // guards nodes and stops
 	nodes     []*Node
@@ -311,7 +312,7 @@
 	n, err := New(Options{
 		Name: name, FailureDomain: fmt.Sprintf("zone-%d", i), Address: c.addresses[i], Seeds: c.addresses[:seedCount], Bootstrap: bootstrap,
 		DataDir: c.dataDirs[i], FaultTolerance: 1, AnnounceInterval: 200 * time.Millisecond, OrderHandoverDelay: testHandoverDelay,
-		EnginesEnforceFencing: !c.enginesIgnoreFencing, Retention: time.Minute, EngineClient: c.engines, Exchanger: c.scorers,
+		EnginesEnforceFencing: !c.enginesIgnoreFencing, Retention: time.Minute, EngineClient: c.engines, Exchanger: c.scorers, Duties: c.duties,
 		Events: events.NewLogRecorder(api.VMID(name), io.Discard), Fatal: func(err error) { c.t.Error(err) },
 	})
 	if err != nil {
