--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -263,7 +263,8 @@
 	alone          bool  // the request is a suspect that runs alone
 	suspicion      error // why the request may not run, if it is a suspect
 	usage          UsageCount
-	attempts       int // that usage was told of
+	attempts       int    // that usage was told of
+	usageDetail    string // for the log
 }
 
 // ranOn returns the servers that may have run the request.
@@ -486,7 +487,7 @@
 	if f.request.From != "" {
 		from = "handed over by " + f.request.From + ", "
 	}
-	detail := from + fmt.Sprintf("route %s, configuration %d, tried %v, refused %v, %s", f.route.Name, f.request.ConfigurationVersion, f.mayHaveRun, f.refused, time.Since(start).Round(time.Millisecond))
+	detail := from + f.usageDetail + fmt.Sprintf("route %s, configuration %d, tried %v, refused %v, %s", f.route.Name, f.request.ConfigurationVersion, f.mayHaveRun, f.refused, time.Since(start).Round(time.Millisecond))
 	if err != nil {
 		event.Name = events.RequestFailed
 		if errs.Is(err, errs.Unavailable) {
--- a/internal/forward/usage.go
+++ b/internal/forward/usage.go
@@ -20,8 +20,8 @@
 	Begin(attempt int, at time.Duration)
 	// NotRun is told that the server of an attempt did not run the request and never will.
 	NotRun(attempt int)
-	// Done is told that nothing more will become known of the request.
-	Done()
+	// Done is told that nothing more will become known of the request. It returns a description of the count for the log.
+	Done() string
 }
 
 // beginUsage begins the count of the request. Requests without a workspace do not count. A request that continues a stream
@@ -35,7 +35,7 @@
 // endUsage ends the count of the request.
 func (f *forwardState) endUsage() {
 	if f.usage != nil {
-		f.usage.Done()
+		f.usageDetail = f.usage.Done() + ", "
 	}
 }
 
--- a/internal/forward/usage_test.go
+++ b/internal/forward/usage_test.go
@@ -36,7 +36,10 @@
 	f.running = slices.DeleteFunc(f.running, func(a int) bool { return a == attempt })
 }
 
-func (f *fakeUsage) Done() { f.done = true }
+func (f *fakeUsage) Done() string {
+	f.done = true
+	return ""
+}
 
 // askingExchanger asks for the permission, as the client of the servers does, and tells the first event of a stream if there
 // is one.
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -1,7 +1,6 @@
 package rollout
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -16,10 +15,6 @@
 	"filbertledge/internal/usage"
 )
 
-// maxDepartures bounds the list of departed server incarnations, which cannot be registered again. The oldest
-// entries can be dropped, because a departed incarnation sends no more announcements.
-const maxDepartures = 2048
-
 // TextStore stores the result texts, which are too large for the snapshots of the state.
 type TextStore interface {
 	Append(text []byte) (blobs.Ref, error)
@@ -210,34 +205,6 @@
 	return Outcome{}
 }
 
-// checkVersion returns an error if what requires the given version of the state needs a newer build.
-func checkVersion(requires uint64, what string) error {
-	if requires <= StateVersion {
-		return nil
-	}
-	return errs.New(errs.StateTooNew, "start a build that understands it", "%s requires version %d of the state; this build understands version %d", what, requires, StateVersion)
-}
-
-// complete returns the configuration with everything that its document holds, if an earlier build parsed it.
-func (s *State) complete(c *routes.Configuration) *routes.Configuration {
-	if c == nil || c.Schema >= routes.CurrentSchema || len(c.Document) == 0 || s.ParseDocument == nil {
-		return c
-	}
-	parsed, err := s.ParseDocument(c.Document)
-	if err != nil || parsed.Version != c.Version {
-		return c // the earlier build accepted what this one does not
-	}
-	return parsed
-}
-
-// MemberVersion returns the version of the state that a member understands, as far as it is recorded.
-func (s *State) MemberVersion(member uint64) (version uint64, known bool) {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	version, known = s.memberVersions[member]
-	return version, known
-}
-
 // setConfiguration ignores versions that are not higher than the current one, because configurations may arrive
 // repeatedly and out of order.
 func (s *State) setConfiguration(c *routes.Configuration) Outcome {
@@ -338,57 +305,6 @@
 	return Outcome{Changed: changed, Found: true}
 }
 
-func (s *State) recordDeparture(d ServerIncarnation) Outcome {
-	for _, known := range s.departures {
-		if known == d {
-			return Outcome{Found: true}
-		}
-	}
-	s.departures = append(s.departures, d)
-	s.unregisterServers([]ServerIncarnation{d})
-	if len(s.departures) > maxDepartures {
-		s.departures = slices.Clone(s.departures[1:])
-	}
-	return Outcome{Changed: true, Found: true}
-}
-
-// registerServer keeps only the newest incarnation of a server, and only one server for each address.
-func (s *State) registerServer(server fleet.Server) Outcome {
-	if s.servers[server.ID].Incarnation > server.Incarnation || slices.Contains(s.departures, ServerIncarnation{Server: server.ID, Incarnation: server.Incarnation}) {
-		return Outcome{Found: true}
-	}
-	for id, other := range s.servers {
-		if other.Address == server.Address && other.Incarnation <= server.Incarnation {
-			delete(s.servers, id)
-		}
-	}
-	s.servers[server.ID] = server
-	return Outcome{Changed: true, Found: true}
-}
-
-func (s *State) unregisterServers(list []ServerIncarnation) Outcome {
-	o := Outcome{Found: true}
-	for _, d := range list {
-		if v, ok := s.servers[d.Server]; ok && v.Incarnation <= d.Incarnation {
-			delete(s.servers, d.Server)
-			delete(s.limits, d.Server)
-			o.Changed = true
-		}
-	}
-	return o
-}
-
-// Servers returns the registered servers that have neither departed nor expired, ordered by ID.
-func (s *State) Servers() []fleet.Server {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	return s.sortedServers()
-}
-
-func (s *State) sortedServers() []fleet.Server {
-	return slices.SortedFunc(maps.Values(s.servers), func(a, b fleet.Server) int { return cmp.Compare(a.ID, b.ID) })
-}
-
 func (s *State) deleteBatches(ids []string) Outcome {
 	for _, id := range ids {
 		delete(s.batches, id)
--- a/internal/usage/counter.go
+++ b/internal/usage/counter.go
@@ -1,6 +1,7 @@
 package usage
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -243,12 +244,21 @@
 }
 
 // Done records that the outcome of all attempts is known, or will not become known: the count is final, apart from a NotRun
-// that still arrives.
-func (r *Request) Done() {
+// that still arrives. It returns a description of the count for the log.
+func (r *Request) Done() string {
 	r.counter.mu.Lock()
 	defer r.counter.mu.Unlock()
 	r.done = true
 	delete(r.counter.undecided, r)
+	switch {
+	case !r.counted:
+		return "does not count for workspace " + r.workspace
+	case r.lost:
+		return "the count for workspace " + r.workspace + " was dropped"
+	case r.undated:
+		return "counts for workspace " + r.workspace + ", in a window that is not known yet"
+	}
+	return fmt.Sprintf("counts for workspace %s in window %d", r.workspace, r.window)
 }
 
 // update makes the count agree with the attempts. The caller holds the mutex.
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -121,7 +121,7 @@
 		{"counted", func() {}, false},
 		{"in a delta", func() { c.Deltas() }, false},
 		{"in the replicated state, without an answer", func() { c.Acknowledge(1) }, false},
-		{"answered", r.Done, true},
+		{"answered", func() { r.Done() }, true},
 	} {
 		if step.do(); passed(1001) != step.want || !passed(1000) {
 			t.Errorf("%s: the watermark has passed window 1001: %t, and 1000: %t", step.what, passed(1001), passed(1000))
