--- a/internal/coordinator/usage.go
+++ b/internal/coordinator/usage.go
@@ -57,6 +57,8 @@
 type usageDuty struct {
 	length   time.Duration // of a window
 	deadline time.Duration
+	// startedAt is the boot time at which the leadership began.
+	startedAt time.Duration
 	// withheldAt is the boot time at which the counts could last not be committed. Only usageLoop uses it.
 	withheldAt time.Duration
 
@@ -77,11 +79,11 @@
 	if !o.ReportsUsage || o.UsageWindow <= 0 {
 		return nil
 	}
-	deadline := o.UsageDeadline
+	now, deadline := boottime.Now(), o.UsageDeadline
 	if deadline <= 0 {
 		deadline = 2 * o.UsageWindow
 	}
-	return &usageDuty{length: o.UsageWindow, deadline: deadline, clock: usage.NewGroupClock(boottime.Now()), marks: map[uint64]usageMark{}}
+	return &usageDuty{length: o.UsageWindow, deadline: deadline, startedAt: now, clock: usage.NewGroupClock(now), marks: map[uint64]usageMark{}}
 }
 
 // recordUsageContact records the time of day and the watermark of a VM that follows the leader.
@@ -229,11 +231,11 @@
 	}
 	view := s.node.state.Usage(int64(usageContactTime / s.usage.length))
 	if view.Length != s.usage.length {
-		view.ClosedThrough = 0
+		view.ClosedThrough, view.OldestOpen = 0, 0
 	}
 	mark, all := s.usage.lowestMark(view.Reporting, now)
 	through, reason := s.usage.closable(agreed, mark, all)
-	if through <= view.ClosedThrough {
+	if through <= view.ClosedThrough || view.ClosedThrough == 0 && through < s.usage.firstWindow(agreed, now, view.OldestOpen) {
 		return
 	}
 	if err := s.proposeUsage(rollout.UsageChange{CloseThrough: through}); err != nil {
@@ -281,6 +283,16 @@
 	return through, reason
 }
 
+// firstWindow returns the first window that is reported at all: the one in which the leadership began, or an older one with
+// counts.
+func (u *usageDuty) firstWindow(agreed int64, now time.Duration, oldestOpen int64) int64 {
+	first := usage.WindowOf(agreed-int64(now-u.startedAt), u.length)
+	if oldestOpen > 0 {
+		first = min(first, oldestOpen)
+	}
+	return first
+}
+
 func describeCounts(counts map[string]int64) string {
 	var parts []string
 	for workspace, n := range counts {
--- a/internal/gateway/usage_test.go
+++ b/internal/gateway/usage_test.go
@@ -37,7 +37,8 @@
 }
 
 // Guards against counts that do not reach the provider, that fall into another window than that of the begin, that wait for
-// the latest time to close a window although all VMs have reported, and that are lost when a VM ends.
+// the latest time to close a window although all VMs have reported, and that are lost when a VM ends, and against reports of
+// windows before the start.
 func TestUsageReachesProvider(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -47,6 +48,7 @@
 	if err := ln.Close(); err != nil {
 		t.Fatal(err)
 	}
+	started := usage.WindowOf(time.Now().UnixNano(), testUsageWindow)
 	p := &usageProvider{counts: map[int64]map[string]int64{}, after: map[int64]time.Duration{}}
 	const deadline = 20 * time.Second
 	node, err := coordinator.New(coordinator.Options{
@@ -127,7 +129,10 @@
 		t.Errorf("the window was reported %s after its end; all VMs had reported", after)
 	}
 	reported := int64(0)
-	for _, counts := range p.counts {
+	for reportedWindow, counts := range p.counts {
+		if reportedWindow < started {
+			t.Errorf("window %d, before the start, was reported", reportedWindow)
+		}
 		reported += counts["early"]
 	}
 	if reported != 1 {
--- a/internal/rollout/usage.go
+++ b/internal/rollout/usage.go
@@ -49,6 +49,7 @@
 type UsageView struct {
 	Length        time.Duration
 	ClosedThrough int64 // newest closed window; 0 if none was closed yet
+	OldestOpen    int64 // oldest window with counts that is not closed; 0 if there is none
 	// Closed are the closed windows that wait for their report, the oldest first. Their counts must not be changed.
 	Closed []usage.ClosedWindow
 	// Reporting are the instances of entry VMs that sent counts within the stated number of windows.
@@ -63,7 +64,7 @@
 		return UsageView{}
 	}
 	return UsageView{
-		Length: s.usage.Length, ClosedThrough: s.usage.ClosedThrough, Closed: append([]usage.ClosedWindow(nil), s.usage.Closed...),
+		Length: s.usage.Length, ClosedThrough: s.usage.ClosedThrough, OldestOpen: s.usage.OldestOpen(), Closed: append([]usage.ClosedWindow(nil), s.usage.Closed...),
 		Reporting: s.usage.ReportedSince(s.usage.ClosedThrough - windows),
 	}
 }
--- a/internal/usage/ledger.go
+++ b/internal/usage/ledger.go
@@ -104,8 +104,8 @@
 	from := l.ClosedThrough + 1
 	if l.ClosedThrough == 0 {
 		from = through
-		for window := range l.Open {
-			from = min(from, window)
+		if oldest := l.OldestOpen(); oldest > 0 {
+			from = min(from, oldest)
 		}
 	}
 	from = max(from, through-maxClosedWindows+1)
@@ -132,6 +132,17 @@
 	return dropped
 }
 
+// OldestOpen returns the oldest window with counts that is not closed, or 0.
+func (l *Ledger) OldestOpen() int64 {
+	oldest := int64(0)
+	for window := range l.Open {
+		if oldest == 0 || window < oldest {
+			oldest = window
+		}
+	}
+	return oldest
+}
+
 // Remove removes a closed window after its report was accepted.
 func (l *Ledger) Remove(window int64, length time.Duration) {
 	l.Closed = slices.DeleteFunc(slices.Clone(l.Closed), func(w ClosedWindow) bool { return w.Window == window && w.Length == length })
