Agreed time: a leader that stands still for a moment does not set the time back

Cause: calls that arrive while the leader's process stands still seem late, all at once: follow calls of many VMs begin together after each change. One such sample of each VM replaced the right ones.

Change: a step backward of a VM's clock needs two samples in a row. A step forward still counts at once, since delays only lower a sample. Ruled out: a longer threshold, which would also keep real steps.

--- a/internal/usage/clock.go
+++ b/internal/usage/clock.go
@@ -1,6 +1,7 @@
 package usage
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -14,9 +15,9 @@
 	contactLifetime = 3 * time.Second
 	// samplesPerVM bounds the samples of a VM among which the least delayed one counts.
 	samplesPerVM = 8
-	// clockStep is the difference between two samples of a VM that shows a step of its clock. The delay of a call is
-	// shorter.
-	clockStep = 250 * time.Millisecond
+	// clockStep is the difference between two samples of a VM that shows a step of its clock. A step backward needs two
+	// samples: a single one may be delayed, and if the leader stands still for a moment, those of all VMs are at once.
+	clockStep = int64(250 * time.Millisecond)
 	// minTimeStated is the earliest time of day that is taken for one, in nanoseconds since the start of 1970.
 	minTimeStated = int64(time.Hour)
 )
@@ -47,15 +48,25 @@
 	}
 	s := clockSample{timeOfDay - int64(now), now}
 	list := c.vms[vm]
-	if n := len(list); n > 0 && time.Duration(s.offset-list[n-1].offset).Abs() > clockStep {
-		list = nil
-	}
-	if len(list) == samplesPerVM {
-		list = list[1:]
+	if n := len(list); n > 0 {
+		last, before := list[n-1].offset, best(list)
+		switch {
+		case s.offset-before > clockStep:
+			list = nil
+		case before-s.offset > clockStep && before-last > clockStep:
+			list = list[n-1:]
+		case n == samplesPerVM:
+			list = list[1:]
+		}
 	}
 	c.vms[vm] = append(slices.Clone(list), s)
 }
 
+// best returns the largest offset of a VM's samples: each call is delayed, which lowers its sample.
+func best(list []clockSample) int64 {
+	return slices.MaxFunc(list, func(a, b clockSample) int { return cmp.Compare(a.offset, b.offset) }).offset
+}
+
 // Time returns the agreed time at the boot time now, in nanoseconds since the start of 1970. It is not known right after
 // the start, while the few VMs in contact may be those whose clocks are wrong.
 func (c *GroupClock) Time(now time.Duration) (unixNanos int64, known bool) {
@@ -65,9 +76,7 @@
 	var offsets []int64
 	maps.DeleteFunc(c.vms, func(_ string, list []clockSample) bool { return now-list[len(list)-1].at > contactLifetime })
 	for _, list := range c.vms {
-		// Each call is delayed, which lowers its sample.
-		best := slices.MaxFunc(list, func(a, b clockSample) int { return int(min(max(a.offset-b.offset, -1), 1)) })
-		offsets = append(offsets, best.offset)
+		offsets = append(offsets, best(list))
 	}
 	if len(offsets) == 0 {
 		return 0, false
