Calls to the provider may last longer than one lease, while it is renewed

Cause: the context of callProvider ended with the lease as it stood when the call began, after at most 0.6 s. A provider that takes longer, which its interface allows, never got a report acknowledged, and all later windows waited.

Change: session.whileLeased ends the context when the lease ends without renewal, or after 2 s. Orders to engines keep withinLease.

--- a/internal/coordinator/duties.go
+++ b/internal/coordinator/duties.go
@@ -88,7 +88,7 @@
 	if err := s.checkLeadership(); err != nil {
 		return err
 	}
-	ctx, cancel := s.withinLease(s.ctx, dutyCallTimeout)
+	ctx, cancel := s.whileLeased(s.ctx, dutyCallTimeout)
 	defer cancel()
 	return call(ctx, DutyCall{Holder: s.node.opts.Name, FencingToken: s.term, Permitted: s.permitted})
 }
@@ -98,6 +98,23 @@
 	return context.WithTimeout(ctx, min(timeout, s.node.replica.LeaseLeft()))
 }
 
+// whileLeased returns a context that ends after the timeout, or when the leader's lease ends without having been renewed. The
+// provider may take longer than a lease lasts: with withinLease, a call to it would never get its answer.
+func (s *session) whileLeased(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	go func() {
+		for s.permitted() {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(s.node.replica.LeaseLeft()):
+			}
+		}
+		cancel()
+	}()
+	return ctx, cancel
+}
+
 // permitted reports whether this VM still leads. It is asked when a call of a duty or an order is written.
 func (s *session) permitted() bool { return s.checkLeadership() == nil }
 
