Loads of weights: spot servers do not raise the number at once

Cause: a fifth of all engines may load at once, so that ordered servers would raise the number above the nine that load without slowing each other down.

Change: only servers that are not spot count. A fixed cap was ruled out: large fleets without ordered servers load more at once.

--- a/internal/coordinator/weights.go
+++ b/internal/coordinator/weights.go
@@ -99,7 +99,7 @@
 			loading++
 		}
 	}
-	maxLoading := max(minLoadingLimit, int(maxLoadingShare*float64(len(servers))))
+	maxLoading := loadingLimit(servers)
 	for _, l := range s.dueLoads(service, servers, versions, now) {
 		if loading >= maxLoading {
 			return
@@ -113,6 +113,18 @@
 	}
 }
 
+// loadingLimit returns how many of the engines may load at once. Spot servers that were added do not raise it: the store of
+// the weights does not grow with them.
+func loadingLimit(servers []fleet.Server) int {
+	regular := 0
+	for i := range servers {
+		if !servers[i].Spot {
+			regular++
+		}
+	}
+	return max(minLoadingLimit, int(maxLoadingShare*float64(regular)))
+}
+
 // dueLoads returns the loads that are due, in the order in which they should start: first on engines whose version is
 // too old to serve a new step, then for the models with the fewest engines that can serve one, then on the engines with
 // the fewest running items. The caller holds the mutex.
