A leader that regains its lease in the same term does not wait for a former leader again

Change: the term of the last completed wait is kept; a session of that term begins at once, since no other VM can have led in between. Ending fewer sessions was ruled out: runs must end within the time for which engines may run an item twice.

--- a/internal/coordinator/duties.go
+++ b/internal/coordinator/duties.go
@@ -121,18 +121,30 @@
 
 // handOver waits until servers and the provider no longer receive calls of the former leader, and then closes
 // s.handedOver. If they enforce fencing, a former leader that was killed, suspended or cut off can send no more calls that
-// they accept.
+// they accept. A VM that regains its lease in the same term waits only once: a term has one leader, so no other VM has sent
+// anything since. A slow disk can cost the lease several times in a row.
 func (s *session) handOver() {
-	// A leader that transfers its leadership may hold its lease, and have a call in flight, for up to leaderLease.
-	delay := s.node.opts.OrderHandoverDelay + leaderLease
-	if s.node.opts.EnginesEnforceFencing {
-		delay = s.formerLeaderDelay()
-	}
+	delay := s.handOverDelay()
 	s.record(events.Event{Name: events.OrderHandover, Detail: "orders begin after " + delay.Round(time.Millisecond).String()})
 	sleep(s.ctx, delay)
+	if s.ctx.Err() != nil {
+		return
+	}
+	s.node.handedOverTerm.Store(s.term)
 	close(s.handedOver)
 }
 
+func (s *session) handOverDelay() time.Duration {
+	if s.node.handedOverTerm.Load() == s.term {
+		return 0
+	}
+	if s.node.opts.EnginesEnforceFencing {
+		return s.formerLeaderDelay()
+	}
+	// A leader that transfers its leadership may hold its lease, and have a call in flight, for up to leaderLease.
+	return s.node.opts.OrderHandoverDelay + leaderLease
+}
+
 // waitForHandover waits until handOver has ended.
 func (s *session) waitForHandover() error {
 	select {
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -94,19 +94,21 @@
 
 // Node is a VM that holds a replica of the state. Its methods are safe for concurrent use.
 type Node struct {
-	opts         Options
-	replica      *replica.Replica
-	texts        *blobs.Store
-	state        *rollout.State
-	registry     *fleet.Registry
-	forwarder    *forward.Forwarder // sends the scorer calls while this VM leads
-	limits       *ratelimit.Table
-	suspects     *forward.Suspects
-	packed       packedConfiguration
-	client       *link.Client
-	server       *link.Server
-	session      atomic.Pointer[session] // set while this VM leads
-	lastLeaderAt atomic.Int64            // boot time at which this process last held the lease, in nanoseconds; 0 if never
+	opts      Options
+	replica   *replica.Replica
+	texts     *blobs.Store
+	state     *rollout.State
+	registry  *fleet.Registry
+	forwarder *forward.Forwarder // sends the scorer calls while this VM leads
+	limits    *ratelimit.Table
+	suspects  *forward.Suspects
+	packed    packedConfiguration
+	client    *link.Client
+	server    *link.Server
+	session   atomic.Pointer[session] // set while this VM leads
+	// handedOverTerm is the newest term in which this VM has waited for the calls of the former leader.
+	handedOverTerm atomic.Uint64
+	lastLeaderAt   atomic.Int64 // boot time at which this process last held the lease, in nanoseconds; 0 if never
 }
 
 // New opens the data directory of a node. Run starts the node.
