Bound the memory and the connections of callers

Cause: fasthttp reads a whole body before the handler runs and allocates its declared length at once; nothing bounded the number of such requests, nor of connections. Change: internal/budget accounts for what connections hold. The HTTP server reserves the declared length of a body before it reads it, a chunked body before each growth, the lines of a header, and an answer until it is sent. Without room, connections that have made no progress for 250 ms are dropped, the oldest first; then the request gets 503 with Retry-After. The number of connections is bounded by max-fds. Headers must arrive within 3.5 s, bodies with 1 KiB in 10 s, and callers must read 256 KiB of an answer in 30 s. Ruled out: buffers outside the Go heap (hedged attempts may hold a body after its answer); a reservation for each piece of a body with a length (the pieces of many bodies fill the budget and none ends).

--- /dev/null
+++ b/internal/budget/budget.go
@@ -0,0 +1,342 @@
+// Package budget accounts for what a process holds for its callers: memory and connections. Memory is reserved before it is
+// allocated and given back at every end. If it is used up, the connections that have made the least progress for the longest
+// time are dropped. The package does no input or output.
+package budget
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Phase is what a connection is doing.
+type Phase int32
+
+// Phases of a connection. A connection is not dropped while its request runs: its outcome would be unknown.
+const (
+	Idle      Phase = iota // waits for the next request
+	Receiving              // receives a request
+	Running                // its request runs
+	Answering              // an answer is being sent
+	dropped                // the connection was dropped
+)
+
+// Reason tells why a connection was dropped or refused.
+type Reason string
+
+// Reasons.
+const (
+	Memory      Reason = "memory"
+	Connections Reason = "connections"
+	Slow        Reason = "slow" // below the least rate of arrival
+)
+
+const (
+	// DefaultStall is how long a connection must have made no progress before another request may take its memory. A caller
+	// that sends without a pause makes progress within a round trip.
+	DefaultStall = 250 * time.Millisecond
+	// ProgressBytes is what must be received or sent to count as progress, so that single bytes do not keep a connection.
+	ProgressBytes = 4 << 10
+	// bulkShare is the share of the memory that reservations above SmallBytes may take together. The rest is for ordinary
+	// requests.
+	bulkShare = 0.75
+	// SmallBytes is the size up to which a reservation may use the whole budget.
+	SmallBytes = 64 << 10
+)
+
+// Options configures a Budget.
+type Options struct {
+	Bytes           int64         // memory in bytes; 0 means no limit
+	Connections     int           // number of connections; 0 means no limit
+	ConnectionBytes int64         // memory that every connection holds
+	Stall           time.Duration // zero means DefaultStall
+	Now             func() time.Duration
+}
+
+// Stats are the counters of a Budget.
+type Stats struct {
+	Bytes, LimitBytes int64
+	Connections       int
+	Refused           map[Reason]int64 // reservations and connections that got no room
+	Dropped           map[Reason]int64 // connections that were dropped
+}
+
+// Budget is what a process may hold for its callers.
+type Budget struct {
+	opts Options
+	bulk int64 // limit of the reservations above SmallBytes
+
+	mu       sync.Mutex
+	used     int64
+	bulkUsed int64
+	holders  map[*Holder]struct{}
+	closing  int           // holders that were dropped and are not closed yet
+	changed  chan struct{} // closed when room is given back; nil without waiters
+	refused  map[Reason]int64
+	dropped  map[Reason]int64
+}
+
+// New returns an unused budget.
+func New(o Options) *Budget {
+	if o.Stall == 0 {
+		o.Stall = DefaultStall
+	}
+	if o.Now == nil {
+		start := time.Now()
+		o.Now = func() time.Duration { return time.Since(start) }
+	}
+	return &Budget{
+		opts: o, bulk: int64(bulkShare * float64(o.Bytes)), holders: map[*Holder]struct{}{}, refused: map[Reason]int64{}, dropped: map[Reason]int64{},
+	}
+}
+
+// Holder is the part of the budget that one connection holds.
+type Holder struct {
+	budget   *Budget
+	drop     func(Reason)
+	phase    atomic.Int32
+	progress atomic.Int64 // time of the last progress, in nanoseconds
+	partial  atomic.Int64 // bytes since then
+
+	// Guarded by budget.mu.
+	bytes, bulkBytes int64
+	closed           bool
+}
+
+// Open adds a connection. If there is no room, it drops the connection that has made no progress for the longest time. drop must
+// close the connection without blocking; it may be called from any goroutine, at most once. Open returns nil if there is no room.
+func (b *Budget) Open(drop func(Reason)) *Holder {
+	h := &Holder{budget: b, drop: drop}
+	h.progress.Store(int64(b.opts.Now()))
+	b.mu.Lock()
+	var reason Reason
+	switch {
+	case b.opts.Connections > 0 && len(b.holders)-b.closing >= b.opts.Connections:
+		reason = Connections
+	case b.opts.Bytes > 0 && b.used+b.opts.ConnectionBytes > b.opts.Bytes:
+		reason = Memory
+	}
+	var victim *Holder
+	if reason != "" {
+		if victim = b.dropOldest(0, nil, reason); victim == nil {
+			b.refused[reason]++
+			b.mu.Unlock()
+			return nil
+		}
+	}
+	b.holders[h] = struct{}{}
+	h.bytes = b.opts.ConnectionBytes
+	b.used += h.bytes
+	b.mu.Unlock()
+	if victim != nil {
+		victim.drop(reason)
+	}
+	return h
+}
+
+// dropOldest marks a connection other than self as dropped: of those without progress for at least stall, the one that made its
+// last progress first. Connections that receive or are sent something come before idle ones. It returns nil if there is none. The
+// caller must call the connection's drop function without b.mu, which must be held.
+func (b *Budget) dropOldest(stall time.Duration, self *Holder, reason Reason) *Holder {
+	now := int64(b.opts.Now())
+	var best *Holder
+	var bestPhase Phase
+	var bestProgress int64
+	for h := range b.holders {
+		phase, progress := h.Phase(), h.progress.Load()
+		if h == self || phase == Running || phase == dropped || now-progress < int64(stall) {
+			continue
+		}
+		idle, bestIdle := phase == Idle, bestPhase == Idle
+		if best == nil || (bestIdle && !idle) || (bestIdle == idle && progress < bestProgress) {
+			best, bestPhase, bestProgress = h, phase, progress
+		}
+	}
+	if best == nil || !best.phase.CompareAndSwap(int32(bestPhase), int32(dropped)) {
+		return nil // or it has just made progress
+	}
+	b.closing++
+	b.dropped[reason]++
+	return best
+}
+
+// Fits reports whether n bytes could be reserved if nothing else were held.
+func (b *Budget) Fits(n int64) bool {
+	return b.opts.Bytes == 0 || n <= b.bulk || n <= min(SmallBytes, b.opts.Bytes)
+}
+
+// Limited reports whether the memory is bounded.
+func (b *Budget) Limited() bool { return b.opts.Bytes > 0 }
+
+// Reserve reserves n bytes for the connection. It waits up to the given time while connections without progress are dropped, and
+// reports whether there is room.
+func (h *Holder) Reserve(n int64, wait time.Duration) bool {
+	if n <= 0 {
+		return true
+	}
+	b := h.budget
+	var timeout <-chan time.Time
+	for {
+		b.mu.Lock()
+		if h.closed || h.Dropped() {
+			b.mu.Unlock()
+			return false
+		}
+		if b.fits(n) {
+			b.add(h, n)
+			b.mu.Unlock()
+			return true
+		}
+		victim := b.dropOldest(b.opts.Stall, h, Memory)
+		if wait <= 0 {
+			b.refused[Memory]++
+		}
+		if b.changed == nil {
+			b.changed = make(chan struct{})
+		}
+		changed := b.changed
+		b.mu.Unlock()
+		if victim != nil {
+			victim.drop(Memory)
+		}
+		if wait <= 0 {
+			return false
+		}
+		if timeout == nil {
+			timer := time.NewTimer(wait)
+			defer timer.Stop()
+			timeout = timer.C
+		}
+		again := time.NewTimer(b.opts.Stall / 4) // others may have stalled by then
+		select {
+		case <-changed:
+		case <-again.C:
+		case <-timeout:
+			wait = 0
+		}
+		again.Stop()
+	}
+}
+
+// fits reports whether n more bytes can be reserved. b.mu must be held.
+func (b *Budget) fits(n int64) bool {
+	if b.opts.Bytes == 0 {
+		return true
+	}
+	return b.used+n <= b.opts.Bytes && (n <= SmallBytes || b.bulkUsed+n <= b.bulk)
+}
+
+// add charges n bytes to h. b.mu must be held.
+func (b *Budget) add(h *Holder, n int64) {
+	h.bytes += n
+	b.used += n
+	if n > SmallBytes {
+		h.bulkBytes += n
+		b.bulkUsed += n
+	}
+}
+
+// Release gives back n bytes that one call of Reserve reserved.
+func (h *Holder) Release(n int64) {
+	if n <= 0 {
+		return
+	}
+	b := h.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if h.closed {
+		return // Close has given back everything
+	}
+	h.bytes -= n
+	b.used -= n
+	if n > SmallBytes {
+		h.bulkBytes -= n
+		b.bulkUsed -= n
+	}
+	b.signal()
+}
+
+// signal wakes the waiting reservations. b.mu must be held.
+func (b *Budget) signal() {
+	if b.changed != nil {
+		close(b.changed)
+		b.changed = nil
+	}
+}
+
+// Close gives back everything that the connection holds. It may be called more than once.
+func (h *Holder) Close() {
+	b := h.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if h.closed {
+		return
+	}
+	h.closed = true
+	if h.Dropped() {
+		b.closing--
+	}
+	b.used -= h.bytes
+	b.bulkUsed -= h.bulkBytes
+	delete(b.holders, h)
+	b.signal()
+}
+
+// Dropped reports whether the connection was dropped.
+func (h *Holder) Dropped() bool { return h.Phase() == dropped }
+
+// SetPhase says what the connection does from now on, which counts as progress. It reports whether the connection still exists.
+func (h *Holder) SetPhase(p Phase) bool {
+	h.progress.Store(int64(h.budget.opts.Now()))
+	for {
+		old := h.phase.Load()
+		if Phase(old) == dropped {
+			return false
+		}
+		if h.phase.CompareAndSwap(old, int32(p)) {
+			return true
+		}
+	}
+}
+
+// Phase returns what the connection does.
+func (h *Holder) Phase() Phase { return Phase(h.phase.Load()) }
+
+// Transferred counts n bytes that were received or sent.
+func (h *Holder) Transferred(n int) {
+	if h.partial.Add(int64(n)) < ProgressBytes {
+		return
+	}
+	h.partial.Store(0)
+	h.progress.Store(int64(h.budget.opts.Now()))
+}
+
+// Drop drops the connection unless it was dropped already or its request runs.
+func (h *Holder) Drop(r Reason) {
+	b := h.budget
+	b.mu.Lock()
+	phase := h.phase.Load()
+	ok := !h.closed && Phase(phase) != Running && Phase(phase) != dropped && h.phase.CompareAndSwap(phase, int32(dropped))
+	if ok {
+		b.closing++
+		b.dropped[r]++
+	}
+	b.mu.Unlock()
+	if ok {
+		h.drop(r)
+	}
+}
+
+// Stats returns the present counters.
+func (b *Budget) Stats() Stats {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := Stats{Bytes: b.used, LimitBytes: b.opts.Bytes, Connections: len(b.holders), Refused: map[Reason]int64{}, Dropped: map[Reason]int64{}}
+	for r, n := range b.refused {
+		s.Refused[r] = n
+	}
+	for r, n := range b.dropped {
+		s.Dropped[r] = n
+	}
+	return s
+}
--- /dev/null
+++ b/internal/budget/budget_test.go
@@ -0,0 +1,118 @@
+package budget
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// clock is a clock that tests set.
+type clock struct{ now time.Duration }
+
+func (c *clock) read() time.Duration { return c.now }
+
+func newTestBudget(bytes int64, connections int) (*Budget, *clock) {
+	c := &clock{}
+	return New(Options{Bytes: bytes, Connections: connections, ConnectionBytes: 10, Now: c.read}), c
+}
+
+// Guards against dropping a connection that makes progress, that runs a request or that asks for the room itself.
+func TestLeastProgressIsDroppedFirst(t *testing.T) {
+	b, c := newTestBudget(100, 0)
+	var dropped []string
+	open := func(name string, phase Phase) *Holder {
+		var h *Holder
+		h = b.Open(func(Reason) { dropped = append(dropped, name); h.Close() })
+		h.SetPhase(phase)
+		return h
+	}
+	idle, running := open("idle", Idle), open("running", Running)
+	if !running.Reserve(20, 0) {
+		t.Fatal("no room in an empty budget")
+	}
+	slow, fast := open("slow", Receiving), open("fast", Receiving)
+	if !slow.Reserve(20, 0) || !fast.Reserve(15, 0) {
+		t.Fatal("no room")
+	}
+	c.now += DefaultStall
+	slow.Transferred(ProgressBytes - 1) // too little to count
+	fast.Transferred(ProgressBytes)
+	if !fast.Reserve(20, time.Second) || len(dropped) != 1 || dropped[0] != "slow" {
+		t.Fatalf("dropped %v", dropped)
+	}
+	if !fast.Reserve(20, time.Second) || len(dropped) != 2 || dropped[1] != "idle" || !idle.Dropped() {
+		t.Fatalf("dropped %v", dropped)
+	}
+	if fast.Reserve(50, 0) || len(dropped) != 2 {
+		t.Fatalf("room for more than the limit; dropped %v", dropped)
+	}
+	if slow.SetPhase(Running) {
+		t.Error("a dropped connection runs its request")
+	}
+}
+
+// Guards against large bodies that take the room of ordinary requests.
+func TestLargeReservationsLeaveRoomForSmallOnes(t *testing.T) {
+	b, _ := newTestBudget(8*SmallBytes, 0)
+	h := b.Open(func(Reason) {})
+	if !h.Reserve(6*SmallBytes, 0) || h.Reserve(SmallBytes+1, 0) || !h.Reserve(SmallBytes, 0) {
+		t.Fatalf("got %+v", b.Stats())
+	}
+}
+
+// Guards against connections beyond the limit, and against a new connection that waits behind those that do nothing.
+func TestNewConnectionReplacesOldest(t *testing.T) {
+	b, c := newTestBudget(0, 2)
+	reasons := map[string]Reason{}
+	first := b.Open(func(r Reason) { reasons["first"] = r })
+	c.now++
+	second := b.Open(func(r Reason) { reasons["second"] = r })
+	if b.Open(func(Reason) {}).SetPhase(Running); reasons["first"] != Connections || len(reasons) != 1 {
+		t.Fatalf("dropped %v", reasons)
+	}
+	first.Close()
+	second.SetPhase(Running)
+	if b.Open(func(Reason) {}) != nil || b.Stats().Connections != 2 || b.Stats().Refused[Connections] != 1 {
+		t.Fatalf("got %+v", b.Stats())
+	}
+}
+
+// Guards against room that is not given back, or given back twice, in any order of calls.
+func TestEverythingIsGivenBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b, c := newTestBudget(300_000, 5)
+		held := map[*Holder][]int64{}
+		for range rapid.IntRange(1, 60).Draw(t, "calls") {
+			c.now += time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond
+			if h := b.Open(func(Reason) {}); h != nil {
+				held[h] = nil
+			}
+			for h, sizes := range held {
+				switch rapid.IntRange(0, 4).Draw(t, "call") {
+				case 0:
+					if n := int64(rapid.IntRange(1, 200_000).Draw(t, "bytes")); h.Reserve(n, 0) {
+						held[h] = append(sizes, n)
+					}
+				case 1:
+					if len(sizes) > 0 {
+						h.Release(sizes[0])
+						held[h] = sizes[1:]
+					}
+				case 2:
+					h.SetPhase(Phase(rapid.IntRange(int(Idle), int(Answering)).Draw(t, "phase")))
+				case 3:
+					h.Close()
+					h.Close()
+					delete(held, h)
+				}
+			}
+		}
+		for h := range held {
+			h.Close()
+		}
+		if s := b.Stats(); s.Bytes != 0 || s.Connections != 0 || b.bulkUsed != 0 || b.closing != 0 {
+			t.Fatalf("left: %+v, %d large, %d closing", s, b.bulkUsed, b.closing)
+		}
+	})
+}
--- a/internal/front/respond.go
+++ b/internal/front/respond.go
@@ -79,5 +79,5 @@
 		return
 	}
 	ctx.SetContentType("application/json")
-	ctx.SetBody(body)
+	ctx.Response.SetBodyRaw(body)
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"filbertledge/internal/api"
+	"filbertledge/internal/budget"
 	"filbertledge/internal/errs"
 	"filbertledge/internal/events"
 	"filbertledge/internal/metrics"
@@ -75,8 +76,10 @@
 	MaxHeaderBytes int
 	ReadTimeout    time.Duration
 	IdleTimeout    time.Duration
-	Metrics        *metrics.Metrics
-	Events         *events.Recorder
+	// Budget bounds what the connections hold. Nil means a budget that bounds only their number.
+	Budget  *budget.Budget
+	Metrics *metrics.Metrics
+	Events  *events.Recorder
 }
 
 func (o Options) withDefaults() Options {
@@ -86,9 +89,21 @@
 	o.MaxHeaderBytes = cmp.Or(o.MaxHeaderBytes, defaultMaxHeaderBytes)
 	o.ReadTimeout = cmp.Or(o.ReadTimeout, defaultReadTimeout)
 	o.IdleTimeout = cmp.Or(o.IdleTimeout, defaultIdleTimeout)
+	if o.Budget == nil {
+		o.Budget = NewBudget(0, 0)
+	}
 	return o
 }
 
+// NewBudget returns a budget of memory bytes for at most the given number of connections. Zero means no limit of the memory, and
+// as many connections as the HTTP server has.
+func NewBudget(bytes int64, connections int) *budget.Budget {
+	if connections == 0 {
+		connections = maxConnections
+	}
+	return budget.New(budget.Options{Bytes: bytes, Connections: min(connections, maxConnections), ConnectionBytes: connectionBytes})
+}
+
 // Server is the HTTP server of a VM for callers, trainers, backend servers and the load balancer.
 type Server struct {
 	opts     Options
@@ -102,7 +117,9 @@
 	s := &Server{opts: opts}
 	s.http = &fasthttp.Server{
 		Handler: s.handle, ErrorHandler: s.answerReadError, Logger: discardLogger{},
-		ReadBufferSize: opts.MaxHeaderBytes, MaxRequestBodySize: opts.MaxBodyBytes, Concurrency: maxConnections,
+		ReadBufferSize: opts.MaxHeaderBytes, Concurrency: maxConnections,
+		// receive reads the bodies after it has reserved their memory. The library reads only small ones.
+		StreamRequestBody: true, MaxRequestBodySize: smallBodyBytes,
 		ReadTimeout: opts.ReadTimeout, IdleTimeout: opts.IdleTimeout, WriteTimeout: writeTimeout,
 		// A parsed form could not be passed on unchanged.
 		DisablePreParseMultipartForm: true,
@@ -118,7 +135,7 @@
 func (discardLogger) Printf(string, ...any) {}
 
 // Serve serves connections of ln until Drain closes it.
-func (s *Server) Serve(ln net.Listener) error { return s.http.Serve(ln) }
+func (s *Server) Serve(ln net.Listener) error { return s.http.Serve(listener{ln, s}) }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	defer s.recoverPanic(ctx)
@@ -127,10 +144,36 @@
 		ctx.SetConnectionClose()
 		return
 	}
+	var r received
+	defer r.release()
+	if !s.receive(ctx, &r) {
+		return
+	}
 	s.route(ctx)
 	if s.draining.Load() {
 		ctx.SetConnectionClose()
 	}
+	r.release()
+	s.beginAnswer(ctx)
+}
+
+// beginAnswer reserves the memory of an answer until it has been sent. A caller for whose answer there is no room loses its
+// connection: its request has run.
+func (s *Server) beginAnswer(ctx *fasthttp.RequestCtx) {
+	c, ok := ctx.Conn().(*conn)
+	if !ok || ctx.Response.IsBodyStream() {
+		return // a streamed answer holds no more than its buffers
+	}
+	c.endAnswer() // of an earlier request that came together with this one
+	if n := int64(len(ctx.Response.Body())); n > smallBodyBytes {
+		if !c.holder.Reserve(n, roomWait) {
+			c.holder.SetPhase(budget.Answering)
+			c.holder.Drop(budget.Memory)
+			return
+		}
+		c.answerBytes = n
+	}
+	c.holder.SetPhase(budget.Answering)
 }
 
 func (s *Server) route(ctx *fasthttp.RequestCtx) {
