--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -64,7 +64,8 @@
 	inHeader    bool
 	headerStart time.Time
 	lastBytes   [2]byte   // of the header so far
-	headerBytes int64     // reserved for the lines of the largest header of the connection
+	manyLines   bool      // the present header has more than ordinaryLines
+	headerBytes int64     // reserved for the present header
 	answerBytes int64     // reserved for the present answer
 	body        []byte    // buffer for small bodies
 	bodyEnd     time.Time // by which the present body must have arrived; zero outside bodies
--- a/internal/front/receive.go
+++ b/internal/front/receive.go
@@ -69,6 +69,7 @@
 	}
 	c.holder.SetPhase(budget.Answering)
 	r.release()
+	c.releaseHeader(ctx)
 	if errs.Is(err, errs.Unavailable) {
 		s.refuse(ctx, err, true)
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(refusedRetryAfter))
@@ -82,24 +83,31 @@
 	return false
 }
 
-// reserveHeader reserves memory for the lines of a header. The HTTP library keeps the memory of the largest header until the
-// connection is closed, and so does the reservation.
+// reserveHeader reserves memory for the lines of a header until releaseHeader.
 func (c *conn) reserveHeader(raw []byte) error {
 	lines := bytes.Count(raw, []byte{'\n'})
-	if lines <= ordinaryLines {
+	if c.manyLines = lines > ordinaryLines; !c.manyLines {
 		return nil
 	}
 	n := int64(lines)*lineBytes + 2*int64(len(raw))
-	if n <= c.headerBytes {
-		return nil
-	}
-	if !c.holder.Reserve(n-c.headerBytes, 0) {
+	if !c.holder.Reserve(n, 0) {
 		return errNoRoom
 	}
 	c.headerBytes = n
 	return nil
 }
 
+// releaseHeader frees a header with many lines, whose memory the HTTP library would keep for further requests.
+func (c *conn) releaseHeader(ctx *fasthttp.RequestCtx) {
+	if !c.manyLines {
+		return
+	}
+	ctx.Response.SkipBody = ctx.Response.SkipBody || ctx.IsHead() // the library looks at the method once more
+	ctx.Request.Header = fasthttp.RequestHeader{}
+	c.holder.Release(c.headerBytes)
+	c.headerBytes, c.manyLines = 0, false
+}
+
 // readBody reads the body of a request. It reserves the declared length before it reads, and the memory of a chunked body before
 // each growth.
 func (s *Server) readBody(ctx *fasthttp.RequestCtx, c *conn, r *received) ([]byte, error) {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -162,8 +162,9 @@
 func (s *Server) beginAnswer(ctx *fasthttp.RequestCtx) {
 	c, ok := ctx.Conn().(*conn)
 	if !ok || ctx.Response.IsBodyStream() {
-		return // a streamed answer holds no more than its buffers
+		return // a streamed answer holds no more than its buffers, and its handler still uses the request
 	}
+	c.releaseHeader(ctx)
 	c.endAnswer() // of an earlier request that came together with this one
 	if n := int64(len(ctx.Response.Body())); n > smallBodyBytes {
 		if !c.holder.Reserve(n, roomWait) {
