--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -285,9 +285,12 @@
 // Dropped reports whether the connection was dropped.
 func (h *Holder) Dropped() bool { return h.Phase() == dropped }
 
-// SetPhase says what the connection does from now on, which counts as progress. It reports whether the connection still exists.
+// SetPhase says what the connection does from now on. The begin of a request and of an answer count as progress. It reports
+// whether the connection still exists.
 func (h *Holder) SetPhase(p Phase) bool {
-	h.progress.Store(int64(h.budget.opts.Now()))
+	if p == Receiving || p == Answering {
+		h.progress.Store(int64(h.budget.opts.Now()))
+	}
 	for {
 		old := h.phase.Load()
 		if Phase(old) == dropped {
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -63,11 +63,13 @@
 	// Used by the goroutine that serves the connection.
 	inHeader    bool
 	headerStart time.Time
-	lastBytes   [2]byte   // of the header so far
-	manyLines   bool      // the present header has more than ordinaryLines
+	lastBytes   [2]byte // of the header so far
+	headerLines int
 	headerBytes int64     // reserved for the present header
+	headerParts []int64   // that headerBytes was reserved in
 	answerBytes int64     // reserved for the present answer
 	body        []byte    // buffer for small bodies
+	bodyBytes   int64     // reserved for the present body
 	bodyEnd     time.Time // by which the present body must have arrived; zero outside bodies
 	windowEnd   time.Time
 	windowBytes int
@@ -117,12 +119,20 @@
 	}
 	if c.holder.Phase() == budget.Idle {
 		c.holder.SetPhase(budget.Receiving)
-		c.inHeader, c.headerStart, c.lastBytes = true, time.Now(), [2]byte{}
+		c.inHeader, c.headerStart, c.lastBytes, c.headerLines = true, time.Now(), [2]byte{}, 0
 	} else {
 		c.holder.Transferred(n)
 	}
 	if c.inHeader {
-		c.inHeader = !c.endsHeader(p[:n])
+		end := c.headerEnd(p[:n])
+		c.inHeader = end < 0
+		if c.inHeader {
+			end = n
+		}
+		c.headerLines += bytes.Count(p[:end], []byte{'\n'})
+		if err := c.reserveHeader(c.headerLines, roomWait); err != nil {
+			return 0, err
+		}
 	}
 	return n, err
 }
@@ -164,20 +174,30 @@
 	c.answerBytes = 0
 }
 
-// endsHeader reports whether the header ends within the bytes that were received.
-func (c *conn) endsHeader(p []byte) bool {
-	if bytes.Contains(p, []byte("\n\r\n")) || bytes.Contains(p, []byte("\n\n")) {
-		return true
+// headerEnd returns the length of the part of p that belongs to the header, or -1 if the header does not end in p.
+func (c *conn) headerEnd(p []byte) int {
+	var seam [4]byte // the last two bytes before p and the first two of p
+	copy(seam[:], c.lastBytes[:])
+	n := 2 + copy(seam[2:], p)
+	if emptyLine(seam[:n]) >= 0 {
+		return 0 // the lines were counted, but for the empty one
 	}
-	seam := append(c.lastBytes[:], p[:min(2, len(p))]...)
-	if bytes.Contains(seam, []byte("\n\r\n")) || bytes.Contains(seam, []byte("\n\n")) {
-		return true
+	if i := emptyLine(p); i >= 0 {
+		return i
 	}
-	copy(c.lastBytes[:], seam[len(seam)-2:])
+	copy(c.lastBytes[:], seam[n-2:n])
 	if len(p) >= 2 {
 		copy(c.lastBytes[:], p[len(p)-2:])
 	}
-	return false
+	return -1
+}
+
+// emptyLine returns the index of the line end before the first empty line, or -1 if there is none.
+func emptyLine(p []byte) int {
+	if i := bytes.Index(p, []byte("\n\r\n")); i >= 0 {
+		return i
+	}
+	return bytes.Index(p, []byte("\n\n"))
 }
 
 // Write implements net.Conn. It fails if the caller does not read the next part in time.
--- a/internal/front/receive.go
+++ b/internal/front/receive.go
@@ -17,8 +17,8 @@
 	// ordinaryLines is the number of header lines whose memory is part of connectionBytes.
 	ordinaryLines = 32
 	// lineBytes is the memory of a header line beyond its bytes: the parsed entry of the HTTP library, which doubles its list as it
-	// grows, the separate strings of the name and the value, and the copy that is sent to a server.
-	lineBytes = 256
+	// grows, the strings of the name and the value, and the same again in the request that is sent to a server.
+	lineBytes = 512
 	// roomWait is how long a request waits for memory before it is refused.
 	roomWait = 1500 * time.Millisecond
 	// refusedRetryAfter is the Retry-After of a request that was refused for want of memory, in seconds.
@@ -32,85 +32,89 @@
 
 var errNoRoom = errs.New(errs.Unavailable, "send the request again", "this VM has no memory for the request at the moment")
 
-// received is what a request holds of the budget.
-type received struct {
-	holder *budget.Holder
-	bytes  int64
-}
-
-func (r *received) release() {
-	if r.holder != nil {
-		r.holder.Release(r.bytes)
-		r.bytes = 0
-	}
+// releaseBody gives back the memory of the present body.
+func (c *conn) releaseBody() {
+	c.holder.Release(c.bodyBytes)
+	c.bodyBytes = 0
 }
 
 // receive reads the body of the request and reserves its memory. It reports whether the request can run; if not, it has answered.
-func (s *Server) receive(ctx *fasthttp.RequestCtx, r *received) bool {
+func (s *Server) receive(ctx *fasthttp.RequestCtx) bool {
 	c, ok := ctx.Conn().(*conn)
 	if !ok {
 		return true // not accepted by Serve
 	}
-	r.holder = c.holder
 	c.inHeader = false
-	err := c.reserveHeader(ctx.Request.Header.RawHeaders())
+	err := c.reserveHeader(bytes.Count(ctx.Request.Header.RawHeaders(), []byte{'\n'}), 0)
 	if err == nil && ctx.Request.IsBodyStream() {
 		var body []byte
-		if body, err = s.readBody(ctx, c, r); err == nil {
+		if body, err = s.readBody(ctx, c); err == nil {
 			ctx.Request.SetBodyRaw(body)
 		}
 	}
 	if err == nil && c.holder.SetPhase(budget.Running) {
 		return true
 	}
-	ctx.SetConnectionClose()
 	if c.holder.Dropped() {
+		ctx.SetConnectionClose()
 		return false
 	}
 	c.holder.SetPhase(budget.Answering)
-	r.release()
+	c.releaseBody()
 	c.releaseHeader(ctx)
-	if errs.Is(err, errs.Unavailable) {
-		s.refuse(ctx, err, true)
-		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(refusedRetryAfter))
-		return false
-	}
+	s.refuseUnread(ctx, err)
+	return false
+}
+
+// refuseUnread answers a request that was not received.
+func (s *Server) refuseUnread(ctx *fasthttp.RequestCtx, err error) {
 	var typed *errs.Error
 	if !errors.As(err, &typed) {
 		err = s.describeReadError(err)
 	}
 	s.refuse(ctx, err, true)
-	return false
+	if errs.Is(err, errs.Unavailable) {
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(refusedRetryAfter))
+	}
+	ctx.SetConnectionClose()
 }
 
-// reserveHeader reserves memory for the lines of a header until releaseHeader.
-func (c *conn) reserveHeader(raw []byte) error {
-	lines := bytes.Count(raw, []byte{'\n'})
-	if c.manyLines = lines > ordinaryLines; !c.manyLines {
+// reserveHeader reserves memory for the lines of the present header until releaseHeader. The HTTP library parses also a header
+// that is not complete, so Read calls it before it passes the lines on. Lines that came together with an earlier request are
+// counted when the request is served.
+func (c *conn) reserveHeader(lines int, wait time.Duration) error {
+	if lines <= ordinaryLines {
+		return nil
+	}
+	n := int64(lines)*lineBytes + int64(c.server.opts.MaxHeaderBytes)
+	if n <= c.headerBytes {
 		return nil
 	}
-	n := int64(lines)*lineBytes + 2*int64(len(raw))
-	if !c.holder.Reserve(n, 0) {
+	if !c.holder.Reserve(n-c.headerBytes, wait) {
 		return errNoRoom
 	}
+	c.headerParts = append(c.headerParts, n-c.headerBytes)
 	c.headerBytes = n
 	return nil
 }
 
 // releaseHeader frees a header with many lines, whose memory the HTTP library would keep for further requests.
 func (c *conn) releaseHeader(ctx *fasthttp.RequestCtx) {
-	if !c.manyLines {
+	c.headerLines = 0
+	if c.headerBytes == 0 {
 		return
 	}
 	ctx.Response.SkipBody = ctx.Response.SkipBody || ctx.IsHead() // the library looks at the method once more
 	ctx.Request.Header = fasthttp.RequestHeader{}
-	c.holder.Release(c.headerBytes)
-	c.headerBytes, c.manyLines = 0, false
+	for _, n := range c.headerParts {
+		c.holder.Release(n)
+	}
+	c.headerBytes, c.headerParts = 0, nil
 }
 
 // readBody reads the body of a request. It reserves the declared length before it reads, and the memory of a chunked body before
 // each growth.
-func (s *Server) readBody(ctx *fasthttp.RequestCtx, c *conn, r *received) ([]byte, error) {
+func (s *Server) readBody(ctx *fasthttp.RequestCtx, c *conn) ([]byte, error) {
 	stream, length := ctx.RequestBodyStream(), ctx.Request.Header.ContentLength()
 	if length > s.opts.MaxBodyBytes {
 		return nil, fasthttp.ErrBodyTooLarge
@@ -126,7 +130,7 @@
 	if length < 0 {
 		size = firstBufferBytes
 	}
-	if err := s.reserveBody(r, int64(size)); err != nil {
+	if err := s.reserveBody(c, int64(size)); err != nil {
 		return nil, err
 	}
 	c.beginBody(s.opts.ReadTimeout)
@@ -150,7 +154,7 @@
 		case n < len(body):
 			continue
 		}
-		if body, err = s.growBody(r, body); err != nil {
+		if body, err = s.growBody(c, body); err != nil {
 			return nil, err
 		}
 	}
@@ -164,19 +168,19 @@
 }
 
 // reserveBody reserves n bytes for a body.
-func (s *Server) reserveBody(r *received, n int64) error {
+func (s *Server) reserveBody(c *conn, n int64) error {
 	if !s.opts.Budget.Fits(n) {
 		return errs.New(errs.PayloadTooLarge, "send a shorter body", "request body of %d bytes exceeds the memory of this VM", n)
 	}
-	if !r.holder.Reserve(n, roomWait) {
+	if !c.holder.Reserve(n, roomWait) {
 		return errNoRoom
 	}
-	r.bytes += n
+	c.bodyBytes += n
 	return nil
 }
 
 // growBody returns a larger buffer with the same content.
-func (s *Server) growBody(r *received, body []byte) ([]byte, error) {
+func (s *Server) growBody(c *conn, body []byte) ([]byte, error) {
 	largest := s.opts.MaxBodyBytes + 1 // so that a body that is too large is noticed
 	size := min(len(body)*bufferGrowth, largest)
 	if size > largeBufferBytes && s.opts.Budget.Fits(int64(largest)) {
@@ -184,12 +188,12 @@
 	} else if size > largeBufferBytes {
 		size = min(len(body)*2, largest)
 	}
-	if err := s.reserveBody(r, int64(size)); err != nil {
+	if err := s.reserveBody(c, int64(size)); err != nil {
 		return nil, err
 	}
 	grown := make([]byte, size)
 	copy(grown, body)
-	r.holder.Release(int64(len(body)))
-	r.bytes -= int64(len(body))
+	c.holder.Release(int64(len(body)))
+	c.bodyBytes -= int64(len(body))
 	return grown, nil
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"runtime/debug"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -144,16 +145,13 @@
 		ctx.SetConnectionClose()
 		return
 	}
-	var r received
-	defer r.release()
-	if !s.receive(ctx, &r) {
+	if !s.receive(ctx) {
 		return
 	}
 	s.route(ctx)
 	if s.draining.Load() {
 		ctx.SetConnectionClose()
 	}
-	r.release()
 	s.beginAnswer(ctx)
 }
 
@@ -161,6 +159,9 @@
 // connection: its request has run.
 func (s *Server) beginAnswer(ctx *fasthttp.RequestCtx) {
 	c, ok := ctx.Conn().(*conn)
+	if ok {
+		c.releaseBody()
+	}
 	if !ok || ctx.Response.IsBodyStream() {
 		return // a streamed answer holds no more than its buffers, and its handler still uses the request
 	}
@@ -227,26 +228,46 @@
 	}
 	ctx.Response.Reset()
 	s.refuse(ctx, errs.New(errs.Internal, "report this error", "internal error"), false)
+	s.beginAnswer(ctx)
 }
 
 // checkMessageFraming refuses a request with both Content-Length and Transfer-Encoding: another proxy may place
 // the boundary between two requests elsewhere, which permits request smuggling.
 func checkMessageFraming(ctx *fasthttp.RequestCtx) error {
-	raw := bytes.ToLower(ctx.Request.Header.RawHeaders())
+	raw := ctx.Request.Header.RawHeaders()
 	if hasHeaderField(raw, "content-length:") && hasHeaderField(raw, "transfer-encoding:") {
 		return errs.New(errs.InvalidArgument, "send one of them", "request has both Content-Length and Transfer-Encoding")
 	}
 	return nil
 }
 
+// hasHeaderField reports whether a line begins with the prefix, in any letter case. It allocates nothing, because it runs for each
+// request.
 func hasHeaderField(raw []byte, prefix string) bool {
-	return bytes.HasPrefix(raw, []byte(prefix)) || bytes.Contains(raw, []byte("\n"+prefix))
+	for len(raw) >= len(prefix) {
+		if raw[0]|0x20 == prefix[0] && strings.EqualFold(string(raw[:len(prefix)]), prefix) {
+			return true
+		}
+		end := bytes.IndexByte(raw, '\n')
+		if end < 0 {
+			return false
+		}
+		raw = raw[end+1:]
+	}
+	return false
 }
 
 // answerReadError answers a request that the HTTP library could not read.
 func (s *Server) answerReadError(ctx *fasthttp.RequestCtx, err error) {
-	s.refuse(ctx, s.describeReadError(err), true)
-	ctx.SetConnectionClose()
+	c, ok := ctx.Conn().(*conn)
+	if ok && (c.holder.Dropped() || !c.holder.SetPhase(budget.Answering)) {
+		ctx.SetConnectionClose()
+		return
+	}
+	if ok {
+		c.releaseHeader(ctx)
+	}
+	s.refuseUnread(ctx, err)
 }
 
 func (s *Server) describeReadError(err error) error {
