--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -134,6 +134,17 @@
 	return h
 }
 
+// Borrow reserves n bytes for something that is no connection, such as a request that another VM handed over. The returned
+// function gives them back; it may be called more than once.
+func (b *Budget) Borrow(n int64) (release func(), ok bool) {
+	h := &Holder{budget: b}
+	h.phase.Store(int32(Running))
+	if !h.Reserve(n, 0) {
+		return func() {}, false
+	}
+	return h.Close, true
+}
+
 // dropOldest marks a connection other than self as dropped: of those without progress for at least stall, the one that made its
 // last progress first. Connections that receive or are sent something come before idle ones. It returns nil if there is none. The
 // caller must call the connection's drop function without b.mu, which must be held.
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -19,6 +19,8 @@
 	maxBody         = 4 * MiB
 	maxHeader       = 16 * KiB
 	maxStoredAnswer = 256 * KiB
+	minCallerMemory = 16 * MiB
+	maxCallerMemory = 64 * 1024 * MiB
 
 	minDrain       = Duration(time.Second)
 	maxDrain       = Duration(time.Hour)
@@ -244,6 +246,7 @@
 func (r *checker) checkLimits(l Limits) {
 	checkRange(r, "limits.body", l.Body, minSize, maxBody)
 	checkRange(r, "limits.header", l.Header, minSize, maxHeader)
+	checkRange(r, "limits.caller_memory", l.CallerMemory, minCallerMemory, maxCallerMemory)
 	checkRange(r, "limits.stored_answer", l.StoredAnswer, minSize, maxStoredAnswer)
 	checkRange(r, "limits.drain", l.Drain, minDrain, maxDrain)
 	checkRange(r, "limits.read_timeout", l.ReadTimeout, minReadTimeout, maxReadTimeout)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -81,6 +81,7 @@
 type Limits struct {
 	Body         Size     // body of an HTTP request
 	Header       Size     // all headers of an HTTP request together
+	CallerMemory Size     // memory that HTTP connections may hold together
 	StoredAnswer Size     // response to a non-idempotent call that is stored in case the caller resends the call
 	Drain        Duration // wait for running requests during a graceful shutdown
 	ReadTimeout  Duration // time for a complete HTTP request to arrive
@@ -97,6 +98,7 @@
 	DefaultRate         = 100 * MiB
 	DefaultBody         = 4 * MiB
 	DefaultHeader       = 16 * KiB
+	DefaultCallerMemory = 1024 * MiB
 	DefaultStoredAnswer = 256 * KiB
 	DefaultDrain        = Duration(10 * time.Minute)
 	DefaultReadTimeout  = Duration(30 * time.Second)
--- a/internal/config/read.go
+++ b/internal/config/read.go
@@ -62,6 +62,7 @@
 	Limits struct {
 		Body         quantity `toml:"body"`
 		Header       quantity `toml:"header"`
+		CallerMemory quantity `toml:"caller_memory"`
 		StoredAnswer quantity `toml:"stored_answer"`
 		Drain        quantity `toml:"drain"`
 		ReadTimeout  quantity `toml:"read_timeout"`
@@ -173,6 +174,7 @@
 		Limits: Limits{
 			Body:         r.parseSize("limits.body", d.Limits.Body, DefaultBody),
 			Header:       r.parseSize("limits.header", d.Limits.Header, DefaultHeader),
+			CallerMemory: r.parseSize("limits.caller_memory", d.Limits.CallerMemory, DefaultCallerMemory),
 			StoredAnswer: r.parseSize("limits.stored_answer", d.Limits.StoredAnswer, DefaultStoredAnswer),
 			Drain:        r.parseDuration("limits.drain", d.Limits.Drain, DefaultDrain),
 			ReadTimeout:  r.parseDuration("limits.read_timeout", d.Limits.ReadTimeout, DefaultReadTimeout),
--- a/internal/config/write.go
+++ b/internal/config/write.go
@@ -98,7 +98,7 @@
 		CA:         filepath.Join(d.Keys, "ca.pem"),
 		Cert:       filepath.Join(d.Keys, string(vm.Name)+".pem"),
 		Key:        filepath.Join(d.Keys, string(vm.Name)+"-key.pem"),
-		Limits:     Limits{DefaultBody, DefaultHeader, DefaultStoredAnswer, DefaultDrain, DefaultReadTimeout, DefaultIdleTimeout},
+		Limits:     Limits{DefaultBody, DefaultHeader, DefaultCallerMemory, DefaultStoredAnswer, DefaultDrain, DefaultReadTimeout, DefaultIdleTimeout},
 		Rate:       DefaultRate,
 		Level:      DefaultLevel,
 	}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	// headerTimeout bounds the time from the first byte of a header to its end. The platform allows callers 3 s.
-	headerTimeout = 3500 * time.Millisecond
 	// rateWindow is the time in which at least rateWindowBytes of a body must arrive.
 	rateWindow      = 10 * time.Second
 	rateWindowBytes = 1 << 10
@@ -61,18 +59,19 @@
 	holder *budget.Holder
 
 	// Used by the goroutine that serves the connection.
-	inHeader    bool
-	headerStart time.Time
-	lastBytes   [2]byte // of the header so far
-	headerLines int
-	headerBytes int64     // reserved for the present header
-	headerParts []int64   // that headerBytes was reserved in
-	answerBytes int64     // reserved for the present answer
-	body        []byte    // buffer for small bodies
-	bodyBytes   int64     // reserved for the present body
-	bodyEnd     time.Time // by which the present body must have arrived; zero outside bodies
-	windowEnd   time.Time
-	windowBytes int
+	inHeader      bool
+	headerStart   time.Time
+	lastBytes     [2]byte // of the header so far
+	headerLines   int
+	headerBytes   int64     // reserved for the present header
+	headerParts   []int64   // that headerBytes was reserved in
+	answerBytes   int64     // reserved for the present answer
+	body          []byte    // buffer for small bodies
+	bodyBytes     int64     // reserved for the present body
+	documentBytes int64     // reserved for what is parsed from it
+	bodyEnd       time.Time // by which the present body must have arrived; zero outside bodies
+	windowEnd     time.Time
+	windowBytes   int
 
 	mu            sync.Mutex
 	writeDeadline time.Time // for all of an answer
@@ -108,7 +107,7 @@
 		c.holder.SetPhase(budget.Idle)
 	case budget.Receiving:
 		if c.inHeader {
-			if err := c.Conn.SetReadDeadline(c.headerStart.Add(headerTimeout)); err != nil {
+			if err := c.Conn.SetReadDeadline(c.headerStart.Add(c.server.opts.HeaderTimeout)); err != nil {
 				return 0, err
 			}
 		}
@@ -119,7 +118,7 @@
 	}
 	if c.holder.Phase() == budget.Idle {
 		c.holder.SetPhase(budget.Receiving)
-		c.inHeader, c.headerStart, c.lastBytes, c.headerLines = true, time.Now(), [2]byte{}, 0
+		c.inHeader, c.headerStart, c.lastBytes, c.headerLines = true, time.Time{}, [2]byte{}, 0
 	} else {
 		c.holder.Transferred(n)
 	}
@@ -128,6 +127,9 @@
 		c.inHeader = end < 0
 		if c.inHeader {
 			end = n
+			if c.headerStart.IsZero() {
+				c.headerStart = time.Now()
+			}
 		}
 		c.headerLines += bytes.Count(p[:end], []byte{'\n'})
 		if err := c.reserveHeader(c.headerLines, roomWait); err != nil {
--- a/internal/front/receive.go
+++ b/internal/front/receive.go
@@ -19,6 +19,9 @@
 	// lineBytes is the memory of a header line beyond its bytes: the parsed entry of the HTTP library, which doubles its list as it
 	// grows, the strings of the name and the value, and the same again in the request that is sent to a server.
 	lineBytes = 512
+	// objectBytes and elementBytes are the memory of an object and of an element or member in a JSON document, beyond its bytes.
+	objectBytes  = 512
+	elementBytes = 64
 	// roomWait is how long a request waits for memory before it is refused.
 	roomWait = 1500 * time.Millisecond
 	// refusedRetryAfter is the Retry-After of a request that was refused for want of memory, in seconds.
@@ -35,7 +38,30 @@
 // releaseBody gives back the memory of the present body.
 func (c *conn) releaseBody() {
 	c.holder.Release(c.bodyBytes)
-	c.bodyBytes = 0
+	c.holder.Release(c.documentBytes)
+	c.bodyBytes, c.documentBytes = 0, 0
+}
+
+// ReserveDocument reserves the memory that parsing the JSON body of a request takes, until the request ends. A body of many empty
+// objects takes a hundred times its size. A refused request has not run.
+func ReserveDocument(ctx *fasthttp.RequestCtx) error {
+	c, ok := ctx.Conn().(*conn)
+	if !ok {
+		return nil
+	}
+	body := ctx.Request.Body()
+	n := int64(bytes.Count(body, []byte{'{'}))*objectBytes + int64(bytes.Count(body, []byte{','}))*elementBytes
+	if n <= budget.SmallBytes {
+		return nil
+	}
+	if !c.server.opts.Budget.Fits(n) {
+		return errs.New(errs.PayloadTooLarge, "send fewer objects at once", "the objects of the request take %d bytes, which exceeds the memory of this VM", n)
+	}
+	if !c.holder.Reserve(n, roomWait) {
+		return errNoRoom
+	}
+	c.documentBytes = n
+	return nil
 }
 
 // receive reads the body of the request and reserves its memory. It reports whether the request can run; if not, it has answered.
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -72,11 +72,13 @@
 	// listener.
 	DisableProbes bool
 	// MaxBodyBytes and MaxHeaderBytes bound the size of a request. ReadTimeout bounds the time to receive it, and
-	// IdleTimeout the time between two requests on a connection. Zero means the default.
+	// IdleTimeout the time between two requests on a connection. Zero means the default. HeaderTimeout bounds the time from
+	// the first byte of a header to its end; zero means that only ReadTimeout does.
 	MaxBodyBytes   int
 	MaxHeaderBytes int
 	ReadTimeout    time.Duration
 	IdleTimeout    time.Duration
+	HeaderTimeout  time.Duration
 	// Budget bounds what the connections hold. Nil means a budget that bounds only their number.
 	Budget  *budget.Budget
 	Metrics *metrics.Metrics
@@ -89,6 +91,7 @@
 	o.MaxBodyBytes = cmp.Or(o.MaxBodyBytes, MaxBodyBytes)
 	o.MaxHeaderBytes = cmp.Or(o.MaxHeaderBytes, defaultMaxHeaderBytes)
 	o.ReadTimeout = cmp.Or(o.ReadTimeout, defaultReadTimeout)
+	o.HeaderTimeout = cmp.Or(o.HeaderTimeout, o.ReadTimeout)
 	o.IdleTimeout = cmp.Or(o.IdleTimeout, defaultIdleTimeout)
 	if o.Budget == nil {
 		o.Budget = NewBudget(0, 0)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"filbertledge/internal/api"
 	"filbertledge/internal/boottime"
+	"filbertledge/internal/budget"
 	"filbertledge/internal/coordinator"
 	"filbertledge/internal/errs"
 	"filbertledge/internal/events"
@@ -53,7 +54,8 @@
 	AnnounceInterval time.Duration
 	Exchanger        forward.Exchanger
 	Prober           forward.Prober
-	PeerAddress      string // where other VMs reach this one's link; empty if it takes no requests of them
+	PeerAddress      string         // where other VMs reach this one's link; empty if it takes no requests of them
+	Budget           *budget.Budget // of what callers hold, which requests of other VMs count towards; nil means no limit
 	Events           *events.Recorder
 }
 
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -224,6 +224,11 @@
 	if len(h.running) >= maxHandedOver || h.bytes+len(q.Body) > maxHandedOverBytes {
 		return ctx, nil, errs.New(errs.Unavailable, "ask another VM", "this VM sends %d requests with bodies of %d bytes for others already", len(h.running), h.bytes)
 	}
+	// The body is held twice: in the frame and decoded from it.
+	giveBack, ok := h.gateway.borrow(2 * int64(len(q.Body)))
+	if !ok {
+		return ctx, nil, errs.New(errs.Unavailable, "ask another VM", "this VM has no memory for the request at the moment")
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	id := handoverCancel{q.VM, q.Number}
 	h.running[id] = cancel
@@ -233,10 +238,19 @@
 		defer h.mu.Unlock()
 		delete(h.running, id)
 		h.bytes -= len(q.Body)
+		giveBack()
 		cancel()
 	}, nil
 }
 
+// borrow reserves memory for requests of other VMs.
+func (g *Gateway) borrow(n int64) (release func(), ok bool) {
+	if g.opts.Budget == nil {
+		return func() {}, true
+	}
+	return g.opts.Budget.Borrow(n)
+}
+
 func (h *handover) forward(ctx context.Context, q handoverRequest) (handoverReply, error) {
 	route, err := h.gateway.MatchRoute(q.Host, q.Path)
 	if err != nil {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -187,6 +187,7 @@
 			backend.AnnounceHandler(backend.AnnounceOptions{Registry: vm.registry, TokenDigests: tokens, Events: vm.events}),
 		},
 		Ready: vm.hasTable.Load, InFlight: vm.caller.InFlight, DrainLimit: time.Duration(vm.cfg.Limits.Drain),
+		Budget:  front.NewBudget(int64(vm.cfg.Limits.CallerMemory), 0),
 		Metrics: vm.metrics, Events: vm.events,
 	})
 	vm.registerInternalMethods()
