--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -101,6 +101,7 @@
 	// Guarded by budget.mu.
 	bytes, bulkBytes int64
 	closed           bool
+	waiting          bool // in Reserve
 }
 
 // Open adds a connection. If there is no room, it drops the connection that has made no progress for the longest time. drop must
@@ -118,7 +119,7 @@
 	}
 	var victim *Holder
 	if reason != "" {
-		if victim = b.dropOldest(0, nil, reason); victim == nil {
+		if victim = b.dropOldest(0, false, reason); victim == nil {
 			b.refused[reason]++
 			b.mu.Unlock()
 			return nil
@@ -145,17 +146,18 @@
 	return h.Close, true
 }
 
-// dropOldest marks a connection other than self as dropped: of those without progress for at least stall, the one that made its
-// last progress first. Connections that receive or are sent something come before idle ones. It returns nil if there is none. The
-// caller must call the connection's drop function without b.mu, which must be held.
-func (b *Budget) dropOldest(stall time.Duration, self *Holder, reason Reason) *Holder {
+// dropOldest marks a connection as dropped: of those without progress for at least stall, the one that made its last progress
+// first. Connections that receive or are sent something come before idle ones; those that wait for memory are left out, and if
+// large is set, those that hold no reservation above SmallBytes. It returns nil if there is none. The caller must call the
+// connection's drop function without b.mu, which must be held.
+func (b *Budget) dropOldest(stall time.Duration, large bool, reason Reason) *Holder {
 	now := int64(b.opts.Now())
 	var best *Holder
 	var bestPhase Phase
 	var bestProgress int64
 	for h := range b.holders {
 		phase, progress := h.Phase(), h.progress.Load()
-		if h == self || phase == Running || phase == dropped || now-progress < int64(stall) {
+		if h.waiting || (large && h.bulkBytes == 0) || phase == Running || phase == dropped || now-progress < int64(stall) {
 			continue
 		}
 		idle, bestIdle := phase == Idle, bestPhase == Idle
@@ -195,11 +197,14 @@
 		}
 		if b.fits(n) {
 			b.add(h, n)
+			h.waiting = false
 			b.mu.Unlock()
 			return true
 		}
-		victim := b.dropOldest(b.opts.Stall, h, Memory)
+		h.waiting = true
+		victim := b.dropOldest(b.opts.Stall, n > SmallBytes && b.bulkUsed+n > b.bulk, Memory)
 		if wait <= 0 {
+			h.waiting = false
 			b.refused[Memory]++
 		}
 		if b.changed == nil {
--- a/internal/metrics/event_metrics.go
+++ b/internal/metrics/event_metrics.go
@@ -14,6 +14,7 @@
 // EventMetrics holds the metrics of a process that serves no table rows: for each event name, the
 // number of events and the durations of the operations that ended with it.
 type EventMetrics struct {
+	meter     metric.Meter
 	events    metric.Int64Counter
 	durations metric.Float64Histogram
 	handler   http.Handler
@@ -27,6 +28,7 @@
 	}
 	b := instrumentBuilder{meter: meter}
 	p := &EventMetrics{
+		meter:     meter,
 		events:    b.counter("filbertledge.events", "Events of the log by name; names of failures are counted like the others."),
 		durations: b.seconds("filbertledge.event.duration", "Time that what ended with the event took, by name."),
 		handler:   handler,
--- a/internal/metrics/event_metrics_test.go
+++ b/internal/metrics/event_metrics_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"filbertledge/internal/budget"
 )
 
 // Guards against an event that is not counted, and against a duration recorded for an event that has none: it would
@@ -14,13 +16,18 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	b := budget.New(budget.Options{Bytes: 1, ConnectionBytes: 2})
+	b.Open(nil)
+	if err := p.ObserveBudget(b); err != nil {
+		t.Fatal(err)
+	}
 	p.Event("request.refused", 0)
 	p.Event("request.finished", 30*time.Millisecond)
 	p.Event("request.finished", 40*time.Millisecond)
 	w := httptest.NewRecorder()
 	p.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
 	got := w.Body.String()
-	for _, want := range []string{`event="request.refused"`, `event="request.finished"`, "filbertledge_event_duration_seconds_bucket"} {
+	for _, want := range []string{`event="request.refused"`, `event="request.finished"`, "filbertledge_callers_refused_total", `reason="memory"`, "filbertledge_event_duration_seconds_bucket"} {
 		if !strings.Contains(got, want) {
 			t.Errorf("no %s in the metrics", want)
 		}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -30,6 +30,7 @@
 
 // Metrics holds the instruments of one VM. Its methods are safe for concurrent use.
 type Metrics struct {
+	meter   metric.Meter
 	handler http.Handler
 
 	requests       metric.Int64Counter
@@ -57,6 +58,7 @@
 	}
 	b := instrumentBuilder{meter: meter}
 	m := &Metrics{
+		meter:          meter,
 		handler:        handler,
 		requests:       b.counter("filbertledge.requests", "customer requests by row and outcome"),
 		refused:        b.counter("filbertledge.refused", "refused customer requests by row and error kind"),
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -180,6 +180,10 @@
 	for _, p := range vm.cfg.Pools {
 		tokens[p.Name] = p.TokenSHA256
 	}
+	callers := front.NewBudget(int64(vm.cfg.Limits.CallerMemory), 0)
+	if err := vm.metrics.ObserveBudget(callers); err != nil {
+		return errs.Wrap(err, errs.Internal, "report this error", "metrics cannot be set up")
+	}
 	vm.front = front.New(front.Options{
 		Handlers: []front.Handler{
 			vm.caller.Handle,
@@ -187,8 +191,7 @@
 			backend.AnnounceHandler(backend.AnnounceOptions{Registry: vm.registry, TokenDigests: tokens, Events: vm.events}),
 		},
 		Ready: vm.hasTable.Load, InFlight: vm.caller.InFlight, DrainLimit: time.Duration(vm.cfg.Limits.Drain),
-		Budget:  front.NewBudget(int64(vm.cfg.Limits.CallerMemory), 0),
-		Metrics: vm.metrics, Events: vm.events,
+		Budget: callers, Metrics: vm.metrics, Events: vm.events,
 	})
 	vm.registerInternalMethods()
 	return nil
