--- a/internal/harness/deployment.go
+++ b/internal/harness/deployment.go
@@ -26,6 +26,7 @@
 	ReadyWithin  time.Duration // timeout of Start; default 20 s
 	EngineArgs   []string      // additional arguments of every engine process
 	ServiceArgs  []string      // additional arguments of every service process
+	CallerMemory string        // limits.caller_memory of every VM; default: that of the product
 	SkipTable    bool          // do not import the layout's table
 }
 
--- a/internal/harness/settings.go
+++ b/internal/harness/settings.go
@@ -19,9 +19,14 @@
 	Control controlSettings `toml:"control"`
 	Pools   []poolSettings  `toml:"pools"`
 	Weights weightSettings  `toml:"weights"`
+	Limits  limitSettings   `toml:"limits"`
 	Log     logSettings     `toml:"log"`
 }
 
+type limitSettings struct {
+	CallerMemory string `toml:"caller_memory,omitempty"`
+}
+
 type vmSettings struct {
 	Name          string `toml:"name"`
 	FailureDomain string `toml:"failure_domain"`
@@ -121,6 +126,7 @@
 		Listen:  listenSettings{HTTP: vm.HTTP, Internal: vm.Internal, Metrics: vm.Metrics},
 		TLS:     certPaths(vm.Name),
 		Weights: weightSettings{Store: "http://" + d.Store.Address, Rate: "100MiB"},
+		Limits:  limitSettings{CallerMemory: d.opts.CallerMemory},
 		Log:     logSettings{Level: "info"},
 	}
 	if vm.Replica {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -4,9 +4,11 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,6 +36,10 @@
 	// rows' in-flight limits.
 	releaseTimeout       = 5 * time.Second
 	metricsHeaderTimeout = 5 * time.Second
+	// heapPerCallerMemory is the memory limit of the Go runtime in relation to limits.caller_memory, and minHeap its lower bound.
+	// The limit makes the garbage collector run before the heap has doubled while callers hold all that they may.
+	heapPerCallerMemory = 2
+	minHeap             = 96 << 20
 	// maxFailures is the number of background tasks that report to run: the transport server, the HTTP server and the
 	// control replica.
 	maxFailures = 3
@@ -180,6 +186,9 @@
 	for _, p := range vm.cfg.Pools {
 		tokens[p.Name] = p.TokenSHA256
 	}
+	if debug.SetMemoryLimit(-1) == math.MaxInt64 { // GOMEMLIMIT is not set
+		debug.SetMemoryLimit(max(heapPerCallerMemory*int64(vm.cfg.Limits.CallerMemory), minHeap))
+	}
 	callers := front.NewBudget(int64(vm.cfg.Limits.CallerMemory), 0)
 	if err := vm.metrics.ObserveBudget(callers); err != nil {
 		return errs.Wrap(err, errs.Internal, "report this error", "metrics cannot be set up")
