--- a/internal/front/budget_test.go
+++ b/internal/front/budget_test.go
@@ -36,7 +36,7 @@
 		"malformed chunk":      {chunk + "z\r\n", 400},
 		"body not finished":    {withLength("/", bodyBytes+1), 400},
 		"caller leaves":        {withLength("/", bodyBytes+1), 0},
-		"larger than allowed":  {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 999999999\r\n\r\nx", 413},
+		"larger than allowed":  {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 999999999\r\n\r\n", 413},
 		"larger than the room": {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3000000\r\n\r\nx", 413},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/front/receive.go
+++ b/internal/front/receive.go
@@ -71,7 +71,12 @@
 		return true // not accepted by Serve
 	}
 	c.inHeader = false
-	err := c.reserveHeader(bytes.Count(ctx.Request.Header.RawHeaders(), []byte{'\n'}), 0)
+	var err error
+	if s.declaresLargeBody(&ctx.Request.Header) {
+		err = fasthttp.ErrBodyTooLarge
+	} else {
+		err = c.reserveHeader(bytes.Count(ctx.Request.Header.RawHeaders(), []byte{'\n'}), 0)
+	}
 	if err == nil && ctx.Request.IsBodyStream() {
 		var body []byte
 		if body, err = s.readBody(ctx, c); err == nil {
@@ -105,6 +110,31 @@
 	ctx.SetConnectionClose()
 }
 
+// skipLargeBody keeps the HTTP library from waiting for the first byte of a body that is too large, so that receive refuses the
+// request at once.
+func (s *Server) skipLargeBody(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	if h.ContentLength() > s.opts.MaxBodyBytes {
+		h.SetContentLength(0)
+	}
+	return fasthttp.RequestConfig{}
+}
+
+// declaresLargeBody reports whether skipLargeBody changed the length of the request.
+func (s *Server) declaresLargeBody(h *fasthttp.RequestHeader) bool {
+	const name = "content-length:"
+	if h.ContentLength() != 0 {
+		return false
+	}
+	for line := range bytes.Lines(h.RawHeaders()) {
+		if !hasHeaderField(line, name) {
+			continue
+		}
+		length, err := strconv.ParseUint(string(bytes.TrimSpace(line[len(name):])), 10, 64)
+		return err == nil && length > uint64(s.opts.MaxBodyBytes)
+	}
+	return false
+}
+
 // reserveHeader reserves memory for the lines of the present header until releaseHeader. The HTTP library parses also a header
 // that is not complete, so Read calls it before it passes the lines on. Lines that came together with an earlier request are
 // counted when the request is served.
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -123,7 +123,7 @@
 		Handler: s.handle, ErrorHandler: s.answerReadError, Logger: discardLogger{},
 		ReadBufferSize: opts.MaxHeaderBytes, Concurrency: maxConnections,
 		// receive reads the bodies after it has reserved their memory. The library reads one byte before it calls the handler.
-		StreamRequestBody: true, MaxRequestBodySize: 1,
+		StreamRequestBody: true, MaxRequestBodySize: 1, HeaderReceived: s.skipLargeBody,
 		ReadTimeout: opts.ReadTimeout, IdleTimeout: opts.IdleTimeout, WriteTimeout: writeTimeout,
 		// A parsed form could not be passed on unchanged.
 		DisablePreParseMultipartForm: true,
