Serve a chunked body of 32 MiB within the smallest budget

Cause: the last growth of the buffer, from 4 to 32 MiB, needed 36 MiB; with memory-mb of 134 large reservations have 35.2 MiB. Change: buffers grow in steps up to 2 MiB, then to the largest body. TestLargestChunkedBodyFits.

--- a/internal/front/budget_test.go
+++ b/internal/front/budget_test.go
@@ -144,6 +144,26 @@
 	}
 }
 
+// Guards against a chunked body of the largest legal size that does not fit while its buffer grows.
+func TestLargestChunkedBodyFits(t *testing.T) {
+	const (
+		maxBodyBytes = 32 << 20
+		budgetBytes  = 134 << 20 * 35 / 100 // callerMemoryFraction of the smallest memory limit on the platform
+	)
+	_, url := startServer(t, Options{Budget: NewBudget(budgetBytes, 0), MaxBodyBytes: maxBodyBytes, DisableProbes: true, Handlers: []Handler{func(ctx *fasthttp.RequestCtx) bool {
+		fmt.Fprint(ctx, len(ctx.Request.Body()))
+		return true
+	}}})
+	r, err := http.Post(url, "text/plain", io.MultiReader(strings.NewReader(strings.Repeat("x", maxBodyBytes)))) // of unknown length
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Body.Close()
+	if got, err := io.ReadAll(r.Body); err != nil || r.StatusCode != http.StatusOK || string(got) != fmt.Sprint(maxBodyBytes) {
+		t.Errorf("status %d, %s, %v", r.StatusCode, got, err)
+	}
+}
+
 // Guards against a caller that keeps a connection open with a header that never ends.
 func TestSlowHeaderIsCutOff(t *testing.T) {
 	_, url := startServer(t, Options{HeaderTimeout: 200 * time.Millisecond, DisableProbes: true})
--- a/internal/front/receive.go
+++ b/internal/front/receive.go
@@ -26,11 +26,12 @@
 	roomWait = 1500 * time.Millisecond
 	// refusedRetryAfter is the Retry-After of a request that was refused for want of memory, in seconds.
 	refusedRetryAfter = 1
-	// firstBufferBytes is the size of the first buffer of a chunked body. Each further one is bufferGrowth times as large, and
-	// one of more than largeBufferBytes has the size of the largest body if that fits.
+	// firstBufferBytes is the size of the first buffer of a chunked body. Each further one is bufferGrowth times as large, up to
+	// largeBufferBytes. The next one has the size of the largest body if that fits: with both held while the content is copied, a
+	// body of 32 MiB fits into the smallest budget of the platform (memory-mb of 134).
 	firstBufferBytes = 16 << 10
 	bufferGrowth     = 4
-	largeBufferBytes = 4 << 20
+	largeBufferBytes = 2 << 20
 )
 
 var errNoRoom = errs.New(errs.Unavailable, "send the request again", "this VM has no memory for the request at the moment")
@@ -238,10 +239,12 @@
 // growBody returns a larger buffer with the same content.
 func (s *Server) growBody(c *conn, body []byte) ([]byte, error) {
 	largest := s.opts.MaxBodyBytes + 1 // so that a body that is too large is noticed
-	size := min(len(body)*bufferGrowth, largest)
-	if size > largeBufferBytes && s.opts.Budget.Fits(int64(largest)) {
+	size := min(len(body)*bufferGrowth, largeBufferBytes, largest)
+	switch {
+	case len(body) < largeBufferBytes:
+	case s.opts.Budget.Fits(int64(largest)):
 		size = largest
-	} else if size > largeBufferBytes {
+	default:
 		size = min(len(body)*2, largest)
 	}
 	if err := s.reserveBody(c, int64(size)); err != nil {
