--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -28,7 +28,6 @@
 const (
 	Memory      Reason = "memory"
 	Connections Reason = "connections"
-	Slow        Reason = "slow" // below the least rate of arrival
 )
 
 const (
--- a/internal/front/budget_test.go
+++ b/internal/front/budget_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"filbertledge/internal/budget"
 )
 
 // Guards against memory that is not given back at one of the ends of a request.
@@ -183,3 +185,32 @@
 		t.Errorf("the connection is still open: %v", err)
 	}
 }
+
+// Guards against answers that callers do not read and that hold the memory of others.
+func TestUnreadAnswerIsDroppedForAnother(t *testing.T) {
+	const answerBytes = 24 << 20 // more than the buffers of both kernels take
+	b := NewBudget(2*answerBytes-1, 0)
+	_, url := startServer(t, Options{Budget: b, DisableProbes: true, Handlers: []Handler{func(ctx *fasthttp.RequestCtx) bool {
+		ctx.Response.SetBodyRaw(make([]byte, answerBytes))
+		return true
+	}}})
+	if _, err := io.WriteString(dial(t, url), "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	for deadline := time.Now().Add(5 * time.Second); b.Stats().Bytes < answerBytes; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("nothing reserved: %+v", b.Stats())
+		}
+	}
+	r, err := http.Get(url)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Body.Close()
+	if n, err := io.Copy(io.Discard, r.Body); err != nil || n != answerBytes {
+		t.Errorf("got %d bytes, %v", n, err)
+	}
+	if b.Stats().Dropped[budget.Memory] != 1 {
+		t.Errorf("got %+v", b.Stats())
+	}
+}
