--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -8,12 +8,14 @@
 	"fmt"
 	"net"
 	"runtime/debug"
+	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"filbertledge/internal/api"
+	"filbertledge/internal/budget"
 	"filbertledge/internal/errs"
 	"filbertledge/internal/events"
 	"filbertledge/internal/metrics"
@@ -70,13 +72,17 @@
 	// listener.
 	DisableProbes bool
 	// MaxBodyBytes and MaxHeaderBytes bound the size of a request. ReadTimeout bounds the time to receive it, and
-	// IdleTimeout the time between two requests on a connection. Zero means the default.
+	// IdleTimeout the time between two requests on a connection. Zero means the default. HeaderTimeout bounds the time from
+	// the first byte of a header to its end; zero means that only ReadTimeout does.
 	MaxBodyBytes   int
 	MaxHeaderBytes int
 	ReadTimeout    time.Duration
 	IdleTimeout    time.Duration
-	Metrics        *metrics.Metrics
-	Events         *events.Recorder
+	HeaderTimeout  time.Duration
+	// Budget bounds what the connections hold. Nil means a budget that bounds only their number.
+	Budget  *budget.Budget
+	Metrics *metrics.Metrics
+	Events  *events.Recorder
 }
 
 func (o Options) withDefaults() Options {
@@ -85,10 +91,23 @@
 	o.MaxBodyBytes = cmp.Or(o.MaxBodyBytes, MaxBodyBytes)
 	o.MaxHeaderBytes = cmp.Or(o.MaxHeaderBytes, defaultMaxHeaderBytes)
 	o.ReadTimeout = cmp.Or(o.ReadTimeout, defaultReadTimeout)
+	o.HeaderTimeout = cmp.Or(o.HeaderTimeout, o.ReadTimeout)
 	o.IdleTimeout = cmp.Or(o.IdleTimeout, defaultIdleTimeout)
+	if o.Budget == nil {
+		o.Budget = NewBudget(0, 0)
+	}
 	return o
 }
 
+// NewBudget returns a budget of memory bytes for at most the given number of connections. Zero means no limit of the memory, and
+// as many connections as the HTTP server has.
+func NewBudget(bytes int64, connections int) *budget.Budget {
+	if connections == 0 {
+		connections = maxConnections
+	}
+	return budget.New(budget.Options{Bytes: bytes, Connections: min(connections, maxConnections), ConnectionBytes: connectionBytes})
+}
+
 // Server is the HTTP server of a VM for callers, trainers, backend servers and the load balancer.
 type Server struct {
 	opts     Options
@@ -102,7 +121,9 @@
 	s := &Server{opts: opts}
 	s.http = &fasthttp.Server{
 		Handler: s.handle, ErrorHandler: s.answerReadError, Logger: discardLogger{},
-		ReadBufferSize: opts.MaxHeaderBytes, MaxRequestBodySize: opts.MaxBodyBytes, Concurrency: maxConnections,
+		ReadBufferSize: opts.MaxHeaderBytes, Concurrency: maxConnections,
+		// receive reads the bodies after it has reserved their memory. The library reads one byte before it calls the handler.
+		StreamRequestBody: true, MaxRequestBodySize: 1, HeaderReceived: s.skipLargeBody,
 		ReadTimeout: opts.ReadTimeout, IdleTimeout: opts.IdleTimeout, WriteTimeout: writeTimeout,
 		// A parsed form could not be passed on unchanged.
 		DisablePreParseMultipartForm: true,
@@ -118,7 +139,7 @@
 func (discardLogger) Printf(string, ...any) {}
 
 // Serve serves connections of ln until Drain closes it.
-func (s *Server) Serve(ln net.Listener) error { return s.http.Serve(ln) }
+func (s *Server) Serve(ln net.Listener) error { return s.http.Serve(listener{ln, s}) }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	defer s.recoverPanic(ctx)
@@ -127,10 +148,37 @@
 		ctx.SetConnectionClose()
 		return
 	}
+	if !s.receive(ctx) {
+		return
+	}
 	s.route(ctx)
 	if s.draining.Load() {
 		ctx.SetConnectionClose()
 	}
+	s.beginAnswer(ctx)
+}
+
+// beginAnswer reserves the memory of an answer until it has been sent. A caller for whose answer there is no room loses its
+// connection: its request has run.
+func (s *Server) beginAnswer(ctx *fasthttp.RequestCtx) {
+	c, ok := ctx.Conn().(*conn)
+	if ok {
+		c.releaseBody()
+	}
+	if !ok || ctx.Response.IsBodyStream() {
+		return // a streamed answer holds no more than its buffers, and its handler still uses the request
+	}
+	c.releaseHeader(ctx)
+	c.endAnswer() // of an earlier request that came together with this one
+	if n := int64(len(ctx.Response.Body())); n > smallBodyBytes {
+		if !c.holder.Reserve(n, roomWait) {
+			c.holder.SetPhase(budget.Answering)
+			c.holder.Drop(budget.Memory)
+			return
+		}
+		c.answerBytes = n
+	}
+	c.holder.SetPhase(budget.Answering)
 }
 
 func (s *Server) route(ctx *fasthttp.RequestCtx) {
@@ -183,26 +231,46 @@
 	}
 	ctx.Response.Reset()
 	s.refuse(ctx, errs.New(errs.Internal, "report this error", "internal error"), false)
+	s.beginAnswer(ctx)
 }
 
 // checkMessageFraming refuses a request with both Content-Length and Transfer-Encoding: another proxy may place
 // the boundary between two requests elsewhere, which permits request smuggling.
 func checkMessageFraming(ctx *fasthttp.RequestCtx) error {
-	raw := bytes.ToLower(ctx.Request.Header.RawHeaders())
+	raw := ctx.Request.Header.RawHeaders()
 	if hasHeaderField(raw, "content-length:") && hasHeaderField(raw, "transfer-encoding:") {
 		return errs.New(errs.InvalidArgument, "send one of them", "request has both Content-Length and Transfer-Encoding")
 	}
 	return nil
 }
 
+// hasHeaderField reports whether a line begins with the prefix, in any letter case. It allocates nothing, because it runs for each
+// request.
 func hasHeaderField(raw []byte, prefix string) bool {
-	return bytes.HasPrefix(raw, []byte(prefix)) || bytes.Contains(raw, []byte("\n"+prefix))
+	for len(raw) >= len(prefix) {
+		if raw[0]|0x20 == prefix[0] && strings.EqualFold(string(raw[:len(prefix)]), prefix) {
+			return true
+		}
+		end := bytes.IndexByte(raw, '\n')
+		if end < 0 {
+			return false
+		}
+		raw = raw[end+1:]
+	}
+	return false
 }
 
 // answerReadError answers a request that the HTTP library could not read.
 func (s *Server) answerReadError(ctx *fasthttp.RequestCtx, err error) {
-	s.refuse(ctx, s.describeReadError(err), true)
-	ctx.SetConnectionClose()
+	c, ok := ctx.Conn().(*conn)
+	if ok && (c.holder.Dropped() || !c.holder.SetPhase(budget.Answering)) {
+		ctx.SetConnectionClose()
+		return
+	}
+	if ok {
+		c.releaseHeader(ctx)
+	}
+	s.refuseUnread(ctx, err)
 }
 
 func (s *Server) describeReadError(err error) error {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 
 	"filbertledge/internal/api"
 	"filbertledge/internal/boottime"
+	"filbertledge/internal/budget"
 	"filbertledge/internal/coordinator"
 	"filbertledge/internal/errs"
 	"filbertledge/internal/events"
@@ -54,7 +55,8 @@
 	AnnounceInterval time.Duration
 	Exchanger        forward.Exchanger
 	Prober           forward.Prober
-	PeerAddress      string // where other VMs reach this one's link; empty if it takes no requests of them
+	PeerAddress      string         // where other VMs reach this one's link; empty if it takes no requests of them
+	Budget           *budget.Budget // of what callers hold, which requests of other VMs count towards; nil means no limit
 	Events           *events.Recorder
 	// MinSchema is the lowest schema of a configuration that is used. One of a lower schema, which a leader of an earlier
 	// build sends, counts as none: it does not tell which requests need a key.
--- a/internal/metrics/event_metrics.go
+++ b/internal/metrics/event_metrics.go
@@ -14,6 +14,7 @@
 // EventMetrics holds the metrics of a process that serves no table rows: for each event name, the
 // number of events and the durations of the operations that ended with it.
 type EventMetrics struct {
+	meter     metric.Meter
 	events    metric.Int64Counter
 	durations metric.Float64Histogram
 	servers   metric.Int64Gauge
@@ -30,6 +31,7 @@
 	}
 	b := instrumentBuilder{meter: meter}
 	p := &EventMetrics{
+		meter:     meter,
 		events:    b.counter("filbertledge.events", "Events of the log by name; names of failures are counted like the others."),
 		refusals:  b.counter("filbertledge.keys.refused", "Calls refused for their key, by reason."),
 		durations: b.seconds("filbertledge.event.duration", "Time that what ended with the event took, by name."),
