Balance requests by what all VMs know of the load of the servers

Cause: an entry VM chooses servers by its own mean latencies, so that with many VMs some servers are full while others of the same failure domain are nearly idle.

Change: internal/balance holds the choice, the leader's sums and their encoding; follow calls carry them; forward uses them when the contract asks for it, or when VMs of unequal processor shares are in contact.

--- /dev/null
+++ b/internal/balance/balance.go
@@ -0,0 +1,158 @@
+// Package balance chooses the server for a request from what a VM knows of the load of the servers, part of which is
+// some hundred milliseconds old. It has no network and no clock: times are times since boot, passed in by the caller.
+package balance
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// choices is the number of servers of a failure domain that are drawn for one request. With all servers compared, all
+	// VMs send to the same server until the next report. Two gave the same evenness with few VMs and up to a third more
+	// uneven time with 9 servers.
+	choices = 3
+	// margin is by how many requests a server must be less loaded to be preferred to one that was drawn earlier. A smaller
+	// difference is noise in old counts; without a margin all VMs prefer the same server for the age of the report.
+	margin = 0.5
+	// remotePenalty is the share of slots by which a server in another failure domain must be less loaded.
+	remotePenalty = 0.15
+	// maxWaitFactor bounds the ratio of service times in the comparison of servers whose slots are all taken.
+	maxWaitFactor = 8
+)
+
+// estimate is what is known of a server when it is compared with others.
+type estimate struct {
+	slots       float64
+	others      float64 // requests in flight from other VMs when they were counted
+	known       bool    // others is known
+	age         time.Duration
+	own         int // requests in flight from this VM
+	service     time.Duration
+	failures    float64 // recent share of failed attempts, 0 to 1
+	remote      bool    // in another failure domain
+	occupancy   float64 // set by occupancies
+	probability float64 // relative probability of being drawn, set by occupancies
+}
+
+// occupancies sets the expected occupancy of each server. Old counts of other VMs approach the mean of all servers as
+// the requests that they counted end. A server without counts is expected to have the mean load, so that it never looks
+// idle. An occupancy up to 1 is the share of the slots that are taken; the excess is the wait in a queue, relative to the
+// mean service time. The wait alone would give a server that is 2.4 times as fast 2.4 times the requests of another with
+// as many slots, and keep it full while the other is half empty.
+func occupancies(list []estimate) {
+	var others, slots, service float64
+	for i := range list {
+		if list[i].known {
+			others, slots = others+list[i].others, slots+list[i].slots
+		}
+		service += list[i].service.Seconds() / float64(len(list))
+	}
+	mean := 0.0
+	if slots > 0 {
+		mean = others / slots
+	}
+	for i := range list {
+		e := &list[i]
+		load := mean * e.slots
+		if e.known {
+			load += (e.others - load) * math.Exp(-e.age.Seconds()/max(e.service.Seconds(), 0.001))
+		}
+		x := (load + float64(e.own)) / e.slots
+		if x > 1 {
+			x = 1 + (x-1)*min(max(e.service.Seconds()/max(service, 0.001), 1/maxWaitFactor), maxWaitFactor)
+		}
+		x += e.failures
+		if e.remote {
+			x += remotePenalty
+		}
+		e.occupancy = x
+		// A server that is drawn in proportion to its capacity gets its share even if nothing current is known.
+		e.probability = e.slots / max(e.service.Seconds(), 0.001)
+	}
+}
+
+// choose returns the index of the chosen server, or -1 for an empty list. Servers of other failure domains are drawn only
+// if those of the own one are absent or full.
+func choose(list []estimate, random func() float64) int {
+	occupancies(list)
+	best := draw(list, false, -1, random)
+	if best < 0 || list[best].occupancy >= 1 {
+		best = draw(list, true, best, random)
+	}
+	return best
+}
+
+func draw(list []estimate, remote bool, best int, random func() float64) int {
+	var total float64
+	for i := range list {
+		if list[i].remote == remote {
+			total += list[i].probability
+		}
+	}
+	drawn := make([]int, 0, choices)
+	for range choices {
+		at, last := random()*total, -1
+		for i := range list {
+			if list[i].remote != remote || slices.Contains(drawn, i) {
+				continue
+			}
+			last = i
+			if at -= list[i].probability; at <= 0 {
+				break
+			}
+		}
+		if last < 0 {
+			break
+		}
+		drawn = append(drawn, last)
+		total -= list[last].probability
+		if best < 0 || list[last].occupancy < list[best].occupancy-margin/list[last].slots {
+			best = last
+		}
+	}
+	return best
+}
+
+const (
+	// subsetSize is the number of servers of a service among which a VM chooses. Half of them are of other failure
+	// domains, so that the loss of the own domain leaves enough.
+	subsetSize = 24
+	// minSubsetSize is the size with very many services, and maxSubsetTotal the number for all services together, which
+	// bounds what the leader keeps and sends for a VM.
+	minSubsetSize  = 4
+	maxSubsetTotal = 256
+)
+
+// SubsetSize returns the number of servers of one service among which a VM chooses, if there are so many services with
+// more than one server.
+func SubsetSize(services int) int {
+	return min(max(maxSubsetTotal/max(services, 1), minSubsetSize), subsetSize)
+}
+
+// subset returns at most size of the n servers, half of them of the own failure domain if there are enough of both kinds.
+// rank orders the servers differently for each VM, and remains the same when other servers come and go.
+func subset(n, size int, rank func(int) uint64, remote func(int) bool) []int {
+	var local, other []int
+	for i := range n {
+		if remote(i) {
+			other = append(other, i)
+		} else {
+			local = append(local, i)
+		}
+	}
+	if n <= size {
+		return append(local, other...)
+	}
+	byRank := func(a, b int) int { return cmp.Compare(rank(a), rank(b)) }
+	slices.SortFunc(local, byRank)
+	slices.SortFunc(other, byRank)
+	locals := min(len(local), max(size/2, size-len(other)))
+	return append(local[:locals], other[:min(len(other), size-locals)]...)
+}
+
+// Random returns a random number from 0 to 1 for a Tracker.
+func Random() float64 { return rand.Float64() }
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -182,6 +182,7 @@
 		s.mu.Lock()
 		s.peers.record(Peer{VM: q.VM, Address: q.PeerAddress, FailureDomain: q.FailureDomain}, q.TakesRequests, arrived)
 		s.mu.Unlock()
+		s.recordLoad(q, arrived)
 	}
 	timeout := time.NewTimer(FollowPollTimeout)
 	defer timeout.Stop()
@@ -220,6 +221,7 @@
 		if r.Configuration != nil || r.Packed != nil || r.ServersSent || r.LimitsSent || len(r.Suspects) > 0 || !waiting {
 			s.addLimits(&r, q)
 			s.addPeers(&r, q, boottime.Now())
+			s.addLoad(&r, q, boottime.Now())
 			r.Replicas = s.node.replicas()
 			return r, s.checkLeadership()
 		}
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -86,6 +86,8 @@
 	MemoryLimit int64
 	// Duties are the calls to the provider that the leader makes.
 	Duties DutyOptions
+	// BalancesLoad makes the VMs share what they know of the load of the servers.
+	BalancesLoad bool
 	// ParseDocument parses an operator's document, as rollout.State.ParseDocument.
 	ParseDocument func([]byte) (*routes.Configuration, error)
 	// Fatal ends the process after a disk failure, or when the state requires a newer build.
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -11,6 +11,7 @@
 	"golang.org/x/time/rate"
 
 	"filbertledge/internal/api"
+	"filbertledge/internal/balance"
 	"filbertledge/internal/boottime"
 	"filbertledge/internal/events"
 	"filbertledge/internal/fleet"
@@ -41,6 +42,7 @@
 	runningItems   int
 	limits         *ratelimit.Allocator
 	peers          *peerTable
+	load           loadState
 	stalls         stallDetector            // detects stalls of this process
 	serversSignal  chan struct{}            // closed and replaced when the servers change
 	results        chan rollout.BatchResult // results to commit
@@ -173,7 +175,7 @@
 	return &session{
 		reservations: reservations{limit: int64(openBatchesFraction * float64(n.opts.MemoryLimit))},
 		handedOver:   make(chan struct{}), dutyLimiter: newDutyLimiter(n.opts.Duties),
-		node: n, ctx: ctx, term: term, limits: ratelimit.NewAllocator(n.limits, boottime.Now()), peers: newPeerTable(),
+		node: n, ctx: ctx, term: term, limits: ratelimit.NewAllocator(n.limits, boottime.Now()), peers: newPeerTable(), load: loadState{collector: balance.NewCollector(n.opts.BalancesLoad)},
 		batches: map[string]*batch{}, seenGroups: map[string]bool{}, engines: map[string]*engineState{}, promptCachedOn: map[string]string{},
 		reusableTexts: map[string]rollout.Partial{}, publishedAt: map[string]time.Duration{},
 		serversSignal: make(chan struct{}), results: make(chan rollout.BatchResult, resultQueueSize),
--- a/internal/coordinator/wire.go
+++ b/internal/coordinator/wire.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"filbertledge/internal/balance"
 	"filbertledge/internal/fleet"
 	"filbertledge/internal/link"
 	"filbertledge/internal/ratelimit"
@@ -64,6 +65,10 @@
 	PeerAddress   string `cbor:"12,keyasint,omitempty"`
 	TakesRequests bool   `cbor:"13,keyasint,omitempty"`
 	PeersDigest   uint64 `cbor:"14,keyasint,omitempty"`
+	// Load is what the VM tells of the load of the servers, nil unless VMs share it. ProcessorShare is the number of
+	// processor cores that the VM may use, 0 if it is unknown.
+	Load           *balance.Report `cbor:"40,keyasint,omitempty"`
+	ProcessorShare float64         `cbor:"41,keyasint,omitempty"`
 }
 
 // FollowReply confirms that its sender was the leader when it sent the reply.
@@ -93,6 +98,8 @@
 	PeersSent   bool   `cbor:"17,keyasint,omitempty"`
 	Peers       []Peer `cbor:"18,keyasint,omitempty"`
 	PeersDigest uint64 `cbor:"19,keyasint,omitempty"`
+	// Load is the load of the servers from all VMs, nil unless VMs share it.
+	Load *balance.Sums `cbor:"40,keyasint,omitempty"`
 }
 
 // unpack decodes Packed and PackedServers into Configuration and Servers.
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -125,6 +125,8 @@
 	StateVersionInForce   Name = "state.version_in_force"
 	StateVersionWithheld  Name = "state.version_withheld" // a member of the group does not understand the version, or is not known to
 	StateTooNew           Name = "state.too_new"          // this build does not understand the state
+	LoadKnown             Name = "load.known"             // servers are chosen by the requests of all VMs
+	LoadUnknown           Name = "load.unknown"           // the leader's sums are too old; the VM's own requests remain
 	ConnectionDropped     Name = "connection.dropped"     // to keep the process within its budget for callers
 )
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"filbertledge/internal/api"
+	"filbertledge/internal/balance"
 	"filbertledge/internal/boottime"
 	"filbertledge/internal/errs"
 	"filbertledge/internal/events"
@@ -105,6 +106,8 @@
 	Limiter Limiter
 	// Streams records the begins of resumable streams. If it is nil, no stream can be taken up.
 	Streams StreamRecords
+	// Balancer chooses servers by what is known of their load, while it is enabled. If it is nil, the mean latencies decide.
+	Balancer *balance.Tracker
 	// Suspects keeps requests that crash servers from further servers. If it is nil, no request is suspected.
 	Suspects *Suspects
 	// Detour sends requests through other VMs while this one reaches no server. If it is nil, requests go directly only.
@@ -129,7 +132,7 @@
 		o.Streams = noStreamRecords{}
 	}
 	f := &Forwarder{opts: o, health: newHealthTracker()}
-	f.health.limit = o.Limiter.Limit
+	f.health.limit, f.health.balancer = o.Limiter.Limit, o.Balancer
 	return f
 }
 
@@ -248,6 +251,7 @@
 	lastFailure  attemptResult
 	retryAfter   time.Duration // until a limited server has a permission, if none had one, or until a suspect may run again
 	digest       uint64        // of the request's content
+	basis        string        // what the last choice of a server was based on, for the log; empty without a balancer
 	detoured     bool          // an attempt went through another VM
 	// directRefusals is the number of refusals before the first attempt through another VM.
 	directRefusals int
@@ -417,7 +421,7 @@
 	f.pending++
 	f.forwarder.opts.Events.Record(events.Event{
 		Name: events.RequestDispatched, Request: f.request.ID, Server: api.ServerID(server.ID),
-		Detail: fmt.Sprintf("attempt %d, %s left, content %016x", len(f.mayHaveRun)+len(f.refused), time.Until(f.deadline).Round(time.Millisecond), f.digest),
+		Detail: fmt.Sprintf("attempt %d, %s left, content %016x", len(f.mayHaveRun)+len(f.refused), time.Until(f.deadline).Round(time.Millisecond), f.digest) + f.basis,
 	})
 	go f.exchange(ctx, *server, permittedUntil)
 	return true
--- a/internal/forward/health.go
+++ b/internal/forward/health.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"filbertledge/internal/balance"
 	"filbertledge/internal/errs"
 	"filbertledge/internal/fleet"
 )
@@ -50,7 +51,8 @@
 // healthTracker records this VM's own measurements of the servers. They are needed beside the servers' announcements,
 // which arrive late and say nothing about the network path from this VM.
 type healthTracker struct {
-	limit func(server string) (perSecond float64, limited bool) // as in Limiter
+	limit    func(server string) (perSecond float64, limited bool) // as in Limiter
+	balancer *balance.Tracker                                      // nil if there is none
 
 	mu      sync.Mutex
 	servers map[string]*serverHealth
@@ -143,6 +145,7 @@
 }
 
 func (h *healthTracker) recordStart(id string) {
+	h.balancer.Start(id)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.entry(id).inFlight++
@@ -161,6 +164,7 @@
 
 // recordEnd records the result of an exchange. canceled is true if this VM ended the exchange itself.
 func (h *healthTracker) recordEnd(id string, now, took time.Duration, result attemptResult, canceled bool) {
+	h.balancer.End(id, now, took, balanceResult(result, canceled))
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	entry := h.entry(id)
--- a/internal/forward/limits.go
+++ b/internal/forward/limits.go
@@ -85,6 +85,9 @@
 func (f *forwardState) chooseServer(ctx context.Context) (server *fleet.Server, permittedUntil time.Duration) {
 	limiter, now := f.forwarder.opts.Limiter, f.forwarder.opts.Clock()
 	servers := f.mayContinueOn(f.forwarder.opts.Registry.List(f.service, now))
+	if best := f.chooseByLoad(servers, now); best != nil {
+		return best, 0
+	}
 	best := f.forwarder.health.choose(servers, f.forwarder.opts.FailureDomain, now, f.refusalsOf)
 	if best == nil || !f.forwarder.isLimited(best.ID) {
 		return best, 0
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,6 +55,10 @@
 	Prober           forward.Prober
 	PeerAddress      string // where other VMs reach this one's link; empty if it takes no requests of them
 	Events           *events.Recorder
+	// BalancesLoad makes this VM choose servers by their load. Otherwise it does so once the leader asks for it.
+	BalancesLoad bool
+	// ProcessorShare is the number of processor cores that this VM may use; 0 if it is unknown.
+	ProcessorShare float64
 }
 
 // Gateway forwards the requests and batch calls of an entry VM. Its methods are safe for concurrent use.
@@ -67,6 +71,7 @@
 	suspects  *suspectReporter
 	handover  *handover
 	detour    *forward.Detour
+	load      *loadReporter
 
 	configuration atomic.Pointer[routes.Configuration]
 	confirmedAt   atomic.Int64 // confirmationTime of the last answered follow call, in nanoseconds since boot
@@ -90,8 +95,9 @@
 	g.limiter = newLimiter(o.Name, g.client, g.currentLeader, o.Events)
 	g.suspects = newSuspectReporter(o, g.client, g.currentLeader)
 	g.handover = newHandover(g)
+	g.load = newLoadReporter(o)
 	g.detour = forward.NewDetour(forward.DetourOptions{Registry: registry, Prober: o.Prober, Peers: g.handover, Events: o.Events, Clock: boottime.Now})
-	g.forwarder = forward.New(forward.Options{FailureDomain: o.FailureDomain, Registry: registry, Exchanger: o.Exchanger, Events: o.Events, Limiter: g.limiter, Streams: streamRecords{g}, Suspects: g.suspects.suspects, Detour: g.detour})
+	g.forwarder = forward.New(forward.Options{FailureDomain: o.FailureDomain, Registry: registry, Exchanger: o.Exchanger, Events: o.Events, Limiter: g.limiter, Streams: streamRecords{g}, Suspects: g.suspects.suspects, Detour: g.detour, Balancer: g.load.tracker})
 	return g
 }
 
@@ -224,7 +230,7 @@
 func (g *Gateway) Run(ctx context.Context) {
 	go g.limiter.reportLoop(ctx)
 	go g.suspects.loop(ctx)
-	q := coordinator.FollowRequest{VM: g.opts.Name, Forwards: true, FailureDomain: g.opts.FailureDomain, PeerAddress: g.opts.PeerAddress}
+	q := coordinator.FollowRequest{VM: g.opts.Name, Forwards: true, FailureDomain: g.opts.FailureDomain, PeerAddress: g.opts.PeerAddress, ProcessorShare: g.opts.ProcessorShare}
 	lostAt := time.Now()
 	for ctx.Err() == nil {
 		leader := g.currentLeader()
@@ -237,6 +243,7 @@
 		sentAt := boottime.Now()
 		q.SinceContact, q.Members = g.limiter.contact(sentAt)
 		q.TakesRequests = g.handover.accepts()
+		q.Load = g.load.report(q.Term, sentAt)
 		reply, err := g.follow(ctx, leader, q)
 		if err != nil {
 			if g.clearLeader() {
@@ -253,6 +260,7 @@
 		q.Term, q.ServersRevision, q.LimitsRevision, q.SuspectsRevision = reply.Term, reply.ServersRevision, reply.LimitsRevision, reply.SuspectsRevision
 		g.applyReply(reply, &q)
 		g.suspects.merge(reply.Suspects)
+		g.load.apply(&reply)
 		if q.PeersDigest = reply.PeersDigest; reply.PeersSent {
 			g.handover.setPeers(reply.Peers)
 		}
