--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -11,12 +11,13 @@
 )
 
 const (
-	// choices is the number of servers of a failure domain that are drawn for one request. With all servers compared, all
-	// VMs send to the same server until the next report. Two gave the same evenness with few VMs and up to a third more
-	// uneven time with 9 servers.
+	// choices is the number of servers of a failure domain that are drawn for one request. If all are compared, all VMs send
+	// to the same server until the next report. With 30 VMs, 9 servers, work of 22 ms and reports 500 ms old, a server was
+	// full beside one under half for 0.041 of the time with two choices, 0.031 with three and 0.030 with four.
 	choices = 3
 	// margin is by how many requests a server must be less loaded to be preferred to one that was drawn earlier. A smaller
-	// difference is noise in old counts; without a margin all VMs prefer the same server for the age of the report.
+	// difference is noise in old counts: without a margin all VMs prefer the same servers for the age of the report, and the
+	// share of time as above with 300 VMs was 0.34 instead of 0.09.
 	margin = 0.5
 	// remotePenalty is the share of slots by which a server in another failure domain must be less loaded.
 	remotePenalty = 0.15
@@ -30,40 +31,49 @@
 	others      float64 // requests in flight from other VMs when they were counted
 	known       bool    // others is known
 	age         time.Duration
-	own         int // requests in flight from this VM
-	service     time.Duration
-	failures    float64 // recent share of failed attempts, 0 to 1
-	remote      bool    // in another failure domain
-	occupancy   float64 // set by occupancies
-	probability float64 // relative probability of being drawn, set by occupancies
+	own         int           // requests in flight from this VM
+	service     time.Duration // 0 if it is unknown
+	failures    float64       // recent share of failed attempts, 0 to 1
+	remote      bool          // in another failure domain
+	occupancy   float64       // set by occupancies
+	probability float64       // relative probability of being drawn, set by occupancies
 }
 
 // occupancies sets the expected occupancy of each server. Old counts of other VMs approach the mean of all servers as
-// the requests that they counted end. A server without counts is expected to have the mean load, so that it never looks
-// idle. An occupancy up to 1 is the share of the slots that are taken; the excess is the wait in a queue, relative to the
-// mean service time. The wait alone would give a server that is 2.4 times as fast 2.4 times the requests of another with
-// as many slots, and keep it full while the other is half empty.
+// the requests that they counted end. A server without counts is expected to have the mean load, and one without
+// measurements the mean service time, so that it never looks idle. An occupancy up to 1 is the share of the slots that are
+// taken; the excess is the wait in a queue, relative to the mean service time. The wait alone would give a server that is
+// 2.4 times as fast 2.4 times the requests of another with as many slots, and keep it full while the other is half empty.
 func occupancies(list []estimate) {
-	var others, slots, service float64
+	var others, slots float64
+	var service time.Duration
+	measured := 0
 	for i := range list {
 		if list[i].known {
 			others, slots = others+list[i].others, slots+list[i].slots
 		}
-		service += list[i].service.Seconds() / float64(len(list))
+		if list[i].service > 0 {
+			service += list[i].service
+			measured++
+		}
 	}
+	service = max(service/time.Duration(max(measured, 1)), time.Millisecond)
 	mean := 0.0
 	if slots > 0 {
 		mean = others / slots
 	}
 	for i := range list {
 		e := &list[i]
+		if e.service <= 0 {
+			e.service = service
+		}
 		load := mean * e.slots
 		if e.known {
-			load += (e.others - load) * math.Exp(-e.age.Seconds()/max(e.service.Seconds(), 0.001))
+			load += (e.others - load) * math.Exp(-e.age.Seconds()/e.service.Seconds())
 		}
 		x := (load + float64(e.own)) / e.slots
 		if x > 1 {
-			x = 1 + (x-1)*min(max(e.service.Seconds()/max(service, 0.001), 1/maxWaitFactor), maxWaitFactor)
+			x = 1 + (x-1)*min(max(e.service.Seconds()/service.Seconds(), 1.0/maxWaitFactor), maxWaitFactor)
 		}
 		x += e.failures
 		if e.remote {
@@ -71,7 +81,7 @@
 		}
 		e.occupancy = x
 		// A server that is drawn in proportion to its capacity gets its share even if nothing current is known.
-		e.probability = e.slots / max(e.service.Seconds(), 0.001)
+		e.probability = e.slots / e.service.Seconds()
 	}
 }
 
--- a/internal/balance/compare_test.go
+++ b/internal/balance/compare_test.go
@@ -16,7 +16,6 @@
 	simSnapshots = 100 * time.Millisecond // time between two reports, if they are not current
 )
 
-// simCase describes one run of the simulation.
 type simCase struct {
 	vms, servers int
 	work, age    time.Duration
@@ -24,11 +23,9 @@
 	rule         string
 }
 
-// simResult holds what one run measured.
 type simResult struct {
 	uneven     float64 // highest share of time, over the servers, in which one is full while another of its domain is under half
-	meanUneven float64
-	anyUneven  float64 // share of time in which that holds for any server
+	meanUneven float64 // mean of that share
 	variance   float64 // mean variance of running/slots over the servers
 	mean, p99  time.Duration
 	refused    float64
@@ -69,7 +66,7 @@
 	return last
 }
 
-// sim is a discrete-event simulation of VMs that send requests to servers.
+// sim runs one case in virtual time.
 type sim struct {
 	simCase
 	rng       *rand.Rand
@@ -128,7 +125,7 @@
 	gap := func() time.Duration {
 		return time.Duration(s.rng.ExpFloat64() / (capacity * s.utilization) * float64(time.Second))
 	}
-	end := max(8*time.Second, 60*s.work)
+	end := max(8*time.Second, 200*s.work)
 	warm := end / 5
 	heap.Push(&s.events, simEvent{at: gap()})
 	for len(s.events) > 0 {
@@ -157,7 +154,6 @@
 		s.result.meanUneven += s.servers[i].fullTime.Seconds() / (end - warm).Seconds() / float64(len(s.servers))
 		s.result.uneven = max(s.result.uneven, s.servers[i].fullTime.Seconds()/(end-warm).Seconds())
 	}
-	s.result.anyUneven /= (end - warm).Seconds()
 	s.result.variance /= (end - warm).Seconds()
 	s.result.refused = float64(s.refused) / float64(max(s.refused+len(s.latencies), 1))
 	s.result.failedSent = float64(s.toFailing) / float64(max(s.attempts, 1))
@@ -191,12 +187,11 @@
 
 // measure adds the time for which the present state lasted.
 func (s *sim) measure(lasted time.Duration) {
-	var low, full [simDomains]bool
+	var low [simDomains]bool
 	sum, squares := 0.0, 0.0
 	for i := range s.servers {
 		x := float64(s.servers[i].running) / float64(s.ids[i].Slots)
 		low[i%simDomains] = low[i%simDomains] || x < 0.5
-		full[i%simDomains] = full[i%simDomains] || x >= 1
 		sum, squares = sum+x, squares+x*x
 	}
 	n := float64(len(s.servers))
@@ -206,12 +201,6 @@
 			s.servers[i].fullTime += lasted
 		}
 	}
-	for d := range low {
-		if low[d] && full[d] {
-			s.result.anyUneven += lasted.Seconds()
-			break
-		}
-	}
 }
 
 func (s *sim) arrive(r *simRequest) {
--- a/internal/balance/rules_test.go
+++ b/internal/balance/rules_test.go
@@ -33,7 +33,7 @@
 	}
 	r := &measuredRule{vm: vm, servers: make([]ruleMeasured, len(s.servers))}
 	for i := range r.servers {
-		r.servers[i].latency = initialService
+		r.servers[i].latency = 20 * time.Millisecond
 	}
 	return r
 }
@@ -49,7 +49,7 @@
 				others, at = s.servers[i].inFlight-s.own[vm][i], s.now
 			}
 			if !s.servers[i].silent {
-				r.tracker.counts[Key(s.ids[i].ID)] = counted{others: others, at: at}
+				r.tracker.counts[Key(s.ids[i].ID)] = counted{others: others, at: at, service: time.Duration(float64(s.work) / s.servers[i].speed)}
 			}
 		}
 	}
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -12,8 +12,6 @@
 const (
 	// sumsLifetime is how long after the leader made them the counts of other VMs are used.
 	sumsLifetime = 2 * time.Second
-	// initialService is the assumed service time of a server that has not been measured.
-	initialService = 20 * time.Millisecond
 	// serviceWeight is the weight of a new measurement in a server's mean service time, and failureWeight that of a new
 	// result in its share of failed attempts.
 	serviceWeight = 0.15
@@ -96,7 +94,7 @@
 				}
 			}
 		}
-		s = &tracked{key: Key(id), rank: Rank(t.vm, id), slots: 1, service: initialService}
+		s = &tracked{key: Key(id), rank: Rank(t.vm, id), slots: 1}
 		t.servers[id], t.byKey[s.key] = s, s
 	}
 	return s
@@ -118,8 +116,8 @@
 		s := servers[index]
 		e := estimate{slots: s.slots, own: s.own, service: s.service, remote: candidates[index].FailureDomain != t.domain}
 		c, found := t.counts[s.key]
-		if !s.measured && c.service > 0 {
-			e.service = c.service
+		if c.service > 0 {
+			e.service = c.service // measured by several VMs
 		}
 		e.failures = s.failures * math.Exp(-(now-s.failedAt).Seconds()/failureMemory.Seconds())
 		if e.age = now - c.at; found && e.age <= sumsLifetime {
