--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -21,6 +21,9 @@
 	margin = 0.5
 	// remotePenalty is the share of slots by which a server in another failure domain must be less loaded.
 	remotePenalty = 0.15
+	// unknownService is the assumed service time while no server has answered any request. It is long, so that the counts are
+	// used: requests that take some milliseconds are measured at once.
+	unknownService = 10 * time.Second
 	// maxWaitFactor bounds the ratio of service times in the comparison of servers whose slots are all taken.
 	maxWaitFactor = 8
 )
@@ -57,7 +60,9 @@
 			measured++
 		}
 	}
-	service = max(service/time.Duration(max(measured, 1)), time.Millisecond)
+	if service = service / time.Duration(max(measured, 1)); service <= 0 {
+		service = unknownService
+	}
 	mean := 0.0
 	if slots > 0 {
 		mean = others / slots
