Sums of the load expire two seconds after the leader's last reply

Cause: with two VMs, the report of the other one may be a second old when the leader replies, so that a limit of two seconds on the age of the counts made choices use the own requests alone between two replies. A reply with more than 256 entries was cut.

Change: the limit counts from the last reply; the age of the counts only discounts them. Tests with own constants in place of those of the code.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -136,10 +136,13 @@
 	// subsetSize is the number of servers of a service among which a VM chooses. Half of them are of other failure
 	// domains, so that the loss of the own domain leaves enough.
 	subsetSize = 24
-	// minSubsetSize is the size with very many services, and maxSubsetTotal the number for all services together, which
-	// bounds what the leader keeps and sends for a VM.
+	// minSubsetSize is the size with very many services, and maxSubsetTotal the number for all services together above which
+	// subsets get smaller.
 	minSubsetSize  = 4
 	maxSubsetTotal = 256
+	// maxSubset is the number of servers of all services of which a VM gets the load. With more than 128 services, a VM
+	// knows only its own requests on the servers of some.
+	maxSubset = 2 * maxSubsetTotal
 )
 
 // SubsetSize returns the number of servers of one service among which a VM chooses, if there are so many services with
--- a/internal/balance/failures_test.go
+++ b/internal/balance/failures_test.go
@@ -84,7 +84,7 @@
 	if err := tracker.Apply(leader.Reply("vm-1", "a", fleet, now), 1, now); err != nil || !tracker.Enabled() {
 		t.Fatal("the leader's sums do not enable the choice", err)
 	}
-	for after, known := range map[time.Duration]bool{0: true, sumsLifetime: true, sumsLifetime + 1: false} {
+	for after, known := range map[time.Duration]bool{0: true, 2 * time.Second: true, 2*time.Second + 1: false} {
 		i, k := tracker.Choose(candidates, now+after, rand.Float64)
 		if i < 0 || (k.Counted == subsetSize) != known || tracker.Current(now+after) != known {
 			t.Errorf("%s after the last sums: %d, %+v", after, i, k)
@@ -167,11 +167,17 @@
 			t.Fatal(err)
 		}
 	}
-	if limit := int(maxReplyBytes * (now.Seconds() + 1)); bytes > limit {
+	if limit := int(2000 * (now.Seconds() + 1)); bytes > limit {
 		t.Errorf("%d bytes in %s, more than %d", bytes, now, limit)
 	}
-	if subset := len(fleet.subset("reader", "a")); subset > maxSubsetTotal || len(tracker.counts) < subset*9/10 {
-		t.Errorf("%d of %d servers of the subset are known", len(tracker.counts), subset)
+	fresh := 0
+	for _, c := range tracker.counts {
+		if now-c.current < 3*time.Second {
+			fresh++
+		}
+	}
+	if subset := len(fleet.subset("reader", "a")); subset > maxSubset || fresh < subset*9/10 {
+		t.Errorf("the counts of %d of %d servers of the subset are recent", fresh, subset)
 	}
 }
 
--- a/internal/balance/rules_test.go
+++ b/internal/balance/rules_test.go
@@ -49,7 +49,7 @@
 				others, at = s.servers[i].inFlight-s.own[vm][i], s.now
 			}
 			if !s.servers[i].silent {
-				r.tracker.counts[Key(s.ids[i].ID)] = counted{others: others, at: at, service: time.Duration(float64(s.work) / s.servers[i].speed)}
+				r.tracker.counts[Key(s.ids[i].ID)] = counted{others: others, at: at, current: s.now, service: time.Duration(float64(s.work) / s.servers[i].speed)}
 			}
 		}
 	}
--- a/internal/balance/sums.go
+++ b/internal/balance/sums.go
@@ -64,7 +64,7 @@
 			out = append(out, Key(members[i].ID))
 		}
 	}
-	return out[:min(len(out), 2*maxSubsetTotal)]
+	return out[:min(len(out), maxSubset)]
 }
 
 // vmLoad is what the leader knows of a VM.
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -10,7 +10,8 @@
 )
 
 const (
-	// sumsLifetime is how long after the leader made them the counts of other VMs are used.
+	// sumsLifetime is how long after the leader's last reply the counts of other VMs are used. The leader replies at least
+	// every second.
 	sumsLifetime = 2 * time.Second
 	// serviceWeight is the weight of a new measurement in a server's mean service time, and failureWeight that of a new
 	// result in its share of failed attempts.
@@ -52,7 +53,8 @@
 // counted is what the leader told of a server.
 type counted struct {
 	others  int           // requests in flight from other VMs
-	at      time.Duration // boot time at which they were counted
+	at      time.Duration // boot time at which they were counted, on average
+	current time.Duration // boot time of the last reply according to which they are current
 	service time.Duration // 0 if it is unknown
 }
 
@@ -120,7 +122,7 @@
 			e.service = c.service // measured by several VMs
 		}
 		e.failures = s.failures * math.Exp(-(now-s.failedAt).Seconds()/failureMemory.Seconds())
-		if e.age = now - c.at; found && e.age <= sumsLifetime {
+		if e.age = now - c.at; found && now-c.current <= sumsLifetime {
 			e.others, e.known = float64(c.others), true
 			k.Counted++
 			k.Age = max(k.Age, e.age)
@@ -265,23 +267,27 @@
 		}
 	}
 	t.sent = nil
-	entries, err := Decode(sums.Entries, maxSubsetTotal)
+	entries, err := Decode(sums.Entries, maxSubset)
 	if err != nil {
 		return err
 	}
 	at := now - min(max(sums.Age, 0), 2*sumsLifetime)
-	if term != t.term || len(t.counts) > 2*maxSubsetTotal {
+	revision := sums.Revision
+	if term != t.term {
 		clear(t.counts)
+	} else if len(t.counts) > 2*maxSubset {
+		clear(t.counts) // many are of servers that are gone
+		revision = 0    // the leader sends the others again
 	}
 	if sums.Complete {
 		for key, c := range t.counts {
-			c.at = at
+			c.at, c.current = at, now
 			t.counts[key] = c
 		}
 	}
 	for _, e := range entries {
-		t.counts[e.Key] = counted{e.Load, at, e.Service}
+		t.counts[e.Key] = counted{others: e.Load, at: at, current: now, service: e.Service}
 	}
-	t.term, t.revision, t.appliedAt, t.services = term, sums.Revision, now, max(sums.Services, 1)
+	t.term, t.revision, t.appliedAt, t.services = term, revision, now, max(sums.Services, 1)
 	return nil
 }
