--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -154,22 +154,34 @@
 // subset returns at most size of the n servers, half of them of the own failure domain if there are enough of both kinds.
 // rank orders the servers differently for each VM, and remains the same when other servers come and go.
 func subset(n, size int, rank func(int) uint64, remote func(int) bool) []int {
-	var local, other []int
+	if n <= size {
+		out := make([]int, n)
+		for i := range out {
+			out[i] = i
+		}
+		return out
+	}
+	type ranked struct {
+		index int
+		rank  uint64
+	}
+	local, other := make([]ranked, 0, n), make([]ranked, 0, n)
 	for i := range n {
-		if remote(i) {
-			other = append(other, i)
+		if r := (ranked{i, rank(i)}); remote(i) {
+			other = append(other, r)
 		} else {
-			local = append(local, i)
+			local = append(local, r)
 		}
 	}
-	if n <= size {
-		return append(local, other...)
-	}
-	byRank := func(a, b int) int { return cmp.Compare(rank(a), rank(b)) }
+	byRank := func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) }
 	slices.SortFunc(local, byRank)
 	slices.SortFunc(other, byRank)
 	locals := min(len(local), max(size/2, size-len(other)))
-	return append(local[:locals], other[:min(len(other), size-locals)]...)
+	out := make([]int, 0, size)
+	for _, r := range slices.Concat(local[:locals], other[:min(len(other), size-locals)]) {
+		out = append(out, r.index)
+	}
+	return out
 }
 
 // Random returns a random number from 0 to 1 for a Tracker.
--- a/internal/coordinator/load.go
+++ b/internal/coordinator/load.go
@@ -12,7 +12,7 @@
 	ownLoadInterval = 100 * time.Millisecond
 	// fleetInterval is the shortest time between two lists of the servers of which VMs share the load. Each list makes the
 	// leader choose again the servers of each VM. A new server counts as loaded like the others until then.
-	fleetInterval = time.Second
+	fleetInterval = 2 * time.Second
 )
 
 // loadState holds what the leader knows of the load of the servers.
