Slow servers are not passed over because a response is overdue

Cause: each response that takes longer than the hedge delay, 75 ms or more, made the VM avoid its server for 250 ms. With work of some seconds the choice by load thus left out the servers used last, or fell back to the choice by latency.

Change: an overdue response counts only against servers that respond within the shortest hedge delay on average. The choice by latency is unchanged. Measured: tests of forward pass with -race; without the condition TestOtherReasonsPrecedeLoad fails.

--- a/internal/forward/balance.go
+++ b/internal/forward/balance.go
@@ -42,12 +42,13 @@
 	return usable[chosen]
 }
 
-// isAvoided reports whether a server is avoided after a failure.
+// isAvoided reports whether a server is avoided after a failure, or because a response is overdue. The latter says nothing of
+// a server whose responses take longer than the shortest hedge delay on average.
 func (h *healthTracker) isAvoided(id string, now time.Duration) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := h.servers[id]
-	return s != nil && s.avoidUntil > now
+	return s != nil && s.avoidUntil > now && (s.consecutiveFailures > 0 || s.meanLatency < minHedgeDelay)
 }
 
 // balanceResult returns what the result of an attempt tells of its server. A signed status 500 counts as a failure: a
--- a/internal/forward/balance_test.go
+++ b/internal/forward/balance_test.go
@@ -34,6 +34,10 @@
 		"failed": {func(f *forwardState, _ []fleet.Server) {
 			f.forwarder.health.markOverdue([]string{"s0"}, boottime.Now())
 		}, true, "s1", "alone"},
+		"overdue but slow": {func(f *forwardState, _ []fleet.Server) {
+			f.forwarder.health.entry("s0").meanLatency = 3 * time.Second
+			f.forwarder.health.markOverdue([]string{"s0"}, boottime.Now())
+		}, true, "s0 s1", "alone"},
 		"limited": {func(f *forwardState, _ []fleet.Server) {
 			f.forwarder.opts.Limiter = &fakeLimiter{waits: map[string]time.Duration{"s1": 0}}
 		}, true, "", "by latency"},
