Load spreads over failure domains gradually; refusals are not failures

Change: the share of the requests that leave the domain follows half the difference of the loads; a refusal does not count as a failure.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -21,6 +21,10 @@
 	margin = 0.5
 	// remotePenalty is the share of slots by which a server in another failure domain must be less loaded.
 	remotePenalty = 0.15
+	// overflowGain is the share of the requests that go to other failure domains for a difference of the loads by all slots,
+	// and maxDomainLoad the load, relative to the slots, above which a queue makes no difference.
+	overflowGain  = 0.5
+	maxDomainLoad = 1.5
 	// unknownService is the assumed service time while no server has answered any request. It is long, so that the counts are
 	// used: requests that take some milliseconds are measured at once.
 	unknownService = 10 * time.Second
@@ -37,23 +41,32 @@
 	own         int           // requests in flight from this VM
 	service     time.Duration // 0 if it is unknown
 	failures    float64       // recent share of failed attempts, 0 to 1
-	remote      bool          // in another failure domain
-	occupancy   float64       // set by occupancies
-	probability float64       // relative probability of being drawn, set by occupancies
+	domain      string
+	remote      bool    // in another failure domain
+	occupancy   float64 // set by occupancies
+	probability float64 // relative probability of being drawn, set by occupancies
 }
 
-// occupancies sets the expected occupancy of each server. Old counts of other VMs approach the mean of all servers as
+// domainLoad is the load of the servers of a failure domain.
+type domainLoad struct{ others, slots float64 }
+
+func (d domainLoad) perSlot() float64 { return d.others / max(d.slots, 1) }
+
+// occupancies sets the expected occupancy of each server. Old counts of other VMs approach the mean of the failure domain as
 // the requests that they counted end. A server without counts is expected to have the mean load, and one without
 // measurements the mean service time, so that it never looks idle. An occupancy up to 1 is the share of the slots that are
 // taken; the excess is the wait in a queue, relative to the mean service time. The wait alone would give a server that is
 // 2.4 times as fast 2.4 times the requests of another with as many slots, and keep it full while the other is half empty.
 func occupancies(list []estimate) {
-	var others, slots float64
+	var all domainLoad
+	domains := map[string]domainLoad{}
 	var service time.Duration
 	measured := 0
 	for i := range list {
-		if list[i].known {
-			others, slots = others+list[i].others, slots+list[i].slots
+		if e := &list[i]; e.known {
+			d := domains[e.domain]
+			domains[e.domain] = domainLoad{d.others + e.others, d.slots + e.slots}
+			all = domainLoad{all.others + e.others, all.slots + e.slots}
 		}
 		if list[i].service > 0 {
 			service += list[i].service
@@ -63,16 +76,15 @@
 	if service = service / time.Duration(max(measured, 1)); service <= 0 {
 		service = unknownService
 	}
-	mean := 0.0
-	if slots > 0 {
-		mean = others / slots
-	}
 	for i := range list {
 		e := &list[i]
 		if e.service <= 0 {
 			e.service = service
 		}
-		load := mean * e.slots
+		load := all.perSlot() * e.slots
+		if d, found := domains[e.domain]; found {
+			load = d.perSlot() * e.slots
+		}
 		if e.known {
 			load += (e.others - load) * math.Exp(-e.age.Seconds()/e.service.Seconds())
 		}
@@ -90,17 +102,50 @@
 	}
 }
 
-// choose returns the index of the chosen server, or -1 for an empty list. Servers of other failure domains are drawn only
-// if those of the own one are absent or full.
+// choose returns the index of the chosen server, or -1 for an empty list. Servers of other failure domains are drawn if those
+// of the own one are absent or full, or if the own domain has more load.
 func choose(list []estimate, random func() float64) int {
 	occupancies(list)
+	if share := overflow(list); share > 0 && random() < share {
+		if best := draw(list, true, -1, random); best >= 0 {
+			return best
+		}
+	}
 	best := draw(list, false, -1, random)
-	if best < 0 || list[best].occupancy >= 1 {
+	if best < 0 || list[best].occupancy >= 1 && list[best].current() {
 		best = draw(list, true, best, random)
 	}
 	return best
 }
 
+// current reports whether the occupancy of a server tells its present state: the requests that were counted are mostly still
+// in flight, or those of this VM fill it.
+func (e *estimate) current() bool {
+	return e.known && e.age < e.service || float64(e.own) >= e.slots
+}
+
+// overflow returns the share of the requests that go to other failure domains because they have less load. The share changes
+// by less than the difference of the loads, so that it settles although the loads are known late: if all requests went
+// to the domain with less load, all VMs would fill one domain after the other.
+func overflow(list []estimate) float64 {
+	var own, other domainLoad
+	for i := range list {
+		e := &list[i]
+		switch {
+		case !e.known:
+		case e.remote:
+			other = domainLoad{other.others + e.others, other.slots + e.slots}
+		default:
+			own = domainLoad{own.others + e.others, own.slots + e.slots}
+		}
+	}
+	if own.slots == 0 || other.slots == 0 {
+		return 0
+	}
+	difference := min(own.perSlot(), maxDomainLoad) - min(other.perSlot(), maxDomainLoad)
+	return overflowGain * max(difference-remotePenalty, 0)
+}
+
 func draw(list []estimate, remote bool, best int, random func() float64) int {
 	var total float64
 	for i := range list {
--- a/internal/balance/rules_test.go
+++ b/internal/balance/rules_test.go
@@ -72,6 +72,9 @@
 func (r *keptRule) end(s *sim, i int, took time.Duration, ok bool) {
 	result := Answered
 	if !ok {
+		result = Refused
+	}
+	if s.servers[i].fails {
 		result = Failed
 	}
 	r.tracker.End(s.ids[i].ID, s.now, took, result)
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -118,7 +118,7 @@
 	var k Knowledge
 	for i, index := range chosen {
 		s := servers[index]
-		e := estimate{slots: s.slots, own: s.own, service: s.service, remote: candidates[index].FailureDomain != t.domain}
+		e := estimate{slots: s.slots, own: s.own, service: s.service, domain: candidates[index].FailureDomain, remote: candidates[index].FailureDomain != t.domain}
 		c, found := t.counts[s.key]
 		if c.service > 0 {
 			e.service = c.service // measured by several VMs
@@ -154,7 +154,8 @@
 // Results of attempts.
 const (
 	Answered Result = iota
-	Failed          // no answer, a refusal or a failure of the server
+	Failed          // no answer, or a failure of the server
+	Refused         // the server did not run the request, because it has too many
 	Canceled        // ended by this VM
 )
 
@@ -180,7 +181,7 @@
 	case Failed:
 		recent := s.failures * math.Exp(-(now-s.failedAt).Seconds()/failureMemory.Seconds())
 		s.failures, s.failedAt = recent+failureWeight*(1-recent), now
-	case Canceled:
+	case Refused, Canceled:
 	}
 }
 
