Queues of a whole failure domain do not make fast servers preferred

Cause: at a utilization of 0.9 the mean load of a domain is above its slots at times. Compared by wait, its fast servers then attracted all requests for the age of the counts: one server was full beside one under half for 0.7 of the time.

Change: old counts approach the mean of the domain, at most its slots. A factor for the longer stay in full queues made no difference and was ruled out.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -81,9 +81,11 @@
 		if e.service <= 0 {
 			e.service = service
 		}
-		load := all.perSlot() * e.slots
+		// A mean above 1 is not used: the wait in equally long queues is longer at slow servers, so that all VMs would prefer
+		// the fast ones for the age of the counts.
+		load := min(all.perSlot(), 1) * e.slots
 		if d, found := domains[e.domain]; found {
-			load = d.perSlot() * e.slots
+			load = min(d.perSlot(), 1) * e.slots
 		}
 		if e.known {
 			load += (e.others - load) * math.Exp(-e.age.Seconds()/e.service.Seconds())
--- a/internal/forward/balance.go
+++ b/internal/forward/balance.go
@@ -59,6 +59,8 @@
 		return balance.Canceled
 	case result.acceptable():
 		return balance.Answered
+	case result.err == nil && result.response.NotRun:
+		return balance.Refused
 	}
 	return balance.Failed
 }
