--- a/internal/balance/failures_test.go
+++ b/internal/balance/failures_test.go
@@ -224,3 +224,38 @@
 		t.Errorf("%d servers, %d of other domains, %d kept", len(before), remote, kept)
 	}
 }
+
+// Guards against a failure domain that keeps its requests although it is full and others are not, against all VMs that leave
+// it at once, and against servers that are avoided because they refused requests.
+func TestDomainsShareLoadGradually(t *testing.T) {
+	candidates, _ := testCandidates(9)
+	random := rand.New(rand.NewPCG(7, 8))
+	remote, refusing := 0, 0
+	const choicesMade = 3000
+	for range choicesMade {
+		tracker := NewTracker("vm", "a", true)
+		for _, c := range candidates {
+			others := 2
+			if c.FailureDomain == "a" {
+				others = 12
+			}
+			tracker.counts[Key(c.ID)] = counted{others: others, service: 20 * time.Millisecond}
+		}
+		for range 5 {
+			tracker.Start(candidates[0].ID)
+			tracker.End(candidates[0].ID, oldReport, time.Millisecond, Refused)
+		}
+		i, _ := tracker.Choose(candidates, oldReport, random.Float64)
+		if candidates[i].FailureDomain != "a" {
+			remote++
+		} else if i == 0 {
+			refusing++
+		}
+	}
+	if share := float64(remote) / choicesMade; share < 0.2 || share > 0.6 {
+		t.Errorf("%.2f of the requests leave the full domain", share)
+	}
+	if share := float64(refusing) / float64(choicesMade-remote); share < 0.25 {
+		t.Errorf("one of three servers gets %.2f of the requests after it refused some", share)
+	}
+}
--- a/internal/forward/balance_test.go
+++ b/internal/forward/balance_test.go
@@ -11,6 +11,7 @@
 	"filbertledge/internal/api"
 	"filbertledge/internal/balance"
 	"filbertledge/internal/boottime"
+	"filbertledge/internal/errs"
 	"filbertledge/internal/events"
 	"filbertledge/internal/fleet"
 )
@@ -91,3 +92,24 @@
 		t.Errorf("%d of %d attempts at the server that fails at once", failed, len(f.asked))
 	}
 }
+
+// Guards against a refusal that counts as a failure, and against a failure that counts as an answer.
+func TestBalanceResult(t *testing.T) {
+	for _, tc := range []struct {
+		result   attemptResult
+		canceled bool
+		want     balance.Result
+	}{
+		{attemptResult{response: &Response{Status: 404, Signature: "signed"}}, false, balance.Answered},
+		{attemptResult{response: &Response{Status: 503, NotRun: true}}, false, balance.Refused},
+		{attemptResult{response: &Response{Status: 500, Signature: "signed"}}, false, balance.Failed},
+		{attemptResult{response: &Response{Status: 200}}, false, balance.Failed},
+		{attemptResult{err: errConnBroken}, false, balance.Failed},
+		{attemptResult{err: context.Canceled}, true, balance.Canceled},
+		{attemptResult{err: errs.New(errs.Canceled, "", ""), notSent: true}, false, balance.Canceled},
+	} {
+		if got := balanceResult(tc.result, tc.canceled); got != tc.want {
+			t.Errorf("%+v: %d, want %d", tc.result, got, tc.want)
+		}
+	}
+}
