--- a/internal/balance/compare_test.go
+++ b/internal/balance/compare_test.go
@@ -104,8 +104,7 @@
 		s.servers[i].speed = []float64{0.7, 0.7, 1.7}[(i/simDomains)%3]
 		s.ids = append(s.ids, Candidate{ID: fmt.Sprintf("server-%d", i), FailureDomain: string(rune('a' + i%simDomains)), Slots: 6 + (i/simDomains+i)%3})
 	}
-	total := 0.0
-	for i := range c.vms {
+	for i, total := 0, 0.0; i < c.vms; i++ {
 		total += float64(int(1) << (i / simDomains % 5)) // callers are connected to few of the VMs
 		s.weights = append(s.weights, total)
 		s.rules = append(s.rules, newSimRule(s, i))
@@ -188,7 +187,7 @@
 // measure adds the time for which the present state lasted.
 func (s *sim) measure(lasted time.Duration) {
 	var low [simDomains]bool
-	sum, squares := 0.0, 0.0
+	var sum, squares float64
 	for i := range s.servers {
 		x := float64(s.servers[i].running) / float64(s.ids[i].Slots)
 		low[i%simDomains] = low[i%simDomains] || x < 0.5
@@ -210,10 +209,10 @@
 		server, rule := &s.servers[r.server], s.rules[r.vm]
 		s.attempts++
 		rule.start(s, r.server)
+		if server.fails {
+			s.toFailing++
+		}
 		if server.fails || server.running >= s.ids[r.server].Slots && len(server.queue) >= simQueue {
-			if server.fails {
-				s.toFailing++
-			}
 			rule.end(s, r.server, time.Millisecond, false)
 			refusals[r.server]++
 			continue
@@ -232,15 +231,13 @@
 }
 
 func (s *sim) serve(r *simRequest) {
-	server := &s.servers[r.server]
-	server.running++
-	heap.Push(&s.events, simEvent{s.now + time.Duration(float64(r.work)/server.speed), r})
+	s.servers[r.server].running++
+	heap.Push(&s.events, simEvent{s.now + time.Duration(float64(r.work)/s.servers[r.server].speed), r})
 }
 
 func (s *sim) finish(r *simRequest) {
 	server := &s.servers[r.server]
-	server.running--
-	server.inFlight--
+	server.running, server.inFlight = server.running-1, server.inFlight-1
 	s.own[r.vm][r.server]--
 	s.latencies = append(s.latencies, s.now-r.arrivedAt)
 	s.rules[r.vm].end(s, r.server, s.now-r.sentAt, true)
