--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -54,17 +54,20 @@
 		{300, 30, 3 * time.Second, 0.1},
 		{300, 30, 22 * time.Millisecond, 0.18},
 	} {
-		c := simCase{tc.vms, tc.servers, tc.work, 500 * time.Millisecond, 0.6, "kept"}
-		kept := newSim(c, nil).run()
-		c.rule = "present"
-		present := newSim(c, nil).run()
-		t.Logf("%+v: present rule %s; kept rule %s", tc, present, kept)
-		if kept.meanUneven > tc.uneven || kept.refused > 0 {
-			t.Errorf("%+v: %s", tc, kept)
-		}
-		if present.meanUneven <= tc.uneven || present.variance < 1.5*kept.variance {
-			t.Errorf("%+v: the present rule passes: %s", tc, present)
-		}
+		t.Run(fmt.Sprintf("%d VMs, %d servers, %s", tc.vms, tc.servers, tc.work), func(t *testing.T) {
+			t.Parallel()
+			c := simCase{tc.vms, tc.servers, tc.work, 500 * time.Millisecond, 0.6, "kept"}
+			kept := newSim(c, nil).run()
+			c.rule = "present"
+			present := newSim(c, nil).run()
+			t.Logf("present rule: %s; kept rule: %s", present, kept)
+			if kept.meanUneven > tc.uneven || kept.refused > 0 {
+				t.Errorf("above %g: %s", tc.uneven, kept)
+			}
+			if present.meanUneven <= tc.uneven || present.variance < 1.5*kept.variance {
+				t.Errorf("the present rule passes: %s", present)
+			}
+		})
 	}
 }
 
@@ -74,11 +77,14 @@
 func TestBusyServersKeepServing(t *testing.T) {
 	for utilization, refused := range map[float64]float64{0.9: 0, 1.1: 0.1} {
 		for _, vms := range []int{30, 300} {
-			r := newSim(simCase{vms, 30, 22 * time.Millisecond, 500 * time.Millisecond, utilization, "kept"}, nil).run()
-			t.Logf("%d VMs, utilization %g: %s", vms, utilization, r)
-			if r.refused > refused || r.meanUneven > 0.23 {
-				t.Errorf("%d VMs, utilization %g: %s", vms, utilization, r)
-			}
+			t.Run(fmt.Sprintf("%d VMs, utilization %g", vms, utilization), func(t *testing.T) {
+				t.Parallel()
+				r := newSim(simCase{vms, 30, 22 * time.Millisecond, 500 * time.Millisecond, utilization, "kept"}, nil).run()
+				t.Log(r)
+				if r.refused > refused || r.meanUneven > 0.23 {
+					t.Errorf("above %g refused or 0.23 uneven: %s", refused, r)
+				}
+			})
 		}
 	}
 }
