--- a/internal/coordinator/wire.go
+++ b/internal/coordinator/wire.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"filbertledge/internal/balance"
 	"filbertledge/internal/fleet"
 	"filbertledge/internal/link"
 	"filbertledge/internal/ratelimit"
@@ -72,6 +73,10 @@
 	// UsageInstance and UsageWatermark are as in UsageRequest.
 	UsageInstance  uint64 `cbor:"16,keyasint,omitempty"`
 	UsageWatermark int64  `cbor:"17,keyasint,omitempty"`
+	// Load is what the VM tells of the load of the servers, nil unless VMs share it. ProcessorShare is the number of
+	// processor cores that the VM may use, 0 if it is unknown.
+	Load           *balance.Report `cbor:"40,keyasint,omitempty"`
+	ProcessorShare float64         `cbor:"41,keyasint,omitempty"`
 }
 
 // FollowReply confirms that its sender was the leader when it sent the reply.
@@ -105,6 +110,8 @@
 	UsageWindow time.Duration `cbor:"20,keyasint,omitempty"`
 	// AgreedTime is the agreed time when the reply was sent, in nanoseconds since the start of 1970; 0 if it is unknown.
 	AgreedTime int64 `cbor:"21,keyasint,omitempty"`
+	// Load is the load of the servers from all VMs, nil unless VMs share it.
+	Load *balance.Sums `cbor:"40,keyasint,omitempty"`
 }
 
 // unpack decodes Packed and PackedServers into Configuration and Servers.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,6 +67,10 @@
 	// RevokeStrictly refuses requests that need a key once the configuration has not been confirmed for RevocationTime.
 	RevokeStrictly bool
 	RevocationTime time.Duration // 0 means 5 s
+	// BalancesLoad makes this VM choose servers by their load. Otherwise it does so once the leader asks for it.
+	BalancesLoad bool
+	// ProcessorShare is the number of processor cores that this VM may use; 0 if it is unknown.
+	ProcessorShare float64
 }
 
 // Gateway forwards the requests and batch calls of an entry VM. Its methods are safe for concurrent use.
@@ -80,6 +84,7 @@
 	handover  *handover
 	detour    *forward.Detour
 	usage     *usageReporter
+	load      *loadReporter
 
 	configuration atomic.Pointer[routes.Configuration]
 	confirmedAt   atomic.Int64 // confirmationTime of the last answered follow call, in nanoseconds since boot
@@ -105,8 +110,9 @@
 	g.suspects = newSuspectReporter(o, g.client, g.currentLeader)
 	g.usage = newUsageReporter(o, g.client, g.currentLeader)
 	g.handover = newHandover(g)
+	g.load = newLoadReporter(o)
 	g.detour = forward.NewDetour(forward.DetourOptions{Registry: registry, Prober: o.Prober, Peers: g.handover, Events: o.Events, Clock: boottime.Now})
-	g.forwarder = forward.New(forward.Options{FailureDomain: o.FailureDomain, Registry: registry, Exchanger: o.Exchanger, Events: o.Events, Limiter: g.limiter, Streams: streamRecords{g}, Suspects: g.suspects.suspects, Detour: g.detour, Usage: g.usage})
+	g.forwarder = forward.New(forward.Options{FailureDomain: o.FailureDomain, Registry: registry, Exchanger: o.Exchanger, Events: o.Events, Limiter: g.limiter, Streams: streamRecords{g}, Suspects: g.suspects.suspects, Detour: g.detour, Usage: g.usage, Balancer: g.load.tracker})
 	return g
 }
 
@@ -254,7 +260,7 @@
 	go g.limiter.reportLoop(ctx)
 	go g.suspects.loop(ctx)
 	go g.usage.loop(ctx)
-	q := coordinator.FollowRequest{VM: g.opts.Name, Forwards: true, FailureDomain: g.opts.FailureDomain, PeerAddress: g.opts.PeerAddress}
+	q := coordinator.FollowRequest{VM: g.opts.Name, Forwards: true, FailureDomain: g.opts.FailureDomain, PeerAddress: g.opts.PeerAddress, ProcessorShare: g.opts.ProcessorShare}
 	lostAt := time.Now()
 	for ctx.Err() == nil {
 		leader := g.currentLeader()
@@ -268,6 +274,7 @@
 		q.SinceContact, q.Members = g.limiter.contact(sentAt)
 		q.TakesRequests = g.handover.accepts()
 		g.usage.addTo(&q)
+		q.Load = g.load.report(q.Term, sentAt)
 		reply, err := g.follow(ctx, leader, q)
 		if err != nil {
 			if g.clearLeader() {
@@ -288,6 +295,7 @@
 		// Only now is the configuration that the reply confirms in force.
 		g.confirmedAt.Store(int64(confirmationTime(sentAt, receivedAt, reply.Held)))
 		g.suspects.merge(reply.Suspects)
+		g.load.apply(&reply)
 		if q.PeersDigest = reply.PeersDigest; reply.PeersSent {
 			g.handover.setPeers(reply.Peers)
 		}
