A new leader knows the kinds of the engines

Cause: a new leader measured all engines anew and took those of the slower kind for fast ones.

Change: the record of a server in the replicated state, which each load of weights renews, holds the lowest interval of its engine. A new leader of an uneven fleet begins with it. A command of its own was ruled out: replicas of earlier builds drop the field, which costs only the measurement.

--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -231,13 +231,25 @@
 	})
 }
 
-// loadRegisteredVersions takes the weight versions of the engines from the replicated state.
+// loadRegisteredVersions takes the weight versions of the engines from the replicated state, and in an uneven fleet their
+// kinds: a new leader that measures all engines anew gives a third of its items to the slower kind.
 func (s *session) loadRegisteredVersions() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, v := range s.node.state.Servers() {
-		if known, ok := s.node.registry.Get(v.ID); ok && known.Incarnation == v.Incarnation {
-			s.engineFor(&v)
+	servers := s.node.state.Servers()
+	var measured []scheduling.Engine
+	for i := range servers {
+		measured = append(measured, scheduling.Engine{KindInterval: servers[i].KindInterval})
+	}
+	uneven := scheduling.ComputeMedianIntervals(measured).Uneven
+	for _, v := range servers {
+		known, ok := s.node.registry.Get(v.ID)
+		if !ok || known.Incarnation != v.Incarnation {
+			continue
+		}
+		if e := s.engineFor(&v); uneven && v.KindInterval > 0 {
+			e.kindInterval, e.baselineInterval, e.intervals = v.KindInterval, v.KindInterval, minKindIntervals
+			e.recentIntervalAt = boottime.Now()
 		}
 	}
 }
--- a/internal/coordinator/weights.go
+++ b/internal/coordinator/weights.go
@@ -285,9 +285,9 @@
 	s.wakeLoader()
 }
 
-// withLoadedVersions returns the server with the versions that its engine has loaded.
+// withLoadedVersions returns the server with the versions that its engine has loaded and its measured kind.
 func (e *engineState) withLoadedVersions(v fleet.Server) fleet.Server {
-	v.Models = nil
+	v.Models, v.KindInterval = nil, e.kindInterval
 	for name, version := range e.versions {
 		v.Models = append(v.Models, fleet.LoadedModel{Name: name, Version: version})
 	}
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -49,6 +49,9 @@
 	Spot bool `cbor:"12,keyasint,omitempty"`
 	// LeavesIn is the time from the announcement until a leaving server is gone; 0 means unknown.
 	LeavesIn time.Duration `cbor:"13,keyasint,omitempty"`
+	// KindInterval is the lowest time between two output events of an engine that its leader has measured, in milliseconds.
+	// It is set in the replicated state only, for the next leader; 0 means unknown.
+	KindInterval float64 `cbor:"14,keyasint,omitempty"`
 }
 
 // Version returns the announced version of a model, or 0 if the server has not loaded it.
