Divide engines among models by their speed

Cause: each trainer's model gets a number of engines.

Change: an engine of a slower kind counts by its speed relative to the median, in the shares and in the supply of the models; a model gives up its fastest engine first. Engines of fleets with one kind count as one each, as before. Sorting the engines by kind before the division was ruled out: kinds become known only after engines were divided.

--- a/internal/coordinator/weights.go
+++ b/internal/coordinator/weights.go
@@ -198,6 +198,7 @@
 func (s *session) assignModels(service *routes.Service, servers []fleet.Server, versions map[string]uint64) {
 	var usable []scheduling.AssignableEngine
 	var engines []*engineState
+	medians := s.medianIntervals(boottime.Now())
 	for i := range servers {
 		e := s.engineFor(&servers[i])
 		if servers[i].Silent || e.failures >= unreachableFailures || len(e.versions) == 0 {
@@ -207,7 +208,7 @@
 		if len(serving) == 0 {
 			serving = freshModels(service.Models, e.versions, versions)
 		}
-		usable = append(usable, scheduling.AssignableEngine{ID: servers[i].ID, Models: serving})
+		usable = append(usable, scheduling.AssignableEngine{ID: servers[i].ID, Models: serving, Speed: medians.Speed(e.kindInterval)})
 		engines = append(engines, e)
 	}
 	work := make([]scheduling.ModelWork, 0, len(service.Models))
--- a/internal/scheduling/assign.go
+++ b/internal/scheduling/assign.go
@@ -27,6 +27,9 @@
 type AssignableEngine struct {
 	ID     string
 	Models []string // that it serves now; empty if it has not been assigned
+	// Speed is how much of an engine of the faster kind it counts as; 0 counts as 1. With equal counts, a model with many
+	// engines of a slower kind would fall behind.
+	Speed float64
 }
 
 // DivideEngines divides engines among models in proportion to the work of their steps, so that all trainers' steps take
@@ -58,11 +61,19 @@
 	models  []ModelWork
 	shares  []float64  // number of engines for each model, which may be a fraction
 	serving [][]string // models of each engine
-	supply  []float64  // number of engines that serve each model; an engine that models share counts in equal parts
+	supply  []float64  // engines that serve each model, by their speed; one that models share counts in equal parts
+	speeds  []float64
 }
 
 func newDivision(engines []AssignableEngine, models []ModelWork) *division {
-	d := &division{models: models, shares: engineShares(len(engines), models), serving: make([][]string, len(engines)), supply: make([]float64, len(models))}
+	d := &division{models: models, serving: make([][]string, len(engines)), supply: make([]float64, len(models))}
+	total := 0.0
+	for i := range engines {
+		speed := cmp.Or(engines[i].Speed, 1)
+		d.speeds = append(d.speeds, speed)
+		total += speed
+	}
+	d.shares = engineShares(total, models)
 	for i := range engines {
 		d.order = append(d.order, i)
 		var known []string
@@ -84,11 +95,11 @@
 // serve sets the models of an engine.
 func (d *division) serve(engine int, models []string) {
 	for _, m := range d.serving[engine] {
-		d.supply[d.indexOf(m)] -= 1 / float64(len(d.serving[engine]))
+		d.supply[d.indexOf(m)] -= d.speeds[engine] / float64(len(d.serving[engine]))
 	}
 	d.serving[engine] = models
 	for _, m := range models {
-		d.supply[d.indexOf(m)] += 1 / float64(len(models))
+		d.supply[d.indexOf(m)] += d.speeds[engine] / float64(len(models))
 	}
 }
 
@@ -99,12 +110,16 @@
 // divideAnew gives each model a stretch of the engines in the order of their IDs. Engines at the border between two
 // stretches serve both models.
 func (d *division) divideAnew() {
-	from := 0.0 // position along the engines
+	begins := make([]float64, len(d.order)+1) // positions of the engines along all of them
+	for p, i := range d.order {
+		begins[p+1] = begins[p] + d.speeds[i]
+	}
+	from := 0.0
 	for k, share := range d.shares {
 		to := from + share
-		for p := int(from); p < len(d.order) && float64(p) < to; p++ {
-			part := min(to, float64(p+1)) - max(from, float64(p))
-			if i := d.order[p]; part >= minEngineShare || share < 2*minEngineShare {
+		for p, i := range d.order {
+			part := (min(to, begins[p+1]) - max(from, begins[p])) / d.speeds[i]
+			if part > 0 && (part >= minEngineShare || share < 2*minEngineShare) {
 				d.serve(i, append(slices.Clone(d.serving[i]), d.models[k].Model))
 			}
 		}
@@ -125,14 +140,25 @@
 func (d *division) supplyModels() {
 	for range d.serving {
 		needy, rich := d.neediest(), d.richestAfterGiving()
-		if d.supplyRatio(needy) >= minSupply || d.supply[rich] <= 1 || d.ratioAfterGiving(rich) < d.supplyRatio(needy) {
+		engine := d.engineToGive(rich)
+		if d.supplyRatio(needy) >= minSupply || engine < 0 || d.supply[rich] <= d.speeds[engine] || d.ratioAfterGiving(rich) < d.supplyRatio(needy) {
 			return
 		}
-		engine := slices.IndexFunc(d.order, func(i int) bool { return slices.Contains(d.serving[i], d.models[rich].Model) })
-		d.serve(d.order[engine], []string{d.models[needy].Model})
+		d.serve(engine, []string{d.models[needy].Model})
 	}
 }
 
+// engineToGive returns the fastest engine of a model, the first by ID among equals, or -1 if it has none.
+func (d *division) engineToGive(model int) int {
+	best := -1
+	for _, i := range d.order {
+		if slices.Contains(d.serving[i], d.models[model].Model) && (best < 0 || d.speeds[i] > d.speeds[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
 func (d *division) supplyRatio(model int) float64 { return d.supply[model] / d.shares[model] }
 
 func (d *division) neediest() int {
@@ -147,7 +173,11 @@
 
 // ratioAfterGiving returns the supply ratio of a model once it has given up an engine.
 func (d *division) ratioAfterGiving(model int) float64 {
-	return (d.supply[model] - 1) / d.shares[model]
+	speed := 1.0
+	if engine := d.engineToGive(model); engine >= 0 {
+		speed = d.speeds[engine]
+	}
+	return (d.supply[model] - speed) / d.shares[model]
 }
 
 // richestAfterGiving returns the model that can best give up an engine. A model of little work with a single engine may
@@ -162,9 +192,9 @@
 	return rich
 }
 
-// engineShares returns the number of engines for each model, which may be fractions. Models whose work is unknown get
-// an equal share.
-func engineShares(engines int, models []ModelWork) []float64 {
+// engineShares divides the engines among the models. Shares may be fractions. Models whose work is unknown get an equal
+// share.
+func engineShares(engines float64, models []ModelWork) []float64 {
 	known, total := 0, 0.0
 	for _, m := range models {
 		if m.Work > 0 {
@@ -186,7 +216,7 @@
 		sum += shares[i]
 	}
 	for i := range shares {
-		shares[i] *= float64(engines) / sum
+		shares[i] *= engines / sum
 	}
 	return shares
 }
--- a/internal/scheduling/choose.go
+++ b/internal/scheduling/choose.go
@@ -180,6 +180,15 @@
 	return m.Uneven && e.KindInterval > unevenInterval*m.Kind && (e.Running > 0 || !e.MeasuredLongAgo)
 }
 
+// Speed returns the speed of an engine of a kind relative to the median. Engines of a fleet with one kind, and engines that
+// have not been measured, count as equal.
+func (m MedianIntervals) Speed(kindInterval float64) float64 {
+	if !m.Uneven || kindInterval < unevenInterval*m.Kind {
+		return 1
+	}
+	return m.Kind / kindInterval
+}
+
 // decidingShare is the share of the longest expected run time among the unfinished items of a step from which an item may
 // decide when the step is complete. Length hints are off by half.
 const decidingShare = 0.5
--- a/internal/scheduling/uneven_test.go
+++ b/internal/scheduling/uneven_test.go
@@ -1,6 +1,9 @@
 package scheduling
 
-import "testing"
+import (
+	"fmt"
+	"testing"
+)
 
 const (
 	unevenEngines  = 44
@@ -100,3 +103,31 @@
 		}
 	}
 }
+
+// TestDivideEnginesBySpeed guards against a model whose engines are mostly of a slower kind: its trainer falls behind step by
+// step while the others wait.
+func TestDivideEnginesBySpeed(t *testing.T) {
+	const slowSpeed = 1 / unevenSlowdown
+	models := []ModelWork{{"a", 10}, {"b", 10}, {"c", 10}, {"d", 10}}
+	var engines []AssignableEngine
+	total := 0.0
+	for i := range unevenEngines {
+		e := AssignableEngine{ID: fmt.Sprintf("e%02d", i), Models: []string{models[i/11].Model}, Speed: 1}
+		if i < 8 || i >= 37 { // most engines of a, and many of d
+			e.Speed = slowSpeed
+		}
+		total += e.Speed
+		engines = append(engines, e)
+	}
+	supply := map[string]float64{}
+	for i, served := range DivideEngines(engines, models) {
+		for _, m := range served {
+			supply[m] += engines[i].Speed / float64(len(served))
+		}
+	}
+	for _, m := range models {
+		if share := total / float64(len(models)); supply[m.Model] < minSupply*share {
+			t.Errorf("model %s has engines worth %.1f, want at least %.1f", m.Model, supply[m.Model], minSupply*share)
+		}
+	}
+}
