--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -130,6 +130,9 @@
 	n.forwarder = forward.New(forward.Options{FailureDomain: o.FailureDomain, Registry: n.registry, Exchanger: o.Exchanger, Events: o.Events, Limiter: nodeLimiter{n}, Suspects: n.suspects})
 	n.state.OnApplied = n.onApplied
 	n.state.OnFailure, n.state.ParseDocument = n.fail, o.ParseDocument
+	n.state.OnDocumentRejected = func(version uint64, err error) {
+		o.Events.Log().WithError(err).WithField("configuration", version).Warn("an earlier build accepted this configuration, which this build rejects; its keys and orders of servers are not in force")
+	}
 	self := raft.Member{Name: o.Name, FailureDomain: o.FailureDomain, Address: o.Address}
 	r, err := replica.Open(replica.Options{
 		Folder: o.DataDir, Self: self, Peers: peersOf(o.Seeds), StateMachine: n.state, Sender: sender{n},
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -101,6 +101,8 @@
 	OnFailure func(error)
 	// ParseDocument parses an operator's document. It completes configurations that an earlier build parsed. It may be nil.
 	ParseDocument func([]byte) (*routes.Configuration, error)
+	// OnDocumentRejected is called if ParseDocument rejects a document that an earlier build accepted. It may be nil.
+	OnDocumentRejected func(version uint64, err error)
 }
 
 // NewState returns an empty state that stores its texts in texts.
--- a/internal/rollout/types.go
+++ b/internal/rollout/types.go
@@ -146,7 +146,7 @@
 // StateVersion is the highest version of the replicated state that this build understands. A command with a new kind or a
 // new meaning requires a higher one and is proposed only while all members of the group understand it.
 //
-// Version 1 adds the usage of workspaces.
+// Version 1 adds the usage of workspaces and the owners of batches.
 const StateVersion = 1
 
 // MemberVersion is the version of the state that a member of the replicated group understands.
--- a/internal/rollout/versions.go
+++ b/internal/rollout/versions.go
@@ -19,10 +19,14 @@
 		return c
 	}
 	parsed, err := s.ParseDocument(c.Document)
-	if err != nil || parsed.Version != c.Version {
-		return c // the earlier build accepted what this one does not
+	if err == nil && parsed.Version == c.Version {
+		return parsed
 	}
-	return parsed
+	// The earlier build accepted what this one does not.
+	if s.OnDocumentRejected != nil {
+		s.OnDocumentRejected(c.Version, err)
+	}
+	return c
 }
 
 // MemberVersion returns the version of the state that a member understands, as far as it is recorded.
