Refusals say that a configuration was never confirmed

Cause: a VM that had not heard from a leader yet logged the age of its confirmation as the machine's uptime.

Change: the event says that no leader has confirmed the configuration.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -196,8 +196,10 @@
 func (g *Gateway) RecordRefusal(id string, err error) {
 	detail := "no configuration"
 	if c := g.configuration.Load(); c != nil {
-		age := boottime.Now() - time.Duration(g.confirmedAt.Load())
-		detail = fmt.Sprintf("configuration %d, confirmed %s ago", c.Version, age.Round(time.Millisecond))
+		detail = fmt.Sprintf("configuration %d, not confirmed by a leader", c.Version)
+		if confirmedAt := time.Duration(g.confirmedAt.Load()); confirmedAt > 0 {
+			detail = fmt.Sprintf("configuration %d, confirmed %s ago", c.Version, (boottime.Now() - confirmedAt).Round(time.Millisecond))
+		}
 	}
 	e := events.Event{Name: events.RequestRefused, Request: id, Detail: detail + ": " + err.Error()}
 	if reason := refusalReason(err); reason != "" {
