A key that moved to another workspace is refused with 503; a fake VM handles signals before it is ready

Change: the refusal of a moved key is not final; the fake VM registers for the signal first. Serving the request under the new workspace was ruled out: it was accepted under the other one's name and priority.

Measured: TestCheckFollowsNewestConfiguration fails without the change; the harness test passes three times.

--- a/internal/gateway/workspaces.go
+++ b/internal/gateway/workspaces.go
@@ -52,11 +52,12 @@
 func (e *keyRefusedError) Unwrap() error { return e.error }
 
 // refuseKey returns the error of a call without a valid key of configuration c. Callers do not repeat a call that is not
-// authenticated, so it is refused as such only while c is confirmed to be the newest: a newer one may have the key. The
-// confirmation is read first, because it is stored after the configuration that it confirms.
+// authenticated, so it is refused as such only while c is confirmed to be the newest: a newer one may have the key. A key that
+// has moved to another workspace is valid, so its call may be repeated too. The confirmation is read first, because it is stored
+// after the configuration that it confirms.
 func (g *Gateway) refuseKey(c *routes.Configuration, reason string) error {
 	err := errs.New(errs.Unauthenticated, "send one valid key", "the call has no valid key (%s)", reason)
-	if reason == reasonNotConfirmed || reason == reasonNotChecked || !g.ConfigurationConfirmed() || g.Configuration() != c {
+	if reason == reasonNotConfirmed || reason == reasonNotChecked || reason == reasonOtherOwner || !g.ConfigurationConfirmed() || g.Configuration() != c {
 		err = errs.New(errs.Unavailable, "call again in a second", "this VM cannot check the key of the call with the newest configuration (%s)", reason)
 	}
 	return &keyRefusedError{err, reason}
--- a/internal/gateway/workspaces_test.go
+++ b/internal/gateway/workspaces_test.go
@@ -122,9 +122,14 @@
 			t.Fatalf("%s: %v", name, err)
 		}
 		g.installIfNewer(tc.after)
-		if err := caller.Check(); refusalReason(err) != tc.reason || (err != nil) != (tc.reason != "") {
+		err = caller.Check()
+		if refusalReason(err) != tc.reason || (err != nil) != (tc.reason != "") {
 			t.Errorf("%s: %v", name, err)
 		}
+		// Callers do not repeat a call that is answered 401, so a key that is still valid must not be refused so.
+		if tc.reason == reasonOtherOwner && !errs.Is(err, errs.Unavailable) {
+			t.Errorf("%s: not to be repeated: %v", name, err)
+		}
 	}
 }
 
--- a/internal/harness/harness_test.go
+++ b/internal/harness/harness_test.go
@@ -68,9 +68,9 @@
 		_ = os.WriteFile("announced-"+r.Header.Get("Authorization"), body, 0o600)
 		fmt.Fprintf(w, `{"vms":[%q]}`, s.Listen.HTTP)
 	})
-	go func() { _ = http.ListenAndServe(s.Listen.HTTP, nil) }()
 	c := make(chan os.Signal, 1)
-	signal.Notify(c, syscall.SIGTERM)
+	signal.Notify(c, syscall.SIGTERM) // before it is ready: a test may stop it as soon as it is
+	go func() { _ = http.ListenAndServe(s.Listen.HTTP, nil) }()
 	<-c
 	return nil
 }
