Engines do not go back and forth between models of equal supply

Cause: an engine moved to the model with the lowest supply even if the giving model then had exactly as little. The next call moved it back, and each move loads weights. Thirteen engines of five models with equal work are enough.

Change: an engine moves only if the lowest supply rises by more than the rounding of the sums.

--- a/internal/scheduling/assign.go
+++ b/internal/scheduling/assign.go
@@ -21,6 +21,10 @@
 	// minSupply is the ratio of the engines that a model has to its share of them below which it gets another one. Work
 	// and engines change all the time, and an engine that changes its model has to load it.
 	minSupply = 0.8
+	// minGain is the least by which a moved engine must raise the lowest ratio of a model's engines to its share. Between
+	// models that would only change places, an engine went back and forth with each call and loaded weights each time. It
+	// is far below the effect of an engine and above the rounding of the sums.
+	minGain = 1e-9
 )
 
 // AssignableEngine is an engine that can hold the weights of several models.
@@ -141,7 +145,7 @@
 	for range d.serving {
 		needy, rich := d.neediest(), d.richestAfterGiving()
 		engine := d.engineToGive(rich)
-		if d.supplyRatio(needy) >= minSupply || engine < 0 || d.supply[rich] <= d.speeds[engine] || d.ratioAfterGiving(rich) < d.supplyRatio(needy) {
+		if d.supplyRatio(needy) >= minSupply || engine < 0 || d.supply[rich] <= d.speeds[engine] || d.ratioAfterGiving(rich) < d.supplyRatio(needy)+minGain {
 			return
 		}
 		d.serve(engine, []string{d.models[needy].Model})
--- a/internal/scheduling/assign_test.go
+++ b/internal/scheduling/assign_test.go
@@ -116,6 +116,35 @@
 	})
 }
 
+// TestDivideEnginesDoesNotSwap guards against an engine that goes back and forth between models of the same supply, with a
+// load of weights at each call.
+func TestDivideEnginesDoesNotSwap(t *testing.T) {
+	for _, tc := range []struct {
+		engines  int
+		assigned bool // in turn
+		work     []float64
+	}{{13, true, []float64{1, 1, 1, 1, 1}}, {15, false, []float64{768.25, 681.5, 1500, 500, 500}}} {
+		engines := unassignedEngines(tc.engines)
+		var models []ModelWork
+		for i, w := range tc.work {
+			models = append(models, ModelWork{Model: fmt.Sprintf("m%d", i), Work: w})
+		}
+		for i := range engines {
+			if tc.assigned {
+				engines[i].Models = []string{models[i%len(models)].Model}
+			}
+		}
+		for i, served := range DivideEngines(engines, models) {
+			engines[i].Models = served
+		}
+		for i, served := range DivideEngines(engines, models) {
+			if !slices.Equal(served, engines[i].Models) {
+				t.Errorf("work %v: engine %d goes from %v to %v", tc.work, i, engines[i].Models, served)
+			}
+		}
+	}
+}
+
 // TestDivideEnginesReturnsNilWithoutNeed guards against a model without any engine when there are fewer engines than
 // models, and against a division with a single model.
 func TestDivideEnginesReturnsNilWithoutNeed(t *testing.T) {
