--- a/review/_kit2/deploy.go
+++ b/review/_kit2/deploy.go
@@ -42,15 +42,15 @@
 	cpte      = sheet{entryMB: 144, stateMB: 314, contactMS: 4000, ackMS: 5000, drainMS: 2500, applyMS: 2500, recoverS: 15, catchUpS: 6, skewMS: 6000, fenced: false}
 )
 
-// record writes record.txt.
+// record writes what was sent, answered and run to the file that the script names.
 type record struct {
 	mu    sync.Mutex
 	file  *os.File
 	start time.Time
 }
 
-func openRecord(folder string) (*record, error) {
-	f, err := os.Create(filepath.Join(folder, "record.txt"))
+func openRecord(path string) (*record, error) {
+	f, err := os.Create(path)
 	return &record{file: f, start: time.Now()}, err
 }
 
--- a/review/_kit2/main.go
+++ b/review/_kit2/main.go
@@ -32,7 +32,7 @@
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: review-2 CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: review-2 CASE RECORD")
 		os.Exit(cannotRun)
 	}
 	r, err := openRecord(os.Args[2])
