A server whose service is not configured hides no other server

Cause: the registry kept the newest incarnation at an address whatever its service, and took the announcements of the server that runs there for older ones. Under a server's own ID such an announcement replaced its entry, and with the state draining it committed a departure.

Why this works: such a server waits beside the registry until a configuration names its service, so that nothing reads it. Waiting servers are bounded and are not written to the log.

Ruled out: refusing the announcement. A server may announce itself before the configuration that names its service arrives.

--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"filbertledge/internal/boottime"
@@ -362,21 +363,32 @@
 		return reply, err
 	}
 	known, _ := s.node.registry.Get(v.ID)
-	if v.Leaving && !(known.Leaving && known.Incarnation == v.Incarnation) && known.Incarnation <= v.Incarnation {
+	mustWait := s.node.registry.MustWait(v)
+	if v.Leaving && !mustWait && !(known.Leaving && known.Incarnation == v.Incarnation) && known.Incarnation <= v.Incarnation {
 		if _, err := s.node.propose(ctx, rollout.Command{Depart: &rollout.ServerIncarnation{Server: v.ID, Incarnation: v.Incarnation}}); err != nil {
 			return reply, err
 		}
 	}
-	for _, d := range s.node.state.Departures() {
-		if d.Server == v.ID && d.Incarnation >= v.Incarnation {
-			v.Leaving = true
-		}
-	}
+	v.Leaving = v.Leaving || s.hasDeparted(v)
 	change := s.node.registry.Announce(v, boottime.Now())
 	s.afterAnnouncement(v, change)
 	return reply, s.checkLeadership()
 }
 
+// hasDeparted reports whether this start of a server, or a later one, leaves or has left.
+func (s *session) hasDeparted(v fleet.Server) bool {
+	return slices.ContainsFunc(s.node.state.Departures(), func(d rollout.ServerIncarnation) bool {
+		return d.Server == v.ID && d.Incarnation >= v.Incarnation
+	})
+}
+
+// listConfiguredServers lists the servers that waited for the configuration of their service.
+func (s *session) listConfiguredServers() {
+	for _, v := range s.node.registry.ListConfigured(s.hasDeparted) {
+		s.afterAnnouncement(v, fleet.NewIncarnation)
+	}
+}
+
 // afterAnnouncement records how an announcement changed the registry and wakes the calls that wait for changed servers.
 func (s *session) afterAnnouncement(v fleet.Server, change fleet.Change) {
 	switch change {
@@ -387,6 +399,11 @@
 	case fleet.StaleAnnouncement:
 		s.record(events.Event{Name: events.AnnouncementStale, Server: serverID(v), Detail: "older than the latest announcement"})
 		return
+	case fleet.StartedWaiting:
+		s.record(events.Event{Name: events.ServerWaiting, Server: serverID(v), Detail: fmt.Sprintf("%s at %s: no such service is configured", v.Service, v.Address)})
+		return
+	case fleet.StillWaiting:
+		return
 	case fleet.NoChange:
 	}
 	if change != fleet.NoChange {
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -196,6 +196,7 @@
 
 // start loads the open batches and starts the loops of the session.
 func (s *session) start() {
+	s.node.registry.ConfigureServices(s.node.isConfigured)
 	LogRejectedServers(s.node.opts.Events, s.node.registry.Merge(s.serversNotInRegistry(), boottime.Now()))
 	s.loadRegisteredVersions()
 	s.loadLimits()
@@ -221,6 +222,12 @@
 	}
 }
 
+// isConfigured reports whether the configuration names a service.
+func (n *Node) isConfigured(service string) bool {
+	c := n.state.Configuration()
+	return c != nil && c.Service(service) != nil
+}
+
 // serversNotInRegistry returns the servers in the replicated state that the registry of this VM does not contain, as
 // after a restart of all VMs. Once merged, they count as just heard from and become silent unless they announce
 // themselves.
@@ -386,6 +393,7 @@
 		s.wakeScheduler()
 		s.wakeLoader()
 	case c.Configure != nil:
+		s.listConfiguredServers()
 		s.wakeScheduler()
 		s.wakeScorer()
 		s.wakeLoader()
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -82,6 +82,7 @@
 	DependencyRegained    Name = "vm.dependency_regained"      // the leader is reached again
 	AnnouncementStale     Name = "server.announcement_stale"   // older than the announcement that is known
 	AnnouncementInvalid   Name = "server.announcement_invalid" // names no server that can be used
+	ServerWaiting         Name = "server.waiting"              // its service is not configured; not used until it is
 	ServerProbed          Name = "server.probed"               // a connection to it broke; whether it still accepts connections
 	CrashConfirmed        Name = "server.crash_confirmed"      // the server ended while it ran requests, which are suspects
 	CrashDismissed        Name = "server.crash_dismissed"      // the server runs; a broken connection says nothing of the requests
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -75,14 +75,16 @@
 type Registry struct {
 	interval time.Duration // time between two announcements of a server
 
-	mu       sync.Mutex
-	byID     map[string]*entry
-	revision uint64
+	mu           sync.Mutex
+	byID         map[string]*entry
+	revision     uint64
+	isConfigured func(service string) bool // nil if every service counts as configured
+	waiting      map[waitingKey]*entry     // servers of services that are not configured
 }
 
 // NewRegistry returns an empty registry. interval is the time between two announcements of a server.
 func NewRegistry(interval time.Duration) *Registry {
-	return &Registry{interval: interval, byID: map[string]*entry{}}
+	return &Registry{interval: interval, byID: map[string]*entry{}, waiting: map[waitingKey]*entry{}}
 }
 
 // Change is the effect of an announcement on the registry.
@@ -94,22 +96,34 @@
 	StaleAnnouncement
 	NewIncarnation
 	StartedLeaving
+	// StartedWaiting and StillWaiting mean that the server's service is not configured; see ConfigureServices.
+	StartedWaiting
+	StillWaiting
 )
 
 // Announce adds or updates a server from its announcement. An announcement that is older than the known state of
-// the server, or than the server that now uses its address, is ignored.
+// the server, or than the server that now uses its address, is ignored. A server whose service is not configured
+// changes no other server.
 func (r *Registry) Announce(s Server, now time.Duration) Change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.mustWait(s) {
+		return r.announceWaiting(s, now)
+	}
+	return r.announce(s, now)
+}
+
+// announce is Announce for a server that need not wait. The caller holds the mutex.
+func (r *Registry) announce(s Server, now time.Duration) Change {
 	e := r.byID[s.ID]
-	if e != nil && isOlder(s, e.server) {
+	if e != nil && isOlder(s, e.server) && !r.outranks(s, e.server) {
 		return StaleAnnouncement
 	}
 	for id, other := range r.byID {
-		if id == s.ID || other.server.Address != s.Address {
+		if id == s.ID || other.server.Address != s.Address || r.outranks(other.server, s) {
 			continue
 		}
-		if other.server.Incarnation > s.Incarnation {
+		if other.server.Incarnation > s.Incarnation && !r.outranks(s, other.server) {
 			return StaleAnnouncement // a newer incarnation uses the address
 		}
 		delete(r.byID, id)
@@ -117,7 +131,7 @@
 	}
 	change := NoChange
 	switch {
-	case e == nil || e.server.Incarnation != s.Incarnation:
+	case e == nil || e.server.Incarnation != s.Incarnation || e.server.Service != s.Service:
 		change = NewIncarnation
 	case s.Leaving && !e.server.Leaving:
 		change = StartedLeaving
@@ -248,6 +262,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var expired []Server
+	for key, e := range r.waiting {
+		if now-e.lastAnnounced > expireAfter {
+			delete(r.waiting, key)
+		}
+	}
 	for id, e := range r.byID {
 		switch {
 		case now-e.lastAnnounced > expireAfter:
