Tests: the store of a state is closed before its folder is removed

The store writes in the background and created a segment file while the test's folder was removed. Only the clean-up changes.

--- a/internal/rollout/state_test.go
+++ b/internal/rollout/state_test.go
@@ -22,6 +22,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	// The store writes in the background, also while its folder is removed.
+	t.Cleanup(func() { _ = texts.Close() })
 	s := NewState(texts)
 	s.OnFailure = func(err error) { t.Error(err) }
 	return s
