The bodies of a large batch are stored in parts

The limit for open batches admitted one that is larger than the limit if it was alone.

Change: the bodies of a batch of 1 MiB or more are log entries of 512 kB before the batch, and lie in segment files. Items are sent from there piece by piece. It is version 2 of the state: while a member of the group does not understand it, nothing changes. Parts wait while the log in memory is large, entries in flight are bounded in bytes, and room is given in the order of refusal.

Why this works: no copy of a whole batch exists on a state VM any more, whatever the number of batches, followers or restarts.

Ruled out: a smaller limit, which refuses a legal batch for ever.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -21,6 +21,9 @@
 	Host    string
 	Header  []Header
 	Body    []byte
+	// BodyStream, if not nil, is read for the body in place of Body; it has BodyLength bytes.
+	BodyStream io.Reader
+	BodyLength int
 	// AttemptID is the ID of the request that its response must repeat, or empty. It is not sent as such. A request is not
 	// sent on a connection that has carried the same attempt before.
 	AttemptID     string
@@ -54,7 +57,11 @@
 	for _, h := range request.Header {
 		r.Header.Add(h.Name, h.Value)
 	}
-	r.SetBodyRaw(request.Body)
+	if request.BodyStream != nil {
+		r.SetBodyStream(request.BodyStream, request.BodyLength)
+	} else {
+		r.SetBodyRaw(request.Body)
+	}
 	ex, err := c.start(ctx, destination{request.Address, request.AttemptID, request.NewConnection}, request.Permitted, r)
 	if err != nil {
 		return nil, err
--- a/internal/blobs/blobs.go
+++ b/internal/blobs/blobs.go
@@ -60,13 +60,14 @@
 	createFile func(path string) (*os.File, error)
 	syncFile   func(f *os.File) error
 
-	mu           sync.Mutex
-	changed      sync.Cond // signals changes of queue, pending, writeErr and closed
-	segments     map[uint64]*os.File
-	dirty        map[uint64]bool // segments written since the last Sync
-	folderDirty  bool            // a segment was created since the last Sync
-	current      uint64          // number of the segment that values are appended to
-	currentBytes int64           // bytes allocated in the current segment
+	mu          sync.Mutex
+	changed     sync.Cond // signals changes of queue, pending, writeErr and closed
+	segments    map[uint64]*os.File
+	dirty       map[uint64]bool // segments written since the last Sync
+	folderDirty bool            // a segment was created since the last Sync
+	lastNumber  uint64          // highest number of a segment of this process
+	texts       appender
+	bodies      appender
 	// writtenBytes is, by segment, the length of the prefix that this process wrote or copied. Bytes beyond it,
 	// left by an earlier process, may be torn by a power loss, unless the replica's own snapshot refers to them.
 	writtenBytes map[uint64]int64
@@ -78,6 +79,13 @@
 	closed       bool
 }
 
+// appender is the end of the segment that values of one kind are appended to. Values that are kept for different times are
+// in different segments, because only whole segments are deleted.
+type appender struct {
+	segment uint64
+	bytes   int64 // allocated in the segment
+}
+
 // location is the position of a value.
 type location struct {
 	segment uint64
@@ -96,7 +104,8 @@
 	s := &Store{
 		folder: filepath.Join(dataFolder, folderName), segments: map[uint64]*os.File{}, dirty: map[uint64]bool{},
 		writtenBytes: map[uint64]int64{}, pending: map[location][]byte{},
-		current: rand.Uint64() << counterBits, currentBytes: SegmentBytes, // counts as full: a new segment follows
+		lastNumber: rand.Uint64() << counterBits,
+		texts:      appender{bytes: SegmentBytes}, bodies: appender{bytes: SegmentBytes}, // count as full: new segments follow
 		folderDirty: true, // the folder may have just been created
 		writeAt: func(f *os.File, value []byte, offset int64) error {
 			_, err := f.WriteAt(value, offset)
@@ -140,7 +149,12 @@
 
 // Append queues a value to be written and returns its reference. It can be read immediately. The caller must not
 // modify value afterwards.
-func (s *Store) Append(value []byte) (Ref, error) {
+func (s *Store) Append(value []byte) (Ref, error) { return s.append(&s.texts, value) }
+
+// AppendBody is Append for request bodies, which are kept for a shorter time than other values.
+func (s *Store) AppendBody(value []byte) (Ref, error) { return s.append(&s.bodies, value) }
+
+func (s *Store) append(a *appender, value []byte) (Ref, error) {
 	if len(value) == 0 {
 		return Ref{}, nil
 	}
@@ -152,12 +166,12 @@
 	if s.writeErr != nil {
 		return Ref{}, s.writeErr
 	}
-	if s.currentBytes+int64(len(value)) > SegmentBytes {
-		s.current++
-		s.currentBytes = 0
+	if a.bytes+int64(len(value)) > SegmentBytes {
+		s.lastNumber++
+		*a = appender{segment: s.lastNumber}
 	}
-	loc := location{segment: s.current, offset: s.currentBytes}
-	s.currentBytes += int64(len(value))
+	loc := location{segment: a.segment, offset: a.bytes}
+	a.bytes += int64(len(value))
 	s.queue = append(s.queue, queuedWrite{loc, value})
 	s.pending[loc] = value
 	s.pendingBytes += len(value)
@@ -381,11 +395,11 @@
 	return storageError(s.syncFile(f), "cannot sync the folder %s", folder)
 }
 
-// Retain deletes all segments that are not in used, except the current segment and those with pending writes.
+// Retain deletes all segments that are not in used, except those that values are appended to and those with pending writes.
 func (s *Store) Retain(used map[uint64]bool) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	kept := map[uint64]bool{s.current: true}
+	kept := map[uint64]bool{s.texts.segment: true, s.bodies.segment: true}
 	for loc := range s.pending {
 		kept[loc.segment] = true
 	}
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -28,6 +28,7 @@
 	handleOnLeader(n, methodFollow, (*session).follow)
 	handleOnLeader(n, MethodSubmitBatch, (*session).submit)
 	handleOnLeader(n, MethodReserveBatch, (*session).reserveBatch)
+	handleOnLeader(n, MethodStoreBodies, (*session).storeBodies)
 	handleOnLeader(n, MethodReadBatch, (*session).read)
 	handleOnLeader(n, MethodItemBody, (*session).body)
 	handleOnLeader(n, MethodEndBatch, (*session).end)
@@ -290,7 +291,7 @@
 
 func (s *session) submit(ctx context.Context, b *rollout.Batch) (Empty, error) {
 	b.Submitted = time.Now().UnixMilli()
-	if err := s.checkWorkspace(b, s.membersStateVersion); err != nil {
+	if err := s.checkWorkspace(b, func() uint64 { return s.membersStateVersion(workspaceStateVersion) }); err != nil {
 		return Empty{}, err
 	}
 	o, err := s.submitWithRoom(ctx, b)
@@ -336,7 +337,11 @@
 		return ItemBodyReply{}, s.checkLeadership()
 	}
 	body, found, _ := s.node.state.ItemBody(q.Batch, q.Item)
-	return ItemBodyReply{Found: found, Body: body}, s.checkLeadership()
+	data, err := body.ReadRange(0, body.Len())
+	if err != nil {
+		return ItemBodyReply{}, err
+	}
+	return ItemBodyReply{Found: found, Body: data}, s.checkLeadership()
 }
 
 func (s *session) end(ctx context.Context, q EndBatchRequest) (Empty, error) {
@@ -497,7 +502,6 @@
 		return Empty{}, err
 	}
 	s.record(events.Event{Name: events.ConfigurationAccepted, Detail: describeVersions(c.Version, 0)})
-	s.askForWorkspaces()
 	return Empty{}, nil
 }
 
--- a/internal/coordinator/crashes.go
+++ b/internal/coordinator/crashes.go
@@ -166,5 +166,8 @@
 // digestOf returns the digest of an item. The items of a group may have the same content; an item keeps its ID in a later
 // batch.
 func digestOf(b *rollout.Batch, item *rollout.Item) uint64 {
+	if item.Stored != nil {
+		return item.Stored.Digest
+	}
 	return suspects.Digest(item.Body, b.Host, item.ID, item.Path)
 }
--- a/internal/coordinator/duties.go
+++ b/internal/coordinator/duties.go
@@ -184,22 +184,25 @@
 	return longest
 }
 
-// memberVersionInterval is the time between two rounds in which the leader asks the members which version of the state
-// they understand.
-const memberVersionInterval = time.Second
+const (
+	// memberVersionInterval is the time between two rounds in which the leader asks the members which version of the state
+	// they understand.
+	memberVersionInterval = time.Second
+	// settledVersionInterval is the same if usage is not reported and all members understand the version of this build. A VM
+	// may go back to an earlier build.
+	settledVersionInterval = 5 * time.Second
+)
 
 // memberVersionLoop keeps the record of the versions that the members understand up to date until the leadership ends.
 func (s *session) memberVersionLoop() {
-	ticker := time.NewTicker(memberVersionInterval)
-	defer ticker.Stop()
-	for {
+	for s.ctx.Err() == nil {
 		s.askMemberVersions()
 		s.updateStateVersion()
-		select {
-		case <-s.ctx.Done():
-			return
-		case <-ticker.C:
+		interval := memberVersionInterval
+		if !s.node.opts.Duties.ReportsUsage && s.recordedStateVersion() >= rollout.StateVersion {
+			interval = settledVersionInterval
 		}
+		sleep(s.ctx, interval)
 	}
 }
 
@@ -245,7 +248,7 @@
 // updateStateVersion sets the version of the state that commands may require now.
 func (s *session) updateStateVersion() {
 	members := s.node.replica.Status().Members
-	version := stateVersionOf(members, s.node.state.MemberVersion)
+	version := s.recordedStateVersion()
 	if before := s.stateVersion.Swap(version); before == version {
 		return
 	}
--- a/internal/coordinator/engine.go
+++ b/internal/coordinator/engine.go
@@ -19,7 +19,7 @@
 	Host    string
 	Path    string
 	Headers []rollout.Header
-	Body    []byte
+	Body    rollout.Body
 	// AfterEvent is the number of the last output event that already exists. The engine continues after it; zero starts
 	// from the beginning.
 	AfterEvent int
--- a/internal/coordinator/fakes_test.go
+++ b/internal/coordinator/fakes_test.go
@@ -13,6 +13,8 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"filbertledge/internal/api"
 	"filbertledge/internal/events"
 	"filbertledge/internal/fleet"
@@ -62,6 +64,7 @@
 	crashing      map[string]bool      // items that crash each engine before their first event
 	crashedUntil  map[string]time.Time // by server
 	crashes       []engineCrash
+	bodies        map[string]uint64 // hash of the body of the last run, by item
 	software      map[string]string // announced version of the server's software, which marks the events if it is set
 }
 
@@ -85,7 +88,7 @@
 
 func newFakeEngines() *fakeEngines {
 	return &fakeEngines{
-		versions: map[string]uint64{}, sequence: map[string]uint64{}, started: map[string]int{}, resumedAfter: map[string]int{},
+		versions: map[string]uint64{}, sequence: map[string]uint64{}, started: map[string]int{}, resumedAfter: map[string]int{}, bodies: map[string]uint64{},
 		unresponsive: map[string]bool{}, slowdown: map[string]int{}, failingRuns: map[string]int{}, unprocessable: map[string]bool{}, lastEventAt: map[string]time.Time{}, eventsPerItem: 5, eventInterval: time.Millisecond, limits: map[string]ratelimit.Statement{}, software: map[string]string{}, crashing: map[string]bool{}, brokenTexts: map[string]bool{}, streamsOn: map[string]int{}, crashedUntil: map[string]time.Time{},
 	}
 }
@@ -101,7 +104,12 @@
 	if time.Now().Before(f.crashedUntil[v.ID]) {
 		return nil, &RunError{Kind: EngineUnreachable, Err: errUnresponsive}
 	}
+	body, err := io.ReadAll(g.Body.Reader())
+	if err != nil {
+		return nil, &RunError{Kind: EngineUnreachable, Err: err}
+	}
 	f.started[g.ID]++
+	f.bodies[g.ID] = xxhash.Sum64(body)
 	if f.crashing[g.ID] {
 		f.crashes = append(f.crashes, engineCrash{g.ID, time.Now(), f.streamsOn[v.ID]})
 		f.crashedUntil[v.ID] = time.Now().Add(crashDuration)
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -84,6 +84,8 @@
 	Events       *events.Recorder
 	// MemoryLimit is what the process may use, in bytes; 0 means no limit.
 	MemoryLimit int64
+	// DiskLimit is what the data folder may take, in bytes; 0 means unknown.
+	DiskLimit int64
 	// Duties are the calls to the provider that the leader makes.
 	Duties DutyOptions
 	// BalancesLoad makes the VMs share what they know of the load of the servers.
--- a/internal/coordinator/placement.go
+++ b/internal/coordinator/placement.go
@@ -12,6 +12,7 @@
 	"filbertledge/internal/events"
 	"filbertledge/internal/fleet"
 	"filbertledge/internal/ratelimit"
+	"filbertledge/internal/rollout"
 	"filbertledge/internal/routes"
 	"filbertledge/internal/scheduling"
 )
@@ -147,9 +148,16 @@
 
 // startRun sends an item to an engine. The caller holds the mutex.
 func (s *session) startRun(t *task, v *fleet.Server, route *routes.Route, now time.Duration) {
+	item := &t.batch.Items[t.item]
+	body := rollout.InlineBody(item.Body)
+	if item.Stored != nil {
+		var open bool
+		if body, open, _ = s.node.state.ItemBody(t.batch.ID, item.ID); !open {
+			return // the batch has just ended
+		}
+	}
 	s.limits.Take(v.ID, now)
 	ctx, cancel := context.WithCancel(s.ctx)
-	item := &t.batch.Items[t.item]
 	t.state, t.engine, t.cancel, t.startedAt, t.lastEventAt, t.moving = taskRunning, v.ID, cancel, now, 0, false
 	e := s.engineFor(v)
 	e.running++
@@ -170,7 +178,7 @@
 		Detail: fmt.Sprintf("batch %s, after event %d, software %q", t.batch.ID, t.events, v.Software),
 	})
 	g := GenerationRequest{
-		ID: item.ID, Host: t.batch.Host, Path: item.Path, Headers: item.Headers, Body: item.Body,
+		ID: item.ID, Host: t.batch.Host, Path: item.Path, Headers: item.Headers, Body: body,
 		AfterEvent: t.events, TimeLeft: time.Until(t.batch.giveUpAt),
 		Workspace: t.batch.Workspace, WithoutIdentity: s.dropsIdentity(&t.batch.Batch),
 	}
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -28,6 +28,10 @@
 	term uint64
 	// reservations is the room for batches that are being submitted.
 	reservations reservations
+	// storedReservations is the same for bodies that are stored apart from their batch.
+	storedReservations reservations
+	// uploads is the boot time of the last part of each upload; guarded by mu.
+	uploads map[string]time.Duration
 	// handedOver is closed once no order or call of a former leader can arrive any more.
 	handedOver  chan struct{}
 	dutyLimiter *rate.Limiter
@@ -176,9 +180,11 @@
 
 func newSession(n *Node, ctx context.Context, term uint64) *session {
 	return &session{
-		reservations: reservations{limit: int64(openBatchesFraction * float64(n.opts.MemoryLimit))},
-		usage:        newUsageDuty(n.opts.Duties),
-		handedOver:   make(chan struct{}), dutyLimiter: newDutyLimiter(n.opts.Duties),
+		reservations:       reservations{limit: int64(openBatchesFraction * float64(n.opts.MemoryLimit))},
+		storedReservations: reservations{limit: storedBodiesLimit(n.opts), inOrder: true},
+		uploads:            map[string]time.Duration{},
+		usage:              newUsageDuty(n.opts.Duties),
+		handedOver:         make(chan struct{}), dutyLimiter: newDutyLimiter(n.opts.Duties),
 		node: n, ctx: ctx, term: term, limits: ratelimit.NewAllocator(n.limits, boottime.Now()), peers: newPeerTable(), load: loadState{collector: balance.NewCollector(n.opts.BalancesLoad)},
 		batches: map[string]*batch{}, seenGroups: map[ownedID]bool{}, engines: map[string]*engineState{}, promptCachedOn: map[string]string{},
 		reusableTexts: map[ownedID]rollout.Partial{}, publishedAt: map[string]time.Duration{},
@@ -211,9 +217,8 @@
 	go s.progressLoop()
 	go s.handOver()
 	go s.loadLoop()
-	s.askForWorkspaces()
+	go s.memberVersionLoop()
 	if s.node.opts.Duties.ReportsUsage {
-		go s.memberVersionLoop()
 		go s.usageLoop()
 		go s.usageReportLoop()
 	}
@@ -473,6 +478,7 @@
 // since the previous call.
 func (s *session) expire(now, sinceLast time.Duration) {
 	s.confirmCrashes(now)
+	s.dropOldUploads(now)
 	before := s.node.registry.Revision()
 	var gone []rollout.ServerIncarnation
 	for _, v := range s.node.registry.Expire(now, sinceLast) {
--- a/internal/coordinator/workspaces.go
+++ b/internal/coordinator/workspaces.go
@@ -47,7 +47,7 @@
 		if route := c.Match(b.Host, b.Path); route != nil && !route.Public {
 			err = errs.New(errs.Unavailable, "submit the batch again in a second", "the VM that took batch %s does not know yet that its route needs a key", b.ID)
 		}
-	case b.Workspace != "" && stateVersion() < requiredVersion(b):
+	case b.Workspace != "" && stateVersion() < workspaceStateVersion:
 		err = errs.New(errs.Unavailable, "submit the batch again once all VMs with replicated state run this build", "a VM with replicated state would not keep the workspace of batch %s", b.ID)
 	}
 	if err != nil {
@@ -56,23 +56,20 @@
 	return err
 }
 
-// membersStateVersion returns the version of the state that all members understand by the record in the state, which a new
-// session has at once. It asks the members if that is not enough for workspaces.
-func (s *session) membersStateVersion() uint64 {
-	recorded := func() uint64 { return stateVersionOf(s.node.replica.Status().Members, s.node.state.MemberVersion) }
-	if version := recorded(); version >= workspaceStateVersion {
-		return version
-	}
-	s.askMemberVersions()
-	return recorded()
+// recordedStateVersion returns the version of the state that all members understand by the record in the state, which a new
+// session has at once.
+func (s *session) recordedStateVersion() uint64 {
+	return stateVersionOf(s.node.replica.Status().Members, s.node.state.MemberVersion)
 }
 
-// askForWorkspaces asks the members early whether they keep the workspaces of batches, since one that has not answered yet
-// and is lost afterwards delays the batches until it is back or is replaced.
-func (s *session) askForWorkspaces() {
-	if c := s.node.state.Configuration(); c != nil && c.RequiresKeys {
-		go s.membersStateVersion()
+// membersStateVersion returns the version of the state that all members understand. It asks them if the record is below the
+// wanted version.
+func (s *session) membersStateVersion(wanted uint64) uint64 {
+	if version := s.recordedStateVersion(); version >= wanted {
+		return version
 	}
+	s.askMemberVersions()
+	return s.recordedStateVersion()
 }
 
 // workspaceStateVersion is the version of the state from which replicas keep the workspace of a batch.
@@ -80,8 +77,11 @@
 
 // requiredVersion returns the version of the state that a replica must understand to accept a batch.
 func requiredVersion(b *rollout.Batch) uint64 {
-	if b.Workspace == "" {
-		return 0
+	switch {
+	case b.Upload != "":
+		return bodiesStateVersion
+	case b.Workspace != "":
+		return workspaceStateVersion
 	}
-	return workspaceStateVersion
+	return 0
 }
--- a/internal/gateway/batches.go
+++ b/internal/gateway/batches.go
@@ -27,7 +27,11 @@
 // SubmitBatch sends a batch to the leader and returns nil once the batch is durable. An error of kind
 // errs.Unavailable, errs.NotLeader or errs.Overloaded guarantees that this call did not add the batch.
 func (g *Gateway) SubmitBatch(ctx context.Context, caller *Caller, b *rollout.Batch) error {
-	err := g.reserveBatch(ctx, caller, b)
+	b, err := g.prepareBatch(ctx, caller, b)
+	if errs.Is(err, errs.OutcomeUnknown) || errs.Is(err, errs.NotFound) {
+		// Nothing of the batch exists before it is submitted.
+		err = errs.Wrap(err, errs.Unavailable, "submit the batch again", "batch %s was not submitted", b.ID)
+	}
 	if err == nil {
 		_, err = callLeaderFor[*rollout.Batch, coordinator.Empty](ctx, g, caller, coordinator.MethodSubmitBatch, b, batchCallTimeout)
 	}
@@ -38,18 +42,41 @@
 	return err
 }
 
-// reserveBatch asks the leader for room for a large batch, so that it is not sent in vain.
-func (g *Gateway) reserveBatch(ctx context.Context, caller *Caller, b *rollout.Batch) error {
+// prepareBatch asks the leader for room for a large batch, so that it is not sent in vain, and stores its bodies. It returns
+// the batch to submit.
+func (g *Gateway) prepareBatch(ctx context.Context, caller *Caller, b *rollout.Batch) (*rollout.Batch, error) {
 	bytes := b.RequestBytes()
 	if bytes < coordinator.LargeBatchBytes {
-		return nil
+		return b, nil
 	}
-	q := coordinator.ReserveBatchRequest{Batch: b.ID, Bytes: bytes}
-	_, err := callLeaderFor[coordinator.ReserveBatchRequest, coordinator.Empty](ctx, g, caller, coordinator.MethodReserveBatch, q, batchCallTimeout)
-	if errs.Is(err, errs.NotFound) {
-		return nil // a leader of an older build
+	q := coordinator.ReserveBatchRequest{Batch: b.ID, Bytes: bytes, BodyBytes: b.BodyBytes()}
+	reply, err := callLeaderFor[coordinator.ReserveBatchRequest, coordinator.ReserveBatchReply](ctx, g, caller, coordinator.MethodReserveBatch, q, batchCallTimeout)
+	switch {
+	case errs.Is(err, errs.NotFound):
+		return b, nil // a leader of an older build
+	case err != nil || !reply.StoresBodies:
+		return b, err
 	}
-	return err
+	stripped, forEachPart := coordinator.SplitBodies(b)
+	if reply.Known {
+		return stripped, nil // its bodies are stored
+	}
+	return stripped, g.storeBodies(ctx, caller, q, forEachPart)
+}
+
+// storeBodies stores the bodies of a batch part by part. A part that was not stored, or may not have been, is sent again.
+func (g *Gateway) storeBodies(ctx context.Context, caller *Caller, size coordinator.ReserveBatchRequest, forEachPart func(func(rollout.BodyPart) error) error) error {
+	return forEachPart(func(part rollout.BodyPart) error {
+		q := coordinator.StoreBodiesRequest{Size: size, Part: part}
+		for {
+			_, err := callLeaderFor[coordinator.StoreBodiesRequest, coordinator.Empty](ctx, g, caller, coordinator.MethodStoreBodies, q, batchCallTimeout)
+			again := errs.Is(err, errs.OutcomeUnknown) || errs.Is(err, errs.Unavailable) || errs.Is(err, errs.NotLeader)
+			if !again || ctx.Err() != nil {
+				return err
+			}
+			forward.SleepWithJitter(ctx, leaderRetryDelay)
+		}
+	})
 }
 
 // ReadBatch returns the results of a batch that follow position after. If there are none yet, it waits up to wait. A batch
--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -16,10 +16,10 @@
 // progress is the leader's view of the replication to one member.
 type progress struct {
 	state      progressState
-	matchIndex uint64   // highest index known to agree with the leader's log
-	nextIndex  uint64   // next index to send
-	inflight   []uint64 // last index of each unacknowledged append message
-	probeSent  bool     // while probing: send no entries before an answer or the next heartbeat
+	matchIndex uint64 // highest index known to agree with the leader's log
+	nextIndex  uint64 // next index to send
+	inflight   []inflightAppend
+	probeSent  bool // while probing: send no entries before an answer or the next heartbeat
 	// snapshotIndex and snapshotAt are the index and the send time of the snapshot that the member is installing.
 	snapshotIndex uint64
 	snapshotAt    time.Duration
@@ -32,6 +32,12 @@
 	refused       bool          // see refuseMember
 }
 
+// inflightAppend is an unacknowledged append message.
+type inflightAppend struct {
+	lastIndex uint64
+	bytes     int // size of the data of its entries
+}
+
 // leaderState is the state that a node has only while it is the leader. It is discarded when the node steps down.
 type leaderState struct {
 	progress         map[uint64]*progress
@@ -165,7 +171,7 @@
 	if len(entries) == 0 {
 		return false
 	}
-	n.recordSent(p, entries[len(entries)-1].Index)
+	n.recordSent(p, entries)
 	return true
 }
 
@@ -175,20 +181,34 @@
 	case probing:
 		return !p.probeSent
 	case replicating:
-		return len(p.inflight) < n.opts.MaxInflight
+		return len(p.inflight) < n.opts.MaxInflight && p.inflightBytes() < n.opts.MaxInflightBytes
 	default:
 		return false
 	}
 }
 
-// recordSent updates the flow control of p after entries up to index last were sent.
-func (n *Node) recordSent(p *progress, last uint64) {
+// inflightBytes returns the size of the entries that were sent and not acknowledged.
+func (p *progress) inflightBytes() int {
+	total := 0
+	for _, a := range p.inflight {
+		total += a.bytes
+	}
+	return total
+}
+
+// recordSent updates the flow control of p after entries were sent.
+func (n *Node) recordSent(p *progress, entries []Entry) {
+	last := entries[len(entries)-1].Index
 	if p.state == probing {
 		p.probeSent = true
 		return
 	}
 	p.nextIndex = last + 1
-	p.inflight = append(p.inflight, last)
+	sent := inflightAppend{lastIndex: last}
+	for _, e := range entries {
+		sent.bytes += len(e.Data)
+	}
+	p.inflight = append(p.inflight, sent)
 }
 
 func (n *Node) sendSnapshot(id uint64, p *progress) {
@@ -285,7 +305,7 @@
 		n.advanceCommit()
 	}
 	p.nextIndex = max(p.nextIndex, p.matchIndex+1)
-	for len(p.inflight) > 0 && p.inflight[0] <= p.matchIndex {
+	for len(p.inflight) > 0 && p.inflight[0].lastIndex <= p.matchIndex {
 		p.inflight = p.inflight[1:]
 	}
 	n.enterReplicating(p, m)
--- a/internal/raft/log.go
+++ b/internal/raft/log.go
@@ -20,6 +20,7 @@
 	offset     uint64
 	offsetTerm uint64
 	entries    []Entry
+	bytes      int // size of the data of entries
 	durable    uint64
 	commit     uint64
 	applied    uint64
@@ -38,6 +39,7 @@
 		l.offset, l.offsetTerm = s.Entries[0].Index, s.Entries[0].Term
 		l.entries = l.entries[1:]
 	}
+	l.countBytes()
 	l.durable = l.lastIndex()
 	l.commit = max(min(s.HardState.Commit, l.lastIndex()), s.Snapshot.Index)
 	l.applied = s.Snapshot.Index
@@ -56,6 +58,14 @@
 	}
 }
 
+// countBytes sets bytes after entries were removed.
+func (l *memoryLog) countBytes() {
+	l.bytes = 0
+	for _, e := range l.entries {
+		l.bytes += len(e.Data)
+	}
+}
+
 func (l *memoryLog) lastIndex() uint64 { return l.offset + uint64(len(l.entries)) }
 
 func (l *memoryLog) lastTerm() uint64 {
@@ -130,6 +140,7 @@
 func (l *memoryLog) append(entries ...Entry) {
 	l.entries = append(l.entries, entries...)
 	for _, e := range entries {
+		l.bytes += len(e.Data)
 		l.recordConfiguration(e)
 	}
 }
@@ -139,6 +150,7 @@
 	kept := i - l.offset - 1
 	// The capacity is limited so that a later append cannot overwrite entries that a Ready still refers to.
 	l.entries = l.entries[:kept:kept]
+	l.countBytes()
 	l.durable = min(l.durable, i-1)
 	for len(l.configurations) > 1 && l.configurationIndex() >= i {
 		l.configurations = l.configurations[:len(l.configurations)-1]
@@ -163,7 +175,7 @@
 func (l *memoryLog) restore(s Snapshot) {
 	l.snapshot = s
 	l.offset, l.offsetTerm = s.Index, s.Term
-	l.entries = nil
+	l.entries, l.bytes = nil, 0
 	l.durable, l.commit, l.applied = s.Index, s.Index, s.Index
 	l.configurations = []indexedConfiguration{newIndexedConfiguration(s.Index, s.Configuration)}
 	l.pendingSnapshot = &s
@@ -177,6 +189,7 @@
 	t, _ := l.term(i)
 	rest := l.slice(i+1, l.lastIndex())
 	l.entries = append(make([]Entry, 0, len(rest)), rest...)
+	l.countBytes()
 	l.offset, l.offsetTerm = i, t
 	for len(l.configurations) > 1 && l.configurations[1].index <= l.snapshot.Index {
 		l.configurations = l.configurations[1:]
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -295,6 +295,7 @@
 	Applied       uint64
 	LastIndex     uint64
 	FirstIndex    uint64
+	LogBytes      int // size of the data of the entries in memory
 	Configuration Configuration
 	// ConfigurationIndex is the index of the entry that contains Configuration. That entry may be uncommitted.
 	ConfigurationIndex uint64
@@ -304,7 +305,7 @@
 func (n *Node) Status() Status {
 	return Status{
 		ID: n.id, Role: n.role, Term: n.term, Leader: n.leaderID, Commit: n.log.commit, Applied: n.log.applied,
-		LastIndex: n.log.lastIndex(), FirstIndex: n.log.offset + 1,
+		LastIndex: n.log.lastIndex(), FirstIndex: n.log.offset + 1, LogBytes: n.log.bytes,
 		Configuration: n.log.configuration(), ConfigurationIndex: n.log.configurationIndex(), Refused: n.refused,
 	}
 }
--- a/internal/raft/options.go
+++ b/internal/raft/options.go
@@ -18,6 +18,9 @@
 	defaultMaxBatchBytes = 512 << 10
 	// defaultMaxInflight is the maximum number of unacknowledged append messages to one follower.
 	defaultMaxInflight = 64
+	// defaultMaxInflightBytes is the size of unacknowledged entries from which no more are sent to a follower. Until they are
+	// acknowledged, the messages wait in the memory of the leader.
+	defaultMaxInflightBytes = 4 << 20
 	// learnerBatchEntries is the number of entries that a learner may lag behind until the next heartbeat.
 	learnerBatchEntries = 64
 	// maxCatchUpLag is the maximum number of entries that a learner may lag behind when it becomes a voter.
@@ -39,6 +42,7 @@
 	LeaderLease       time.Duration // before the margin for clock drift is subtracted
 	MaxBatchBytes     int
 	MaxInflight       int
+	MaxInflightBytes  int
 
 	// Mutations deliberately breaks the protocol. Only tests and the fault matrix set it.
 	Mutations Mutations
@@ -76,6 +80,9 @@
 	if o.MaxInflight == 0 {
 		o.MaxInflight = defaultMaxInflight
 	}
+	if o.MaxInflightBytes == 0 {
+		o.MaxInflightBytes = defaultMaxInflightBytes
+	}
 	return o
 }
 
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -44,6 +44,7 @@
 	Applied           uint64
 	LastIndex         uint64
 	FirstIndex        uint64
+	LogBytes          int // size of the log entries in memory
 	Members           []MemberStatus
 	HoldsLease        bool
 	Joined            bool // the group has committed this replica as a member
@@ -67,7 +68,7 @@
 	n := r.loop.node.Status()
 	s := &Status{
 		ID: r.self.ID, Name: r.self.Name, Role: r.roleOf(n), Term: n.Term, LeaderID: n.Leader, Commit: n.Commit,
-		Applied: r.loop.applied, LastIndex: n.LastIndex, FirstIndex: n.FirstIndex,
+		Applied: r.loop.applied, LastIndex: n.LastIndex, FirstIndex: n.FirstIndex, LogBytes: n.LogBytes,
 	}
 	if m, ok := n.Configuration.Member(n.Leader); ok {
 		s.LeaderName, s.LeaderAddress = m.Name, m.Address
--- a/internal/rollout/requests.go
+++ b/internal/rollout/requests.go
@@ -1,6 +1,6 @@
 package rollout
 
-// RequestBytes returns the size of the requests that are kept until the items have ended, in bytes.
+// RequestBytes returns the size of the requests that are kept in memory until the items have ended, in bytes.
 func (b *Batch) RequestBytes() int64 {
 	total := 0
 	for i := range b.Items {
@@ -32,6 +32,17 @@
 	return total, s.batches[batch] != nil
 }
 
+// StoredBodyBytes returns the size of the bodies that the state keeps in the TextStore, in bytes, and whether it holds the
+// batch.
+func (s *State) StoredBodyBytes(batch string) (total int64, known bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for _, b := range s.batches {
+		total += b.Bodies.bytes()
+	}
+	return total, s.batches[batch] != nil
+}
+
 // BatchWorkspace returns the workspace that owns a batch, empty if none does, and whether the state holds the batch.
 func (s *State) BatchWorkspace(batch string) (workspace string, found bool) {
 	s.mu.RLock()
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -15,9 +15,10 @@
 	"filbertledge/internal/usage"
 )
 
-// TextStore stores the result texts, which are too large for the snapshots of the state.
+// TextStore stores the result texts and the bodies of large batches, which are too large for the snapshots of the state.
 type TextStore interface {
 	Append(text []byte) (blobs.Ref, error)
+	AppendBody(body []byte) (blobs.Ref, error)
 	Read(ref blobs.Ref) ([]byte, error)
 	Sync() error
 	// Retain deletes all segments except the given ones.
@@ -40,6 +41,8 @@
 	Ended   bool           `cbor:"3,keyasint,omitempty"`
 	// Partials are the committed texts of items without a result, keyed by index in Batch.Items.
 	Partials map[int]Partial `cbor:"4,keyasint,omitempty"`
+	// Bodies are the stored bodies of the items. They are dropped once no item is open.
+	Bodies pieces `cbor:"5,keyasint,omitempty"`
 
 	hasResult []bool         // by index in Batch.Items
 	itemIndex map[string]int // index in Batch.Items by item ID
@@ -72,6 +75,7 @@
 	Requires       uint64            `cbor:"10,keyasint,omitempty"`
 	MemberVersions map[uint64]uint64 `cbor:"11,keyasint,omitempty"`
 	Usage          *usage.Ledger     `cbor:"12,keyasint,omitempty"`
+	Uploads        map[string]pieces `cbor:"13,keyasint,omitempty"`
 }
 
 // State is the replicated state. Apply must be called from a single goroutine; the read methods are safe for
@@ -93,6 +97,7 @@
 	requires       uint64
 	memberVersions map[uint64]uint64 // version of the state that a member understands, by instance number
 	usage          *usage.Ledger     // nil until the first Usage command
+	uploads        map[string]pieces // bodies whose batch is not yet submitted, by upload ID
 	changed        chan struct{}     // closed and replaced on every change
 	// OnApplied, if not nil, is called after each command, without holding the lock.
 	OnApplied func(Command, Outcome)
@@ -107,7 +112,7 @@
 
 // NewState returns an empty state that stores its texts in texts.
 func NewState(texts TextStore) *State {
-	return &State{texts: texts, versions: map[string]uint64{}, batches: map[string]*batchState{}, servers: map[string]fleet.Server{}, retired: map[string]bool{}, streams: newStreamTable(nil), limits: map[string]ServerLimit{}, suspects: map[crashKey]CrashReport{}, memberVersions: map[uint64]uint64{}, changed: make(chan struct{})}
+	return &State{texts: texts, versions: map[string]uint64{}, batches: map[string]*batchState{}, servers: map[string]fleet.Server{}, retired: map[string]bool{}, streams: newStreamTable(nil), limits: map[string]ServerLimit{}, suspects: map[crashKey]CrashReport{}, memberVersions: map[uint64]uint64{}, uploads: map[string]pieces{}, changed: make(chan struct{})}
 }
 
 var decMode = mustDecMode()
@@ -203,6 +208,13 @@
 		return Outcome{Found: true}
 	case c.Usage != nil:
 		return s.changeUsage(c.Usage)
+	case c.StoreBodies != nil:
+		return s.storeBodies(c.StoreBodies)
+	case len(c.DropUploads) > 0:
+		for _, id := range c.DropUploads {
+			delete(s.uploads, id)
+		}
+		return Outcome{Found: true}
 	}
 	return Outcome{}
 }
@@ -227,9 +239,17 @@
 
 func (s *State) acceptBatch(b *Batch) Outcome {
 	if s.batches[b.ID] != nil {
+		delete(s.uploads, b.Upload)
 		return Outcome{Found: true}
 	}
 	batch := &batchState{Batch: *b}
+	if b.Upload != "" {
+		batch.Bodies = s.uploads[b.Upload]
+		delete(s.uploads, b.Upload)
+		if batch.Bodies.bytes() != b.StoredBytes() {
+			return Outcome{} // a part is missing: the upload was dropped
+		}
+	}
 	batch.Batch.Items = slices.Clone(b.Items) // dropRequest modifies the items; the command must stay unchanged
 	batch.buildIndexes()
 	s.batches[b.ID] = batch
@@ -258,6 +278,9 @@
 		batch.Batch.Items[r.Result.Item].dropRequest()
 		delete(batch.Partials, r.Result.Item)
 		batch.Results = append(batch.Results, storedResult{Item: r.Result.Item, Completed: r.Result.Completed, Versions: r.Result.Versions, Ref: ref, Score: r.Result.Score})
+		if len(batch.Results) == len(batch.hasResult) {
+			batch.Bodies = nil
+		}
 		o.Changed = true
 	}
 	return o
@@ -300,7 +323,7 @@
 	}
 	changed := !batch.Ended
 	batch.Ended = true
-	batch.Partials = nil
+	batch.Partials, batch.Bodies = nil, nil
 	for i := range batch.Batch.Items {
 		batch.Batch.Items[i].dropRequest()
 	}
@@ -326,14 +349,14 @@
 		Configuration: s.configuration, Versions: maps.Clone(s.versions),
 		Departures: slices.Clone(s.departures), Retired: slices.Sorted(maps.Keys(s.retired)),
 		Servers: s.sortedServers(), Streams: slices.Clone(s.streams.list), Limits: s.sortedLimits(), Suspects: s.sortedSuspects(),
-		Requires: s.requires, MemberVersions: maps.Clone(s.memberVersions),
+		Requires: s.requires, MemberVersions: maps.Clone(s.memberVersions), Uploads: maps.Clone(s.uploads),
 	}
 	if s.usage != nil {
 		snap.Usage = s.usage.Clone()
 	}
 	for _, id := range s.batchOrder {
 		batch := s.batches[id]
-		batchCopy := batchState{Batch: batch.Batch, Results: batch.Results[:len(batch.Results):len(batch.Results)], Ended: batch.Ended, Partials: maps.Clone(batch.Partials)}
+		batchCopy := batchState{Batch: batch.Batch, Results: batch.Results[:len(batch.Results):len(batch.Results)], Ended: batch.Ended, Partials: maps.Clone(batch.Partials), Bodies: batch.Bodies}
 		batchCopy.Batch.Items = slices.Clone(batch.Batch.Items)
 		snap.Batches = append(snap.Batches, batchCopy)
 	}
@@ -364,10 +387,15 @@
 		return nil, err
 	}
 	used := map[uint64]int64{}
+	use := func(r blobs.Ref) { used[r.Segment] = max(used[r.Segment], r.Offset+int64(r.Length)) }
 	for i := range snap.Batches {
 		for _, r := range snap.Batches[i].Results {
-			used[r.Ref.Segment] = max(used[r.Ref.Segment], r.Ref.Offset+int64(r.Ref.Length))
+			use(r.Ref)
 		}
+		snap.Batches[i].Bodies.forEach(use)
+	}
+	for _, bodies := range snap.Uploads {
+		bodies.forEach(use)
 	}
 	delete(used, 0) // references to empty texts have segment 0
 	return used, nil
@@ -389,6 +417,9 @@
 	if s.memberVersions == nil {
 		s.memberVersions = map[uint64]uint64{}
 	}
+	if s.uploads = snap.Uploads; s.uploads == nil {
+		s.uploads = map[string]pieces{}
+	}
 	s.versions, s.streams = snap.Versions, newStreamTable(snap.Streams)
 	if s.versions == nil {
 		s.versions = map[string]uint64{}
@@ -430,10 +461,15 @@
 		used[number] = true
 	}
 	s.mu.RLock()
+	use := func(r blobs.Ref) { used[r.Segment] = true }
 	for _, batch := range s.batches {
 		for _, r := range batch.Results {
-			used[r.Ref.Segment] = true
+			use(r.Ref)
 		}
+		batch.Bodies.forEach(use)
+	}
+	for _, bodies := range s.uploads {
+		bodies.forEach(use)
 	}
 	s.mu.RUnlock()
 	return s.texts.Retain(used)
@@ -525,18 +561,18 @@
 
 // ItemBody returns the request body of an item of batch id. open is false if the item has a result, the batch has
 // ended, or the item is unknown; found is false if the batch is unknown.
-func (s *State) ItemBody(id, item string) (body []byte, open, found bool) {
+func (s *State) ItemBody(id, item string) (body Body, open, found bool) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	batch := s.batches[id]
 	if batch == nil {
-		return nil, false, false
+		return Body{}, false, false
 	}
 	i, ok := batch.itemIndex[item]
 	if !ok || batch.Ended || batch.hasResult[i] {
-		return nil, false, true
+		return Body{}, false, true
 	}
-	return batch.Batch.Items[i].Body, true, true
+	return s.bodyOf(batch, i), true, true
 }
 
 // OpenBatch is a copy of a batch that has not ended.
--- a/internal/rollout/state_test.go
+++ b/internal/rollout/state_test.go
@@ -192,6 +192,26 @@
 	}
 }
 
+// restoreElsewhere copies the segments that a snapshot refers to to another VM and restores the snapshot there.
+func restoreElsewhere(t testing.TB, source *State, snapshot []byte) *State {
+	t.Helper()
+	target := newState(t)
+	segments, err := ReferencedSegments(snapshot)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for number, length := range segments {
+		read := func(offset int64) ([]byte, error) { return source.texts.(*blobs.Store).ReadChunk(number, offset) }
+		if err := target.texts.(*blobs.Store).CopySegment(number, length, read); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := target.Restore(snapshot); err != nil {
+		t.Fatal(err)
+	}
+	return target
+}
+
 // TestRestoreSnapshotOnAnotherVM guards against state that is lost or changed when a snapshot is restored on
 // another VM. It applies random commands, copies the referenced text segments to a second VM and restores the
 // snapshot there.
@@ -205,20 +225,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		target := newState(t)
-		segments, err := ReferencedSegments(snapshot)
-		if err != nil {
-			t.Fatal(err)
-		}
-		for number, length := range segments {
-			read := func(offset int64) ([]byte, error) { return source.texts.(*blobs.Store).ReadChunk(number, offset) }
-			if err := target.texts.(*blobs.Store).CopySegment(number, length, read); err != nil {
-				t.Fatal(err)
-			}
-		}
-		if err := target.Restore(snapshot); err != nil {
-			t.Fatal(err)
-		}
+		target := restoreElsewhere(t, source, snapshot)
 		for _, id := range []string{"a", "b", "c"} {
 			want, found, _ := source.ReadResults(id, 0, 1<<20)
 			got, gotFound, err := target.ReadResults(id, 0, 1<<20)
--- a/internal/rollout/types.go
+++ b/internal/rollout/types.go
@@ -27,6 +27,8 @@
 	LengthHint int `cbor:"7,keyasint,omitempty"`
 	// Scorer is the call that scores the text of the item; nil if the text needs no score.
 	Scorer *ScorerCall `cbor:"8,keyasint,omitempty"`
+	// Stored is set if the body is among the stored bodies of the batch. Body is empty then.
+	Stored *StoredBody `cbor:"9,keyasint,omitempty"`
 }
 
 // ScorerCall is a request to a service that scores the text of an item. It is sent after the text is complete and may
@@ -39,7 +41,9 @@
 }
 
 // dropRequest clears the fields that are only needed to run and to score the item.
-func (i *Item) dropRequest() { i.Path, i.Headers, i.Body, i.Scorer = "", nil, nil, nil }
+func (i *Item) dropRequest() {
+	i.Path, i.Headers, i.Body, i.Scorer, i.Stored = "", nil, nil, nil, nil
+}
 
 // Batch is the set of generation requests for one trainer step.
 type Batch struct {
@@ -58,6 +62,8 @@
 	Workspace string `cbor:"10,keyasint,omitempty"`
 	// Priority is that of the workspace or, without one, of the route; 0 is the highest.
 	Priority int `cbor:"11,keyasint,omitempty"`
+	// Upload is the ID of the upload with the bodies of the items that have Stored set; empty if there are none.
+	Upload string `cbor:"12,keyasint,omitempty"`
 }
 
 // Result is the outcome of one item. Its position in the batch's result list never changes.
@@ -141,13 +147,17 @@
 	MemberVersion *MemberVersion `cbor:"16,keyasint,omitempty"`
 	// Usage requires version 1 of the state.
 	Usage *UsageChange `cbor:"17,keyasint,omitempty"`
+	// StoreBodies and DropUploads require version 2 of the state.
+	StoreBodies *BodyPart `cbor:"18,keyasint,omitempty"`
+	DropUploads []string  `cbor:"19,keyasint,omitempty"` // IDs of uploads whose batch was not submitted
 }
 
 // StateVersion is the highest version of the replicated state that this build understands. A command with a new kind or a
 // new meaning requires a higher one and is proposed only while all members of the group understand it.
 //
-// Version 1 adds the usage of workspaces and the owners of batches.
-const StateVersion = 1
+// Version 1 adds the usage of workspaces and the owners of batches. Version 2 adds bodies that are stored apart from their
+// batch.
+const StateVersion = 2
 
 // MemberVersion is the version of the state that a member of the replicated group understands.
 type MemberVersion struct {
