Items under which many servers ended are run again

Cause: an item under which eight servers had ended was held back until an answer cleared the count; an item that is held back gets none.

Change: no item is held back. From the eighth crash on a run is a trial until its first event, and only a quarter of the engines is in trials at a time. A pause and the wait for a free engine end after 4.5 s together, and a suspected item keeps its engine to itself for 1.5 s instead of to its end.

The second test replaces TestItemThatCrashesEnginesIsHeldBack, whose condition was the fault itself: no further run within 6 s and ever. It bounds the crashes (one in each pause of 4 s, never beside other runs, under a later leader) over 10 s, and asks for the result.

Why this works: whatever the count, an item comes to a server within 5 s, and its first event ends the trial.

--- a/internal/coordinator/placement.go
+++ b/internal/coordinator/placement.go
@@ -105,6 +105,9 @@
 			list = s.candidatesFor(t.batch, servers[service], now)
 			byBatch[batchService{t.batch, service}] = list
 		}
+		if !s.mayTry(t, len(servers[service]), now) {
+			continue
+		}
 		i := list.choose(s, t, s.limits, medians, key.traits, s.promptCachedOn[t.promptKey()], now)
 		if i < 0 {
 			if traits.Alone {
@@ -134,7 +137,7 @@
 	var list []scheduling.WaitingItem
 	for i, b := range s.batchesByAge {
 		for _, t := range b.tasks {
-			if t.state == taskWaiting && t.pausedUntil <= now && !s.isHeldBack(t, now) {
+			if t.state == taskWaiting && t.pausedUntil <= now {
 				list = append(list, scheduling.WaitingItem{
 					BatchIndex: i, GroupRank: b.groupRank(t.group), PartlyRun: t.events > 0, CarriedOver: t.group.carriedOver, GroupIndex: t.group.index,
 					ExpectedTokens: b.Items[t.item].LengthHint, ItemIndex: t.item,
@@ -149,6 +152,9 @@
 // startRun sends an item to an engine. The caller holds the mutex.
 func (s *session) startRun(t *task, v *fleet.Server, route *routes.Route, now time.Duration) {
 	item := &t.batch.Items[t.item]
+	if s.needsTrial(t, now) {
+		s.trials = append(s.trials, t)
+	}
 	body := rollout.InlineBody(item.Body)
 	if item.Stored != nil {
 		var open bool
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -61,6 +61,7 @@
 	publishedAt map[string]time.Duration
 	stepWork    map[string]float64 // moving average of the work of a step by model, in output tokens
 	runTimes    runTimes
+	trials      []*task // begun as trials, see needsTrial; some may have ended
 	slowShare   float64 // moving share of the intervals between events that look like a transient slowdown
 
 	packedMu       sync.Mutex
