An engine is not kept for an item that has moved on

What callers see: items wait although an engine is free.

Cause: an engine that a suspected item had alone stayed kept while the item ran, also when it ran on another engine.

Evidence: coordinator TestEngineIsNotKeptForItemThatMovedOn fails without the comparison of the engine, and passes with it.

--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -597,7 +597,7 @@
 		e, state := &c.engines[i], c.states[i]
 		e.Running, e.RunningLong = state.running, state.runningLong
 		e.AtLimit = limits.Left(e.ID, now) == 0
-		e.KeptForOther = s.runsOrWaitsAlone(state, now) && state.alone != t
+		e.KeptForOther = s.runsOrWaitsAlone(e.ID, state, now) && state.alone != t
 		e.OtherSoftware = !t.mayContinueOn(state.softwareOf(c.servers[i]))
 		e.PromptCached = promptCachedOn == e.ID
 		e.MeasuredLongAgo = now-state.recentIntervalAt > baselineLifetime
--- a/internal/coordinator/session_test.go
+++ b/internal/coordinator/session_test.go
@@ -326,3 +326,20 @@
 		t.Fatalf("%d failures after the next run failed too, want 2", e.failures)
 	}
 }
+
+// Guards against an engine that is kept from other items by an item that has moved on to another engine.
+func TestEngineIsNotKeptForItemThatMovedOn(t *testing.T) {
+	const now = time.Hour
+	s := &session{}
+	moved := &task{state: taskRunning, engine: "b", suspected: true, startedAt: now, lastEventAt: now}
+	a, b := &engineState{alone: moved}, &engineState{alone: moved}
+	if s.runsOrWaitsAlone("a", a, now) || a.alone != nil {
+		t.Error("the engine that the item left is kept for it")
+	}
+	if !s.runsOrWaitsAlone("b", b, now) {
+		t.Error("the engine that runs the item alone is not kept for it")
+	}
+	if s.runsOrWaitsAlone("b", b, now+maxTrial) {
+		t.Error("the engine is kept for longer than a trial")
+	}
+}
--- a/internal/coordinator/suspects.go
+++ b/internal/coordinator/suspects.go
@@ -94,12 +94,12 @@
 	return s.crashesOf(t, now) >= scheduling.AloneAfterCrashes && now < until
 }
 
-// runsOrWaitsAlone reports whether the engine runs an item alone, or is kept free for one. An item runs alone until its
-// first event and, if servers were lost under it, for maxTrial.
-func (s *session) runsOrWaitsAlone(e *engineState, now time.Duration) bool {
+// runsOrWaitsAlone reports whether the engine of a server runs an item alone, or is kept free for one. An item runs alone until
+// its first event and, if servers were lost under it, for maxTrial.
+func (s *session) runsOrWaitsAlone(server string, e *engineState, now time.Duration) bool {
 	if e.alone != nil {
 		waits := e.alone.state == taskWaiting && s.runsAlone(e.alone, now)
-		begins := e.alone.state == taskRunning && (e.alone.lastEventAt == 0 || e.alone.suspected && now < e.alone.startedAt+maxTrial)
+		begins := e.alone.state == taskRunning && e.alone.engine == server && (e.alone.lastEventAt == 0 || e.alone.suspected && now < e.alone.startedAt+maxTrial)
 		if !waits && !begins {
 			e.alone = nil
 		}
@@ -111,11 +111,11 @@
 // free already: one at a time, so that a burst of crashes does not take the engines from the other items. The caller
 // holds the mutex.
 func (s *session) keepEngineFree(t *task, c *candidates, now time.Duration) {
-	if slices.ContainsFunc(c.states, func(e *engineState) bool { return s.runsOrWaitsAlone(e, now) }) {
-		return
-	}
 	var best *engineState
 	for i, e := range c.states {
+		if s.runsOrWaitsAlone(c.engines[i].ID, e, now) {
+			return
+		}
 		if !c.engines[i].OtherSoftware && !c.engines[i].AtLimit && (best == nil || e.running < best.running) {
 			best = e
 		}
