Item bodies and pages wait for room before they are sent to other VMs

Cause: each read put a copy of the whole body into the send queue of a connection between VMs, which had no bound in bytes.

Change: a body is read in parts of 128 kB and streamed to the caller. Send queues are bounded in bytes; heartbeats, votes and pongs are not refused for that. A read without an answer of the leader is 503 instead of 502.

Why this works: what a process holds for reads no longer depends on the number of readers or the size of bodies, and a VM that does not read takes its share at most.

--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -305,6 +305,27 @@
 	return Empty{}, nil
 }
 
+// readPage returns the results of a page of the given size as soon as there is room for them.
+func (s *session) readPage(ctx context.Context, q ReadBatchRequest, size int) (ReadBatchReply, error) {
+	if err := link.ReserveReply(ctx, size*replyCopies); err != nil {
+		return ReadBatchReply{}, err
+	}
+	// No more than the reserved bytes are read: results may have been added since.
+	page, found, err := s.node.state.ReadResults(q.Batch, q.After, min(q.MaxBytes, size))
+	if err != nil {
+		return ReadBatchReply{}, err
+	}
+	return ReadBatchReply{Found: found, Page: page}, s.checkLeadership()
+}
+
+const (
+	// repliesFraction is the share of the process's memory limit that pages of results and bodies may take until they are sent to
+	// the VMs that asked for them.
+	repliesFraction = 0.05
+	// replyCopies is how many times such a reply is in memory: as it was read, and encoded.
+	replyCopies = 2
+)
+
 func (s *session) read(ctx context.Context, q ReadBatchRequest) (ReadBatchReply, error) {
 	timeout := time.NewTimer(q.MaxWait)
 	defer timeout.Stop()
@@ -313,12 +334,9 @@
 		if !s.mayAccess(q.Batch, q.Workspace) {
 			return ReadBatchReply{}, s.checkLeadership()
 		}
-		page, found, err := s.node.state.ReadResults(q.Batch, q.After, q.MaxBytes)
-		if err != nil {
-			return ReadBatchReply{}, err
-		}
-		if !found || !waiting || len(page.Results) > 0 || page.Next >= page.Total || page.Ended {
-			return ReadBatchReply{Found: found, Page: page}, s.checkLeadership()
+		size, page, found := s.node.state.PageSize(q.Batch, q.After, q.MaxBytes)
+		if !found || !waiting || size > 0 || page.Next >= page.Total || page.Ended {
+			return s.readPage(ctx, q, size)
 		}
 		select {
 		case <-changed:
@@ -332,16 +350,23 @@
 	}
 }
 
-func (s *session) body(_ context.Context, q ItemBodyRequest) (ItemBodyReply, error) {
+func (s *session) body(ctx context.Context, q ItemBodyRequest) (ItemBodyReply, error) {
 	if !s.mayAccess(q.Batch, q.Workspace) {
 		return ItemBodyReply{}, s.checkLeadership()
 	}
 	body, found, _ := s.node.state.ItemBody(q.Batch, q.Item)
-	data, err := body.ReadRange(0, body.Len())
+	limit := cmp.Or(q.MaxBytes, body.Len())
+	if err := link.ReserveReply(ctx, min(limit, body.Len())*replyCopies); err != nil {
+		return ItemBodyReply{}, err
+	}
+	data, err := body.ReadRange(q.Offset, limit)
 	if err != nil {
+		if _, open, _ := s.node.state.ItemBody(q.Batch, q.Item); found && !open {
+			return ItemBodyReply{}, s.checkLeadership() // the item was listed meanwhile, and its body deleted
+		}
 		return ItemBodyReply{}, err
 	}
-	return ItemBodyReply{Found: found, Body: data}, s.checkLeadership()
+	return ItemBodyReply{Found: found, Body: data, Length: body.Len()}, s.checkLeadership()
 }
 
 func (s *session) end(ctx context.Context, q EndBatchRequest) (Empty, error) {
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -125,6 +125,9 @@
 		opts: o, texts: texts, state: rollout.NewState(texts), registry: fleet.NewRegistry(o.AnnounceInterval),
 		client: link.NewClient(), server: link.NewServer(), limits: ratelimit.NewTable(),
 	}
+	if o.MemoryLimit > 0 {
+		n.server.LimitReplies(int64(repliesFraction * float64(o.MemoryLimit)))
+	}
 	n.server.OnMalformedFrame = func(remote string, err error) {
 		o.Events.Log().WithField("remote", remote).WithError(err).Warn("another VM sent a malformed frame")
 	}
--- a/internal/coordinator/wire.go
+++ b/internal/coordinator/wire.go
@@ -162,12 +162,17 @@
 	Workspace string `cbor:"3,keyasint,omitempty"` // as in ReadBatchRequest
 	Batch     string `cbor:"1,keyasint"`
 	Item      string `cbor:"2,keyasint"`
+	// Offset and MaxBytes select a part of the body. With MaxBytes 0, as earlier builds send it, the reply holds all of it.
+	Offset   int `cbor:"4,keyasint,omitempty"`
+	MaxBytes int `cbor:"5,keyasint,omitempty"`
 }
 
-// ItemBodyReply holds the body if Found is true.
+// ItemBodyReply holds the body, or the part that was asked for, if Found is true.
 type ItemBodyReply struct {
 	Found bool   `cbor:"1,keyasint,omitempty"`
 	Body  []byte `cbor:"2,keyasint,omitempty"`
+	// Length is the size of the whole body in bytes. Earlier builds, which always send all of it, leave it out.
+	Length int `cbor:"3,keyasint,omitempty"`
 }
 
 // EndBatchRequest ends a batch.
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"runtime/debug"
 	"strings"
@@ -181,6 +182,23 @@
 	c.holder.SetPhase(budget.Answering)
 }
 
+// StreamAnswer answers with a body of the given length, which is read while it is sent and of which buffer bytes are in memory at
+// a time. If the body fails, the connection is closed, so that the answer is not taken for a complete one. The error is of the
+// kind errs.Unavailable if there is no room for the buffer.
+func StreamAnswer(ctx *fasthttp.RequestCtx, body io.Reader, length, buffer int) error {
+	if c, ok := ctx.Conn().(*conn); ok {
+		c.releaseBody()
+		c.endAnswer() // of an earlier request that came together with this one
+		if !c.holder.Reserve(int64(buffer), roomWait) {
+			return errNoRoom
+		}
+		c.answerBytes = int64(buffer)
+		c.holder.SetPhase(budget.Answering)
+	}
+	ctx.Response.SetBodyStream(body, length)
+	return nil
+}
+
 func (s *Server) route(ctx *fasthttp.RequestCtx) {
 	if !s.opts.DisableProbes && s.answerProbe(ctx) {
 		return
--- a/internal/gateway/batches.go
+++ b/internal/gateway/batches.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"time"
 
@@ -16,6 +17,8 @@
 const (
 	// batchCallTimeout limits a batch call to the leader, in addition to the wait time that the caller asks for.
 	batchCallTimeout = 1500 * time.Millisecond
+	// itemBodyPartTimeout limits the reading of one part of an item's body, with the repeated calls to the leader.
+	itemBodyPartTimeout = 3 * time.Second
 	// minRoomRetryDelay and maxRoomRetryDelay bound the random delay after which a trainer whose batch found no room should
 	// submit it again. The room comes back when another trainer's step ends.
 	minRoomRetryDelay = 500 * time.Millisecond
@@ -84,6 +87,9 @@
 func (g *Gateway) ReadBatch(ctx context.Context, caller *Caller, batch string, after int, wait time.Duration) (coordinator.ReadBatchReply, error) {
 	q := coordinator.ReadBatchRequest{Workspace: caller.Workspace, Batch: batch, After: after, MaxWait: wait, MaxBytes: MaxPageBytes}
 	r, err := callLeaderFor[coordinator.ReadBatchRequest, coordinator.ReadBatchReply](ctx, g, caller, coordinator.MethodReadBatch, q, wait+batchCallTimeout)
+	if errs.Is(err, errs.OutcomeUnknown) {
+		err = errs.Wrap(err, errs.Unavailable, "read again", "the leader did not answer the read of batch %s", batch)
+	}
 	if err == nil {
 		err = caller.Check() // the key may have been removed during the wait for results
 	}
@@ -93,14 +99,76 @@
 	return r, err
 }
 
-// ItemBody returns the request body of a batch item whose result is not listed yet.
-func (g *Gateway) ItemBody(ctx context.Context, caller *Caller, batch, item string) (coordinator.ItemBodyReply, error) {
-	q := coordinator.ItemBodyRequest{Workspace: caller.Workspace, Batch: batch, Item: item}
-	r, err := callLeaderFor[coordinator.ItemBodyRequest, coordinator.ItemBodyReply](ctx, g, caller, coordinator.MethodItemBody, q, batchCallTimeout)
-	if err != nil {
-		g.recordBatchEvent(events.RequestFailed, item, err)
+// ItemBodyPartBytes is the size of the parts in which the request body of a batch item is read from the leader.
+const ItemBodyPartBytes = 128 << 10
+
+// ItemBody is the request body of a batch item. Unless all of it is in the first part, it is read from the leader part by part.
+type ItemBody struct {
+	Length int // bytes
+
+	ctx     context.Context
+	gateway *Gateway
+	caller  *Caller
+	next    coordinator.ItemBodyRequest // the next part
+	part    []byte                      // what is left of the present part
+}
+
+// ItemBody returns the request body of a batch item whose result is not listed yet. It returns nil if there is no such item.
+// ctx must not end before the body has been read.
+func (g *Gateway) ItemBody(ctx context.Context, caller *Caller, batch, item string) (*ItemBody, error) {
+	b := &ItemBody{ctx: ctx, gateway: g, caller: caller, next: coordinator.ItemBodyRequest{Workspace: caller.Workspace, Batch: batch, Item: item, MaxBytes: ItemBodyPartBytes}}
+	found, err := b.readPart()
+	if err != nil || !found {
+		return nil, err
+	}
+	return b, nil
+}
+
+// Whole returns the body if all of it is in memory.
+func (b *ItemBody) Whole() (body []byte, ok bool) { return b.part, b.next.Offset == b.Length }
+
+// Read implements io.Reader. It fails if the item's result is listed meanwhile.
+func (b *ItemBody) Read(p []byte) (int, error) {
+	if len(b.part) == 0 {
+		if b.next.Offset == b.Length {
+			return 0, io.EOF
+		}
+		found, err := b.readPart()
+		if err == nil && (!found || len(b.part) == 0) {
+			err = errs.New(errs.NotFound, "read the results of the batch", "item %q of batch %q is not open any more", b.next.Item, b.next.Batch)
+		}
+		if err != nil {
+			return 0, err
+		}
+	}
+	n := copy(p, b.part)
+	b.part = b.part[n:]
+	return n, nil
+}
+
+// readPart reads the next part. After the first one, whose failure the caller can be told, a failed call is repeated while there
+// is time.
+func (b *ItemBody) readPart() (found bool, err error) {
+	ctx, cancel := context.WithTimeout(b.ctx, itemBodyPartTimeout)
+	defer cancel()
+	for {
+		r, err := callLeaderFor[coordinator.ItemBodyRequest, coordinator.ItemBodyReply](ctx, b.gateway, b.caller, coordinator.MethodItemBody, b.next, batchCallTimeout)
+		if err == nil {
+			b.Length = max(r.Length, len(r.Body)) // an earlier build sends all of it and no length
+			b.part = r.Body
+			b.next.Offset += len(r.Body)
+			return r.Found, nil
+		}
+		again := errs.Is(err, errs.OutcomeUnknown) || errs.Is(err, errs.Unavailable) || errs.Is(err, errs.NotLeader)
+		if b.next.Offset == 0 || !again || ctx.Err() != nil {
+			b.gateway.recordBatchEvent(events.RequestFailed, b.next.Item, err)
+			if errs.Is(err, errs.OutcomeUnknown) {
+				err = errs.Wrap(err, errs.Unavailable, "read again", "the leader did not answer the read of item %s", b.next.Item)
+			}
+			return false, err
+		}
+		forward.SleepWithJitter(ctx, leaderRetryDelay)
 	}
-	return r, err
 }
 
 // EndBatch ends a batch. The error is of kind errs.NotFound if the batch does not exist.
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"filbertledge/internal/boottime"
 	"filbertledge/internal/errs"
 )
@@ -14,8 +16,12 @@
 const (
 	// bufferBytes is the size of the read buffer and of the write buffer of a connection.
 	bufferBytes = 16 << 10
-	// maxQueuedFrames bounds the send queue of a connection.
+	// maxQueuedFrames bounds the send queue of a connection, and maxQueuedBytes the size of the requests and replies in it that
+	// are larger than smallFrameBytes. One that is larger than maxQueuedBytes is accepted if the queue is empty. The senders of
+	// one-way messages bound what they send, and must be able to send a snapshot.
 	maxQueuedFrames = 1024
+	maxQueuedBytes  = 8 << 20
+	smallFrameBytes = 4 << 10
 	// writeTimeout is the time after which a connection is closed if the peer does not read.
 	writeTimeout = 2 * time.Second
 )
@@ -28,6 +34,9 @@
 	closeOnce        sync.Once
 	lastReceived     atomic.Int64 // time since boot of the last received frame, in nanoseconds
 	queuedSinceCheck atomic.Int64 // frames queued since the last check by clientConn.monitor
+	queuedBytes      atomic.Int64 // size of the frames in the send queue
+	replyLimit       int64        // bytes; accepted connections only
+	replies          *semaphore.Weighted
 }
 
 func newConn(nc net.Conn) *conn {
@@ -60,17 +69,48 @@
 		return false
 	default:
 	}
+	size := int64(len(f.body))
+	bounded := f.kind != frameOneWay && size > smallFrameBytes
+	if queued := c.queuedBytes.Add(size); bounded && queued > maxQueuedBytes && queued > size {
+		c.queuedBytes.Add(-size)
+		return false
+	}
 	select {
 	case c.sendQueue <- f:
 		c.queuedSinceCheck.Add(1)
-		return true
 	default:
+		c.queuedBytes.Add(-size)
 		return false
 	}
+	if c.closed() {
+		c.dropQueued() // writeLoop may have ended before the frame was queued
+	}
+	return true
+}
+
+// dequeued updates the size of the queue after a frame has been written or dropped.
+func (c *conn) dequeued(f frame) {
+	c.queuedBytes.Add(-int64(len(f.body)))
+	if f.done != nil {
+		f.done()
+	}
+}
+
+// dropQueued drops the frames in the send queue of a closed connection.
+func (c *conn) dropQueued() {
+	for {
+		select {
+		case f := <-c.sendQueue:
+			c.dequeued(f)
+		default:
+			return
+		}
+	}
 }
 
 // writeLoop writes the queued frames until the connection is closed.
 func (c *conn) writeLoop() {
+	defer c.dropQueued()
 	defer c.close()
 	w := bufio.NewWriterSize(c.Conn, bufferBytes)
 	for {
@@ -87,11 +127,13 @@
 
 // writeQueued writes f and then the queued frames, and flushes when the queue is empty.
 func (c *conn) writeQueued(w *bufio.Writer, f frame) error {
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
-	}
 	for {
-		if err := writeFrame(w, f); err != nil {
+		err := c.SetWriteDeadline(time.Now().Add(writeTimeout))
+		if err == nil {
+			err = writeFrame(w, f)
+		}
+		c.dequeued(f)
+		if err != nil {
 			return err
 		}
 		select {
--- a/internal/link/frame.go
+++ b/internal/link/frame.go
@@ -47,6 +47,8 @@
 	timeout time.Duration // requests only: time left until the caller's deadline; 0 means no deadline
 	method  string        // requests and one-way messages only
 	body    []byte
+	// done, if not nil, is called once the frame has been written, or will not be.
+	done func()
 }
 
 func writeFrame(w *bufio.Writer, f frame) error {
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 
+	"golang.org/x/sync/semaphore"
+
 	"filbertledge/internal/errs"
 	"filbertledge/internal/transport"
 )
@@ -20,6 +22,10 @@
 	// OnMalformedFrame, if not nil, is called when a connection was closed because of a malformed frame.
 	OnMalformedFrame func(remote string, err error)
 
+	replyLimit int64               // bytes
+	replies    *semaphore.Weighted // room for replies; nil if it has no bound
+	oversize   *semaphore.Weighted // of weight 1, for a reply that is larger than the share of a connection
+
 	mu    sync.Mutex
 	conns map[*conn]struct{}
 }
@@ -84,7 +90,7 @@
 		if err != nil {
 			continue // a temporary error, for example a connection reset before it was accepted
 		}
-		go s.serveConn(ctx, newConn(nc))
+		go s.serveConn(ctx, s.limitConn(newConn(nc)))
 	}
 }
 
@@ -131,7 +137,9 @@
 		ctx, cancel = context.WithTimeout(ctx, f.timeout)
 		defer cancel()
 	}
-	resp := frame{kind: frameResponse, callID: f.callID}
+	room := &replyRoom{server: s, conn: c}
+	ctx = context.WithValue(ctx, replyRoomKey{}, room)
+	resp := frame{kind: frameResponse, callID: f.callID, done: room.release}
 	body, err := s.dispatch(ctx, f)
 	if err != nil && ctx.Err() != nil {
 		err = errs.Wrap(err, errs.OutcomeUnknown, "call again if the call may be repeated", "call %s did not finish in time", f.method)
@@ -140,7 +148,13 @@
 	if err != nil {
 		resp.kind, resp.body = frameFailure, encodeFailure(err)
 	}
-	c.enqueue(resp) // if this fails, the caller gets errs.OutcomeUnknown and learns the outcome by calling again
+	if c.enqueue(resp) {
+		return
+	}
+	room.release()
+	tooLong := errs.New(errs.OutcomeUnknown, "call again if the call may be repeated", "reply of %d bytes to %s does not fit into the send queue", len(resp.body), f.method)
+	// If this fails too, the caller learns from its timeout that the outcome is unknown.
+	c.enqueue(frame{kind: frameFailure, callID: f.callID, body: encodeFailure(tooLong)})
 }
 
 func (s *Server) dispatch(ctx context.Context, f frame) ([]byte, error) {
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -522,7 +522,7 @@
 // ReadResults returns the results of batch id from position after on, up to maxBytes. The page contains at least
 // one result if any is available. found is false if the batch is unknown.
 func (s *State) ReadResults(id string, after, maxBytes int) (p Page, found bool, err error) {
-	stored, p, found := s.selectPage(id, after, maxBytes)
+	stored, _, p, found := s.selectPage(id, after, maxBytes)
 	for _, r := range stored {
 		text, err := s.texts.Read(r.Ref)
 		if err != nil {
@@ -533,27 +533,34 @@
 	return p, found, nil
 }
 
-// selectPage returns the stored results of a page and the page without its Results.
-func (s *State) selectPage(id string, after, maxBytes int) (stored []storedResult, p Page, found bool) {
+// PageSize returns the approximate size in bytes of the page that ReadResults would return, and the page without its Results.
+// The size is 0 if there are none.
+func (s *State) PageSize(id string, after, maxBytes int) (size int, p Page, found bool) {
+	_, size, p, found = s.selectPage(id, after, maxBytes)
+	return size, p, found
+}
+
+// selectPage returns the stored results of a page, their size, and the page without its Results.
+func (s *State) selectPage(id string, after, maxBytes int) (stored []storedResult, size int, p Page, found bool) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	batch := s.batches[id]
 	if batch == nil {
-		return nil, Page{}, false
+		return nil, 0, Page{}, false
 	}
 	p = Page{Total: len(batch.Batch.Items), Next: after, Ended: batch.Ended}
-	size := 0
 	for i := max(after, 0); i < len(batch.Results); i++ {
 		r := batch.Results[i]
-		size += r.Ref.Length + resultOverheadBytes
-		if size > maxBytes && len(stored) > 0 {
+		with := size + r.Ref.Length + resultOverheadBytes
+		if with > maxBytes && len(stored) > 0 {
 			break
 		}
+		size = with
 		stored = append(stored, r)
 		p.IDs = append(p.IDs, batch.Batch.Items[r.Item].ID)
 		p.Next = i + 1
 	}
-	return stored, p, true
+	return stored, size, p, true
 }
 
 // resultOverheadBytes is the approximate encoded size of a result without its text.
