A response without a valid status is no answer

Cause: the HTTP library returns 200 for a status of 0. Statuses from 001 to 199 were skipped as interim responses, and a body after one was read as the head of the next response.

Change: the status line is checked before the library reads it; interim responses with a body and 101 are malformed. The clients of the weight store and of scoring services check it too, and a VM refuses such a status in an answer that another VM passes on.

Why this works: every exchange with a server reads its heads through one function, and nothing of a head is used before the check.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -292,13 +292,20 @@
 // readHeader reads the header of the response. It skips interim (1xx) responses.
 func (ex *exchange) readHeader() error {
 	for interim := 0; ; interim++ {
+		status, err := peekStatus(ex.conn.br)
+		if err != nil {
+			return err
+		}
 		ex.header.Reset()
 		if err := ex.header.Read(ex.conn.br); err != nil {
 			return err
 		}
-		if ex.header.StatusCode() >= fasthttp.StatusOK {
+		if status >= fasthttp.StatusOK {
 			break
 		}
+		if err := checkInterim(&ex.header); err != nil {
+			return err
+		}
 		if interim == maxInterimResponses {
 			return errs.New(errs.BackendFailed, "check the backend server", "more than %d interim responses precede the response", maxInterimResponses)
 		}
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"filbertledge/internal/backend"
 	"filbertledge/internal/boottime"
 	"filbertledge/internal/coordinator"
 	"filbertledge/internal/errs"
@@ -165,6 +166,10 @@
 		}
 		return nil, reply.Ran, len(reply.Ran) == 0, errs.New(reply.Kind, "call again if the call may be repeated", "VM %s: %s", p.VM, reply.Message)
 	}
+	if !backend.IsStatus(reply.Status) {
+		// An earlier build takes whatever number a server sends.
+		return nil, reply.Ran, false, errs.New(errs.BackendFailed, "call again if the call may be repeated", "VM %s passed on an answer with status %d", p.VM, reply.Status)
+	}
 	return &forward.Response{Status: reply.Status, Headers: fromLink(reply.Headers), Body: reply.Body, NotRun: reply.NotRun, Signature: reply.Signature, SinceFirstEvent: reply.SinceFirstEvent}, reply.Ran, false, nil
 }
 
--- a/internal/scoring/client.go
+++ b/internal/scoring/client.go
@@ -11,6 +11,7 @@
 	"golang.org/x/time/rate"
 
 	"filbertledge/internal/api"
+	"filbertledge/internal/backend"
 	"filbertledge/internal/errs"
 )
 
@@ -72,7 +73,7 @@
 		opts: o, retryLimiter: rate.NewLimiter(o.RetryRate, max(1, int(o.RetryRate))),
 		http: &fasthttp.Client{
 			MaxConnsPerHost: o.MaxConnections, MaxResponseBodySize: maxAnswerBytes, MaxIdemponentCallAttempts: 1,
-			NoDefaultUserAgentHeader: true,
+			NoDefaultUserAgentHeader: true, Dial: backend.Dial,
 		},
 	}
 }
--- a/internal/weightstore/client.go
+++ b/internal/weightstore/client.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"filbertledge/internal/api"
+	"filbertledge/internal/backend"
 	"filbertledge/internal/errs"
 )
 
@@ -41,7 +42,7 @@
 func New(baseURL string) *Client {
 	return &Client{
 		baseURL: baseURL,
-		http:    &fasthttp.Client{MaxResponseBodySize: maxResponseSize, NoDefaultUserAgentHeader: true},
+		http:    &fasthttp.Client{MaxResponseBodySize: maxResponseSize, NoDefaultUserAgentHeader: true, Dial: backend.Dial},
 	}
 }
 
