The response that holds most memory gives way at the limit

Cause: bodies in progress were counted by their length, while their buffers take up to three times that; at the limit any response failed, not the one without end; events of streams and the responses of serve were not counted.

Change: parts of bodies are counted before they are allocated. At the limit the response that holds most is reset, and the others wait for its memory. Events above 64 kB and the responses of serve count as well.

Why this works: memory is bounded by what is counted, and a response without end is always the largest in the end.

Ruled out: a lower limit for each response. Answers of 32 MiB are legal.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -10,8 +10,8 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"strconv"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -35,6 +35,8 @@
 	maxInterimResponses = 16
 	// bodyChunkBytes is the size of the parts in which a body is read and counted against MaxBufferedBytes.
 	bodyChunkBytes = 64 << 10
+	// firstPartBytes is the size of the first part of a body of unknown length. Most bodies are smaller.
+	firstPartBytes = 4 << 10
 )
 
 // Options configures a Client. The zero value is usable.
@@ -45,18 +47,17 @@
 	KeepAlive net.KeepAliveConfig
 	// AcceptCloseDelimitedBody accepts bodies without a length that end with the orderly close of the connection.
 	AcceptCloseDelimitedBody bool
-	// MaxBufferedBytes limits the total size of the bodies that Exchange.ReadAll reads at the same time; 0 means no
-	// limit. It keeps servers that send bytes without end from exhausting the memory.
+	// MaxBufferedBytes limits what the bodies and events hold that are being read at the same time, in bytes; 0 means no limit.
+	// It keeps servers that send bytes without end from exhausting the memory.
 	MaxBufferedBytes int64
 }
 
 // Client sends requests to backend servers. It is safe for concurrent use.
 type Client struct {
-	opts   Options
-	dialer net.Dialer
-	pool   connPool
-	// bufferedBytes is the total size of the bodies that are being read by Exchange.ReadAll.
-	bufferedBytes atomic.Int64
+	opts    Options
+	dialer  net.Dialer
+	pool    connPool
+	buffers *buffers
 }
 
 // New returns a client.
@@ -67,7 +68,7 @@
 	if opts.IdleTimeout == 0 {
 		opts.IdleTimeout = defaultIdleTimeout
 	}
-	c := &Client{opts: opts, dialer: net.Dialer{Timeout: opts.DialTimeout, KeepAliveConfig: opts.KeepAlive}}
+	c := &Client{opts: opts, buffers: newBuffers(opts.MaxBufferedBytes), dialer: net.Dialer{Timeout: opts.DialTimeout, KeepAliveConfig: opts.KeepAlive}}
 	c.pool.idle = map[poolKey][]*conn{}
 	return c
 }
@@ -316,13 +317,10 @@
 
 // readResponse reads the complete body.
 func (ex *exchange) readResponse() (Response, error) {
-	body, err := io.ReadAll(io.LimitReader(ex.body, MaxBodyBytes+1))
+	body, err := ex.readBody(MaxBodyBytes)
 	if err != nil {
 		return Response{}, err
 	}
-	if len(body) > MaxBodyBytes {
-		return Response{}, errs.New(errs.BackendFailed, "request a shorter response", "response exceeds %d bytes", MaxBodyBytes)
-	}
 	a := Response{Status: ex.header.StatusCode(), ContentType: string(ex.header.ContentType()), Body: body}
 	for k, v := range ex.header.All() {
 		if !isDroppedResponseHeader(string(k)) {
@@ -332,6 +330,50 @@
 	return a, nil
 }
 
+// readBody reads the complete body, of at most limit bytes.
+func (ex *exchange) readBody(limit int64) ([]byte, error) {
+	var parts [][]byte
+	total, size := int64(0), int64(firstPartBytes)
+	if n := int64(ex.header.ContentLength()); n > 0 {
+		size = min(n+1, bodyChunkBytes) // the last byte is for the end of the body
+	}
+	for {
+		if err := ex.client.buffers.reserve(ex, size); err != nil {
+			return nil, err
+		}
+		part := make([]byte, size)
+		n, err := readPart(ex.body, part)
+		parts, total = append(parts, part[:n]), total+int64(n)
+		switch {
+		case total > limit:
+			return nil, errs.New(errs.BackendFailed, "request a shorter response", "response exceeds %d bytes", limit)
+		case errors.Is(err, io.EOF):
+			if err := ex.client.buffers.finish(ex); err != nil {
+				return nil, err
+			}
+			if len(parts) == 1 {
+				return parts[0], nil
+			}
+			return slices.Concat(parts...), nil
+		case err != nil && ex.client.buffers.hasGivenWay(ex):
+			return nil, ex.client.buffers.limitError()
+		case err != nil:
+			return nil, err
+		}
+		size = bodyChunkBytes
+	}
+}
+
+// readPart reads until p is full or the reader fails.
+func readPart(r io.Reader, p []byte) (n int, err error) {
+	for n < len(p) && err == nil {
+		var more int
+		more, err = r.Read(p[n:])
+		n += more
+	}
+	return n, err
+}
+
 // isDroppedResponseHeader reports whether a response header is not passed on: it is hop-by-hop, or this service sets it
 // itself in the response to the caller.
 func isDroppedResponseHeader(name string) bool {
@@ -353,6 +395,7 @@
 
 // release stops watching ctx and returns the connection to the pool, or closes it.
 func (ex *exchange) release(reusable bool) {
+	ex.client.buffers.release(ex)
 	switch {
 	case !ex.stopWatchingContext() || !reusable:
 		ex.conn.abort()
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -1,16 +1,12 @@
 package backend
 
 import (
-	"bytes"
 	"context"
-	"errors"
 	"io"
 	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
-
-	"filbertledge/internal/errs"
 )
 
 // RawRequest is a request that is sent with exactly the given headers. Header names are not normalized.
@@ -34,11 +30,7 @@
 }
 
 // Exchange is a sent request whose response header has arrived. Release must be called.
-type Exchange struct {
-	ex *exchange
-	// buffered is how many bytes of the body count towards Client.bufferedBytes.
-	buffered int64
-}
+type Exchange struct{ ex *exchange }
 
 // Open sends a request and reads the header of its response. The error is a *Failure. When ctx ends, the connection is
 // closed, which cancels the work on the server.
@@ -105,30 +97,17 @@
 
 // ReadAll returns the complete body, of at most limit bytes. The error is a *Failure.
 func (x *Exchange) ReadAll(limit int64) ([]byte, error) {
-	var body bytes.Buffer
-	for {
-		if err := x.reserve(bodyChunkBytes); err != nil {
-			return nil, x.ex.classifyError(err)
-		}
-		_, err := io.CopyN(&body, x.ex.body, bodyChunkBytes)
-		if errors.Is(err, io.EOF) && int64(body.Len()) <= limit {
-			return body.Bytes(), nil
-		}
-		if err != nil && !errors.Is(err, io.EOF) {
-			return nil, x.ex.classifyError(err)
-		}
-		if int64(body.Len()) > limit {
-			return nil, x.ex.classifyError(errs.New(errs.BackendFailed, "request a shorter response", "response exceeds %d bytes", limit))
-		}
+	body, err := x.ex.readBody(limit)
+	if err != nil {
+		return nil, x.ex.classifyError(err)
 	}
+	return body, nil
 }
 
-// reserve counts n more bytes of the body, until Release.
-func (x *Exchange) reserve(n int64) error {
-	x.buffered += n
-	total, limit := x.ex.client.bufferedBytes.Add(n), x.ex.client.opts.MaxBufferedBytes
-	if limit > 0 && total > limit {
-		return errs.New(errs.BackendFailed, "request fewer or shorter responses at once", "responses in progress exceed %d bytes", limit)
+// Reserve counts n more bytes of the response towards Options.MaxBufferedBytes, until Release. The error is a *Failure.
+func (x *Exchange) Reserve(n int) error {
+	if err := x.ex.client.buffers.reserve(x.ex, int64(n)); err != nil {
+		return x.ex.classifyError(err)
 	}
 	return nil
 }
@@ -153,8 +132,6 @@
 // Release returns the connection to the pool if complete says that the response was read to its end, and closes it
 // otherwise. serverIdleTimeout is the time after which the server closes idle connections; zero means unknown.
 func (x *Exchange) Release(complete bool, serverIdleTimeout time.Duration) {
-	x.ex.client.bufferedBytes.Add(-x.buffered)
-	x.buffered = 0
 	x.ex.conn.serverIdleTimeout = serverIdleTimeout
 	framed := x.ex.header.ContentLength() >= chunkedLength
 	x.ex.release(complete && framed)
--- a/internal/backend/lines.go
+++ b/internal/backend/lines.go
@@ -19,8 +19,17 @@
 	line     []byte // the begin of a line that the buffer does not hold any more
 	size     int    // of the current event, in bytes
 	afterCR  bool   // the last line ended with CR; an LF that follows belongs to its end
+	reserve  func(n int) error
+	reserved int // bytes for which reserve was called
 }
 
+// smallEventBytes is the size up to which an event is not counted.
+const smallEventBytes = 64 << 10
+
+// SetReserve makes reserve be called before an event takes more memory than smallEventBytes and than the events before it, with
+// the number of bytes. Its error ends the stream.
+func (l *EventLines) SetReserve(reserve func(n int) error) { l.reserve = reserve }
+
 // NewEventLines returns a reader of the lines of r, with a buffer of bufferBytes. The lines that follow a call of BeginEvent,
 // up to the next one, may have maxBytes.
 func NewEventLines(r io.Reader, bufferBytes, maxBytes int) *EventLines {
@@ -73,6 +82,9 @@
 	}
 }
 
+// eventCopies is how many times an event is in memory: its lines, and the data that they are joined to.
+const eventCopies = 2
+
 // maxEmptyReads bounds the reads in a row that return neither bytes nor an error.
 const maxEmptyReads = 100
 
@@ -105,7 +117,14 @@
 }
 
 func (l *EventLines) count(n int) error {
-	if l.size += n; l.size > l.maxBytes {
+	l.size += n
+	if l.reserve != nil && l.size > l.reserved+smallEventBytes {
+		l.reserved += smallEventBytes
+		if err := l.reserve(eventCopies * smallEventBytes); err != nil {
+			return err
+		}
+	}
+	if l.size > l.maxBytes {
 		return errs.New(errs.BackendFailed, "resend the request", "event of the stream exceeds %d bytes", l.maxBytes)
 	}
 	return nil
--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -50,7 +50,9 @@
 	if ex.header.StatusCode() != fasthttp.StatusOK {
 		return nil, streamStatusError(ex, &req)
 	}
-	return &Stream{exchange: ex, events: newEventReader(ex.body), attemptID: req.AttemptID, offset: offset}, nil
+	events := newEventReader(ex.body)
+	events.lines.SetReserve(func(n int) error { return c.buffers.reserve(ex, int64(n)) })
+	return &Stream{exchange: ex, events: events, attemptID: req.AttemptID, offset: offset}, nil
 }
 
 func streamStatusError(ex *exchange, req *Request) error {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -40,6 +40,9 @@
 	// The limit makes the garbage collector run before the heap has doubled while callers hold all that they may.
 	heapPerCallerMemory = 2
 	minHeap             = 96 << 20
+	// bufferedBodiesShare is the part of limits.caller_memory, as a divisor, that responses of engines and services may hold
+	// while they are read.
+	bufferedBodiesShare = 2
 	// maxFailures is the number of background tasks that report to run: the transport server, the HTTP server and the
 	// control replica.
 	maxFailures = 3
@@ -170,7 +173,7 @@
 		VM: vm.self.ID, Domain: vm.self.Domain, Now: vm.clock, VMs: vm.control.VMs, Send: vm.client.Send,
 		Events: vm.events, Seed: vm.self.Incarnation,
 	})
-	vm.backend = backend.New(backend.Options{})
+	vm.backend = backend.New(backend.Options{MaxBufferedBytes: int64(vm.cfg.Limits.CallerMemory) / bufferedBodiesShare})
 	vm.dispatcher = dispatch.New(dispatch.Options{
 		FailureDomain: vm.self.Domain, Registry: vm.registry, Backend: vm.backend, Control: vm.control,
 		InFlightShare: vm.inFlightShare, Metrics: vm.metrics, Events: vm.events, Seed: vm.self.Incarnation,
