Read-through of the large batches: leaders of earlier builds, order of checks

- The parts of a batch that an entry VM of an earlier build sent whole are stored to the end, though its call times out after 1.5 s.
- A read of an item that is not open returns before it asks for room; a run counts as a trial only once it starts.

--- a/internal/coordinator/admission.go
+++ b/internal/coordinator/admission.go
@@ -28,6 +28,8 @@
 	storedBodiesFraction = 0.15
 	// reservationTime is how long room is kept for a batch whose submission has not arrived.
 	reservationTime = 2 * time.Second
+	// wholeBatchTimeout is how long the leader takes to store the bodies of a batch that arrived whole.
+	wholeBatchTimeout = 5 * time.Second
 )
 
 // storedBodiesLimit returns the limit of stored bodies in bytes. Where the size of the disk is unknown, it is that of the
@@ -182,7 +184,12 @@
 // dropped before the batch arrived.
 func (s *session) submitWithRoom(ctx context.Context, b *rollout.Batch) (rollout.Outcome, error) {
 	if b.Upload == "" && b.RequestBytes() >= LargeBatchBytes && s.storesBodies() {
-		stripped, err := s.storeBodiesOf(ctx, b) // an entry VM of an earlier build sent the whole batch
+		// An entry VM of an earlier build sent the whole batch. Its call may end before all parts are stored; it then finds the
+		// batch accepted when the trainer submits it again.
+		var stop context.CancelFunc
+		ctx, stop = context.WithTimeout(context.WithoutCancel(ctx), wholeBatchTimeout)
+		defer stop()
+		stripped, err := s.storeBodiesOf(ctx, b)
 		if err != nil {
 			return rollout.Outcome{}, err
 		}
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -354,19 +354,22 @@
 	if !s.mayAccess(q.Batch, q.Workspace) {
 		return ItemBodyReply{}, s.checkLeadership()
 	}
-	body, found, _ := s.node.state.ItemBody(q.Batch, q.Item)
+	body, open, _ := s.node.state.ItemBody(q.Batch, q.Item)
+	if !open {
+		return ItemBodyReply{}, s.checkLeadership()
+	}
 	limit := cmp.Or(q.MaxBytes, body.Len())
 	if err := link.ReserveReply(ctx, min(limit, body.Len())*replyCopies); err != nil {
 		return ItemBodyReply{}, err
 	}
 	data, err := body.ReadRange(q.Offset, limit)
 	if err != nil {
-		if _, open, _ := s.node.state.ItemBody(q.Batch, q.Item); found && !open {
+		if _, open, _ = s.node.state.ItemBody(q.Batch, q.Item); !open {
 			return ItemBodyReply{}, s.checkLeadership() // the item was listed meanwhile, and its body deleted
 		}
 		return ItemBodyReply{}, err
 	}
-	return ItemBodyReply{Found: found, Body: data, Length: body.Len()}, s.checkLeadership()
+	return ItemBodyReply{Found: true, Body: data, Length: body.Len()}, s.checkLeadership()
 }
 
 func (s *session) end(ctx context.Context, q EndBatchRequest) (Empty, error) {
--- a/internal/coordinator/placement.go
+++ b/internal/coordinator/placement.go
@@ -152,9 +152,6 @@
 // startRun sends an item to an engine. The caller holds the mutex.
 func (s *session) startRun(t *task, v *fleet.Server, route *routes.Route, now time.Duration) {
 	item := &t.batch.Items[t.item]
-	if s.needsTrial(t, now) {
-		s.trials = append(s.trials, t)
-	}
 	body := rollout.InlineBody(item.Body)
 	if item.Stored != nil {
 		var open bool
@@ -162,6 +159,9 @@
 			return // the batch has just ended
 		}
 	}
+	if s.needsTrial(t, now) {
+		s.trials = append(s.trials, t)
+	}
 	s.limits.Take(v.ID, now)
 	ctx, cancel := context.WithCancel(s.ctx)
 	t.state, t.engine, t.cancel, t.startedAt, t.lastEventAt, t.moving = taskRunning, v.ID, cancel, now, 0, false
--- a/internal/gateway/batches.go
+++ b/internal/gateway/batches.go
@@ -154,9 +154,8 @@
 	for {
 		r, err := callLeaderFor[coordinator.ItemBodyRequest, coordinator.ItemBodyReply](ctx, b.gateway, b.caller, coordinator.MethodItemBody, b.next, batchCallTimeout)
 		if err == nil {
-			b.Length = max(r.Length, len(r.Body)) // an earlier build sends all of it and no length
-			b.part = r.Body
-			b.next.Offset += len(r.Body)
+			b.part, b.Length = partOf(r, b.next.Offset)
+			b.next.Offset += len(b.part)
 			return r.Found, nil
 		}
 		again := errs.Is(err, errs.OutcomeUnknown) || errs.Is(err, errs.Unavailable) || errs.Is(err, errs.NotLeader)
@@ -171,6 +170,15 @@
 	}
 }
 
+// partOf returns the part of a body that was asked for at offset, and the length of the body. A leader of an earlier build sends
+// the whole body whatever the offset, and no length.
+func partOf(r coordinator.ItemBodyReply, offset int) (part []byte, length int) {
+	if r.Length > 0 {
+		return r.Body, r.Length
+	}
+	return r.Body[min(offset, len(r.Body)):], len(r.Body)
+}
+
 // EndBatch ends a batch. The error is of kind errs.NotFound if the batch does not exist.
 func (g *Gateway) EndBatch(ctx context.Context, caller *Caller, batch string) error {
 	q := coordinator.EndBatchRequest{Batch: batch, Workspace: caller.Workspace}
