--- a/internal/backend/buffers.go
+++ b/internal/backend/buffers.go
@@ -47,9 +47,9 @@
 	}
 	own.bytes += n
 	b.total += n
-	waitedEnough := false
+	tooLong := false
 	for b.limit > 0 && b.total > b.limit && !own.gaveWay {
-		if b.leaving == 0 || waitedEnough {
+		if b.leaving == 0 || tooLong {
 			largest, held := b.largest(ex, own)
 			held.gaveWay = true
 			b.leaving++
@@ -59,7 +59,7 @@
 			}
 			largest.conn.abort()
 		}
-		waitedEnough = b.wait()
+		tooLong = b.wait()
 	}
 	if own.gaveWay {
 		return b.limitError()
@@ -67,8 +67,8 @@
 	return nil
 }
 
-// wait waits until a response has given back what it held. It reports whether that takes too long: who reads a stream may be
-// busy with what it has read. The caller holds the mutex.
+// wait waits until a response has given back what it held. It reports whether that takes too long, as when the reader of a stream
+// is busy with an event. The caller holds the mutex.
 func (b *buffers) wait() (tooLong bool) {
 	began := time.Now()
 	timer := time.AfterFunc(giveWayTime, func() {
--- a/internal/coordinator/suspects.go
+++ b/internal/coordinator/suspects.go
@@ -17,7 +17,7 @@
 	// under which engines crashed are sound.
 	maxAloneWait = 2 * time.Second
 	maxIdleTime  = 4500 * time.Millisecond
-	// maxTrial is how long a run of a suspected item may be alone on its engine, or count as a trial, before its first event.
+	// maxTrial is how long a suspected item keeps its engine to itself, and how long a run without an event counts as a trial.
 	maxTrial = 1500 * time.Millisecond
 	// trialCrashes is the number of servers that ended under an item from which its runs are trials until their first event.
 	// Only a share of the engines, one of enginesPerTrial, is in trials at a time, so that items that crash every engine leave
