Comments that a reader of the diff lacked

The event on a suspected item now says how many engines take such runs at a time.

Behavior is unchanged but for the text of that event.

--- a/internal/backend/buffers.go
+++ b/internal/backend/buffers.go
@@ -81,7 +81,7 @@
 	return time.Since(began) >= giveWayTime
 }
 
-// largest returns the response that holds most, and in doubt ex.
+// largest returns the response that holds most, and ex on a tie.
 func (b *buffers) largest(ex *exchange, held *buffered) (*exchange, *buffered) {
 	for other, h := range b.holders {
 		if !h.complete && !h.gaveWay && h.bytes > held.bytes {
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -335,7 +335,7 @@
 	var parts [][]byte
 	total, size := int64(0), int64(firstPartBytes)
 	if n := int64(ex.header.ContentLength()); n > 0 {
-		size = min(n+1, bodyChunkBytes) // the last byte is for the end of the body
+		size = min(n+1, bodyChunkBytes) // one byte more, so that the read that finds the end needs no further part
 	}
 	for {
 		if err := ex.client.buffers.reserve(ex, size); err != nil {
--- a/internal/backend/lines.go
+++ b/internal/backend/lines.go
@@ -20,7 +20,7 @@
 	size     int    // of the current event, in bytes
 	afterCR  bool   // the last line ended with CR; an LF that follows belongs to its end
 	reserve  func(n int) error
-	reserved int // bytes for which reserve was called
+	reserved int // event bytes covered by calls of reserve, which gets eventCopies times as many
 }
 
 // smallEventBytes is the size up to which an event is not counted.
--- a/internal/coordinator/suspects.go
+++ b/internal/coordinator/suspects.go
@@ -20,8 +20,9 @@
 	// maxTrial is how long a suspected item keeps its engine to itself, and how long a run without an event counts as a trial.
 	maxTrial = 1500 * time.Millisecond
 	// trialCrashes is the number of servers that ended under an item from which its runs are trials until their first event.
-	// Only a share of the engines, one of enginesPerTrial, is in trials at a time, so that items that crash every engine leave
-	// the others in service.
+	// The runs after scheduling.AloneAfterCrashes are alone and with their pauses last as long as a step, so a sound item
+	// usually gets an answer before the eighth. At most one engine in enginesPerTrial is in a trial at a time, so that items that
+	// crash every engine leave the others in service.
 	trialCrashes    = 8
 	enginesPerTrial = 4
 )
@@ -42,7 +43,7 @@
 	if crashes >= scheduling.AloneAfterCrashes {
 		s.record(events.Event{
 			Name: events.ItemSuspected, Request: t.batch.Items[t.item].ID, Server: api.ServerID(t.engine),
-			Detail: fmt.Sprintf("batch %s, %d runs broke, %d servers were lost; it runs alone after %s, from %d on only while few others like it begin", t.batch.ID, t.crashes, s.lostServers(t, now), pause, trialCrashes),
+			Detail: fmt.Sprintf("batch %s, %d runs broke, %d servers were lost; it runs alone after %s, from %d lost servers on, such runs begin on at most one engine in %d at a time", t.batch.ID, t.crashes, s.lostServers(t, now), pause, trialCrashes, enginesPerTrial),
 		})
 	}
 }
--- a/internal/rollout/bodies.go
+++ b/internal/rollout/bodies.go
@@ -103,7 +103,8 @@
 }
 
 // SplitBodies returns a copy of a batch without the bodies of its items, which refer to the upload, and a function that
-// passes the parts of the upload to store, in order. digest returns the content digest of an item.
+// passes the parts of the upload to store, in order. The Data of a part is valid until store returns. digest returns the content
+// digest of an item.
 func (b *Batch) SplitBodies(upload string, digest func(*Item) uint64) (stripped *Batch, forEachPart func(store func(BodyPart) error) error) {
 	c := *b
 	c.Upload, c.Items = upload, make([]Item, len(b.Items))
