The HTTP library gets only whole headers whose lines were counted

Seen: unfinished headers of many lines that came after a whole request, after empty lines or as a trailer ended the process: 89 to 174 MB with limits of 64 and 96 MB. A header that brought a few lines now and then was never cut off.

Cause: the memory of lines was reserved from a guess where a header begins and ends, while the library parsed from its own buffer. Where both disagreed, lines were parsed that nobody had counted.

Now the connection finds the end of each header and body itself. The library gets a header as a whole, after its memory was reserved, and nothing behind it; it sees neither bodies nor chunks nor trailers. There is nothing uncounted left to parse. The time limit of a header runs from its first byte.

Ruled out: counting all line ends in the last 16 kB that were passed on. It needs no framing, but reserves megabytes for ordinary bodies of many lines.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -1,7 +1,7 @@
 package front
 
 import (
-	"bytes"
+	"bufio"
 	"errors"
 	"net"
 	"os"
@@ -21,9 +21,11 @@
 	// answerPartBytes must be read by the caller within answerTimeout.
 	answerPartBytes = 256 << 10
 	answerTimeout   = 30 * time.Second
-	// connectionBytes is the memory of a connection: read and write buffer, request context, stack, a small body. Measured:
-	// docs/design/memory.md.
+	// connectionBytes is the memory of a connection: receive and write buffer, request context, stack, a small header and a small
+	// body, and what the kernel holds for it (docs/design/memory.md).
 	connectionBytes = 32 << 10
+	// receiveBufferBytes is the size of the buffer for data that was received and not yet read.
+	receiveBufferBytes = 4 << 10
 	// smallBodyBytes is the size of the bodies for which a connection keeps a buffer.
 	smallBodyBytes = 4 << 10
 )
@@ -44,6 +46,7 @@
 			return nil, err
 		}
 		c := &conn{Conn: nc, server: l.server}
+		c.in = bufio.NewReaderSize(received{c}, receiveBufferBytes)
 		if c.holder = l.server.opts.Budget.Open(c.drop); c.holder != nil {
 			return c, nil
 		}
@@ -51,25 +54,26 @@
 	}
 }
 
-// conn is a caller's connection. It counts what the connection receives and sends, and bounds the time of a header and of an
-// answer.
+// conn is a caller's connection. The HTTP library reads only headers from it, each as a whole and after its memory was reserved;
+// bodies are read by Server.receive. So nothing is parsed that was not counted, wherever it arrived. The connection also counts
+// what it sends, and bounds the time of a header and of an answer.
 type conn struct {
 	net.Conn
 	server *Server
 	holder *budget.Holder
 
 	// Used by the goroutine that serves the connection.
-	inHeader      bool
-	headerStart   time.Time
-	lastBytes     [2]byte // of the header so far
-	headerLines   int
-	headerBytes   int64     // reserved for the present header
-	headerParts   []int64   // that headerBytes was reserved in
-	answerBytes   int64     // reserved for the present answer
-	body          []byte    // buffer for small bodies
-	bodyBytes     int64     // reserved for the present body
-	documentBytes int64     // reserved for what is parsed from it
-	bodyEnd       time.Time // by which the present body must have arrived; zero outside bodies
+	in            *bufio.Reader // of what was received
+	header        []byte        // the part of the present header that the HTTP library has not read
+	headerBuffer  []byte        // that header was received in
+	headerParts   []int64       // reserved for the present header
+	headerErr     error         // why the present header was refused
+	firstByte     [1]byte       // of the present header
+	answerBytes   int64         // reserved for the present answer
+	body          []byte        // buffer for small bodies
+	bodyBytes     int64         // reserved for the present body
+	documentBytes int64         // reserved for what is parsed from it
+	bodyEnd       time.Time     // by which the present body must have arrived; zero outside bodies
 	windowEnd     time.Time
 	windowBytes   int
 
@@ -99,43 +103,27 @@
 	return err
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It returns parts of the header of the next request.
 func (c *conn) Read(p []byte) (int, error) {
-	switch c.holder.Phase() {
-	case budget.Answering, budget.Running: // the answer to the last request has been sent
-		c.endAnswer()
-		c.holder.SetPhase(budget.Idle)
-	case budget.Receiving:
-		if c.inHeader {
-			if err := c.Conn.SetReadDeadline(c.headerStart.Add(c.server.opts.HeaderTimeout)); err != nil {
-				return 0, err
-			}
-		}
-	}
-	n, err := c.readInTime(p)
-	if n == 0 {
-		return n, err
-	}
-	if c.holder.Phase() == budget.Idle {
-		c.holder.SetPhase(budget.Receiving)
-		c.inHeader, c.headerStart, c.lastBytes, c.headerLines = true, time.Time{}, [2]byte{}, 0
-	} else {
-		c.holder.Transferred(n)
-	}
-	if c.inHeader {
-		end := c.headerEnd(p[:n])
-		c.inHeader = end < 0
-		if c.inHeader {
-			end = n
-			if c.headerStart.IsZero() {
-				c.headerStart = time.Now()
-			}
-		}
-		c.headerLines += bytes.Count(p[:end], []byte{'\n'})
-		if err := c.reserveHeader(c.headerLines, roomWait); err != nil {
+	if len(c.header) == 0 {
+		if err := c.nextHeader(); err != nil {
 			return 0, err
 		}
 	}
+	n := copy(p, c.header)
+	c.header = c.header[n:]
+	return n, nil
+}
+
+// received is the data of a connection as it arrives.
+type received struct{ *conn }
+
+// Read implements io.Reader.
+func (r received) Read(p []byte) (int, error) {
+	n, err := r.readInTime(p)
+	if n > 0 {
+		r.holder.Transferred(n)
+	}
 	return n, err
 }
 
@@ -176,32 +164,6 @@
 	c.answerBytes = 0
 }
 
-// headerEnd returns the length of the part of p that belongs to the header, or -1 if the header does not end in p.
-func (c *conn) headerEnd(p []byte) int {
-	var seam [4]byte // the last two bytes before p and the first two of p
-	copy(seam[:], c.lastBytes[:])
-	n := 2 + copy(seam[2:], p)
-	if emptyLine(seam[:n]) >= 0 {
-		return 0 // the lines were counted, but for the empty one
-	}
-	if i := emptyLine(p); i >= 0 {
-		return i
-	}
-	copy(c.lastBytes[:], seam[n-2:n])
-	if len(p) >= 2 {
-		copy(c.lastBytes[:], p[len(p)-2:])
-	}
-	return -1
-}
-
-// emptyLine returns the index of the line end before the first empty line, or -1 if there is none.
-func emptyLine(p []byte) int {
-	if i := bytes.Index(p, []byte("\n\r\n")); i >= 0 {
-		return i
-	}
-	return bytes.Index(p, []byte("\n\n"))
-}
-
 // Write implements net.Conn. It fails if the caller does not read the next part in time.
 func (c *conn) Write(p []byte) (int, error) {
 	written := 0
--- a/internal/front/receive.go
+++ b/internal/front/receive.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"net/http/httputil"
 	"strconv"
 	"time"
 
@@ -14,11 +15,6 @@
 )
 
 const (
-	// ordinaryLines is the number of header lines whose memory is part of connectionBytes.
-	ordinaryLines = 32
-	// lineBytes is the memory of a header line beyond its bytes: the parsed entry of the HTTP library, which doubles its list as it
-	// grows, the strings of the name and the value, and the same again in the request that is sent to a server.
-	lineBytes = 512
 	// objectBytes and elementBytes are the memory of an object and of an element or member in a JSON document, beyond its bytes.
 	objectBytes  = 512
 	elementBytes = 64
@@ -71,16 +67,11 @@
 	if !ok {
 		return true // not accepted by Serve
 	}
-	c.inHeader = false
-	var err error
-	if s.declaresLargeBody(&ctx.Request.Header) {
-		err = fasthttp.ErrBodyTooLarge
-	} else {
-		err = c.reserveHeader(bytes.Count(ctx.Request.Header.RawHeaders(), []byte{'\n'}), 0)
-	}
-	if err == nil && ctx.Request.IsBodyStream() {
+	length, err := bodyLength(ctx.Request.Header.RawHeaders())
+	if err == nil && length != 0 {
+		ctx.Request.Header.SetContentLength(length) // that hideBody hid
 		var body []byte
-		if body, err = s.readBody(ctx, c); err == nil {
+		if body, err = s.readBody(c, length); err == nil {
 			ctx.Request.SetBodyRaw(body)
 		}
 	}
@@ -111,99 +102,44 @@
 	ctx.SetConnectionClose()
 }
 
-// skipLargeBody keeps the HTTP library from waiting for the first byte of a body that is too large, so that receive refuses the
-// request at once.
-func (s *Server) skipLargeBody(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
-	if h.ContentLength() > s.opts.MaxBodyBytes {
-		h.SetContentLength(0)
-	}
-	return fasthttp.RequestConfig{}
-}
-
-// declaresLargeBody reports whether skipLargeBody changed the length of the request.
-func (s *Server) declaresLargeBody(h *fasthttp.RequestHeader) bool {
-	const name = "content-length:"
-	if h.ContentLength() != 0 {
-		return false
-	}
-	for line := range bytes.Lines(h.RawHeaders()) {
-		if !hasHeaderField(line, name) {
-			continue
-		}
-		length, err := strconv.ParseUint(string(bytes.TrimSpace(line[len(name):])), 10, 64)
-		return err == nil && length > uint64(s.opts.MaxBodyBytes)
-	}
-	return false
-}
-
-// reserveHeader reserves memory for the lines of the present header until releaseHeader. The HTTP library parses also a header
-// that is not complete, so Read calls it before it passes the lines on. Lines that came together with an earlier request are
-// counted when the request is served.
-func (c *conn) reserveHeader(lines int, wait time.Duration) error {
-	if lines <= ordinaryLines {
-		return nil
-	}
-	n := int64(lines)*lineBytes + int64(c.server.opts.MaxHeaderBytes)
-	if n <= c.headerBytes {
-		return nil
-	}
-	if !c.holder.Reserve(n-c.headerBytes, wait) {
-		return errNoRoom
-	}
-	c.headerParts = append(c.headerParts, n-c.headerBytes)
-	c.headerBytes = n
-	return nil
-}
-
-// releaseHeader frees a header with many lines, whose memory the HTTP library would keep for further requests.
-func (c *conn) releaseHeader(ctx *fasthttp.RequestCtx) {
-	c.headerLines = 0
-	if c.headerBytes == 0 {
-		return
-	}
-	ctx.Response.SkipBody = ctx.Response.SkipBody || ctx.IsHead() // the library looks at the method once more
-	ctx.Request.Header = fasthttp.RequestHeader{}
-	for _, n := range c.headerParts {
-		c.holder.Release(n)
-	}
-	c.headerBytes, c.headerParts = 0, nil
-}
-
 // readBody reads the body of a request. It reserves the declared length before it reads, and the memory of a chunked body before
 // each growth.
-func (s *Server) readBody(ctx *fasthttp.RequestCtx, c *conn) ([]byte, error) {
-	stream, length := ctx.RequestBodyStream(), ctx.Request.Header.ContentLength()
+func (s *Server) readBody(c *conn, length int) ([]byte, error) {
 	if length > s.opts.MaxBodyBytes {
 		return nil, fasthttp.ErrBodyTooLarge
 	}
-	if length >= 0 && length <= smallBodyBytes {
-		if cap(c.body) < length {
+	c.beginBody(s.opts.ReadTimeout)
+	defer c.endBody()
+	if length == chunkedLength {
+		return s.readChunks(c)
+	}
+	if length <= smallBodyBytes {
+		if c.body == nil {
 			c.body = make([]byte, smallBodyBytes)
 		}
-		_, err := io.ReadFull(stream, c.body[:length]) // all of it was received with the header
+		_, err := io.ReadFull(c.in, c.body[:length])
 		return c.body[:length], truncated(err)
 	}
-	size := length
-	if length < 0 {
-		size = firstBufferBytes
-	}
-	if err := s.reserveBody(c, int64(size)); err != nil {
+	if err := s.reserveBody(c, int64(length)); err != nil {
 		return nil, err
 	}
-	c.beginBody(s.opts.ReadTimeout)
-	defer c.endBody()
-	body := make([]byte, size)
-	if length >= 0 {
-		_, err := io.ReadFull(stream, body)
-		return body, truncated(err)
+	body := make([]byte, length)
+	_, err := io.ReadFull(c.in, body)
+	return body, truncated(err)
+}
+
+// readChunks reads a chunked body and its trailer.
+func (s *Server) readChunks(c *conn) ([]byte, error) {
+	if err := s.reserveBody(c, firstBufferBytes); err != nil {
+		return nil, err
 	}
-	n := 0
+	body, n, chunks := make([]byte, firstBufferBytes), 0, httputil.NewChunkedReader(c.in)
 	for {
-		m, err := stream.Read(body[n:])
+		m, err := chunks.Read(body[n:])
 		n += m
 		switch {
 		case errors.Is(err, io.EOF):
-			return body[:n], nil
+			return body[:n], c.skipTrailer()
 		case err != nil:
 			return nil, err
 		case n > s.opts.MaxBodyBytes:
@@ -217,13 +153,6 @@
 	}
 }
 
-func truncated(err error) error {
-	if errors.Is(err, io.EOF) {
-		return io.ErrUnexpectedEOF
-	}
-	return err
-}
-
 // reserveBody reserves n bytes for a body.
 func (s *Server) reserveBody(c *conn, n int64) error {
 	if !s.opts.Budget.Fits(n) {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"bytes"
 	"cmp"
 	"context"
 	"errors"
@@ -9,7 +8,6 @@
 	"io"
 	"net"
 	"runtime/debug"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -123,9 +121,10 @@
 	s.http = &fasthttp.Server{
 		Handler: s.handle, ErrorHandler: s.answerReadError, Logger: discardLogger{},
 		ReadBufferSize: opts.MaxHeaderBytes, Concurrency: maxConnections,
-		// receive reads the bodies after it has reserved their memory. The library reads one byte before it calls the handler.
-		StreamRequestBody: true, MaxRequestBodySize: 1, HeaderReceived: s.skipLargeBody,
-		ReadTimeout: opts.ReadTimeout, IdleTimeout: opts.IdleTimeout, WriteTimeout: writeTimeout,
+		HeaderReceived: hideBody,
+		// The read buffer, which has the size of the largest header, is given back when the header has been parsed.
+		ReduceMemoryUsage: true,
+		ReadTimeout:       opts.ReadTimeout, IdleTimeout: opts.IdleTimeout, WriteTimeout: writeTimeout,
 		// A parsed form could not be passed on unchanged.
 		DisablePreParseMultipartForm: true,
 		NoDefaultServerHeader:        true, TCPKeepalive: true, SecureErrorLogMessage: true, CloseOnShutdown: true,
@@ -144,11 +143,6 @@
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	defer s.recoverPanic(ctx)
-	if err := checkMessageFraming(ctx); err != nil {
-		s.refuse(ctx, err, true)
-		ctx.SetConnectionClose()
-		return
-	}
 	if !s.receive(ctx) {
 		return
 	}
@@ -170,7 +164,6 @@
 		return // a streamed answer holds no more than its buffers, and its handler still uses the request
 	}
 	c.releaseHeader(ctx)
-	c.endAnswer() // of an earlier request that came together with this one
 	if n := int64(len(ctx.Response.Body())); n > smallBodyBytes {
 		if !c.holder.Reserve(n, roomWait) {
 			c.holder.SetPhase(budget.Answering)
@@ -188,7 +181,6 @@
 func StreamAnswer(ctx *fasthttp.RequestCtx, body io.Reader, length, buffer int) error {
 	if c, ok := ctx.Conn().(*conn); ok {
 		c.releaseBody()
-		c.endAnswer() // of an earlier request that came together with this one
 		if !c.holder.Reserve(int64(buffer), roomWait) {
 			return errNoRoom
 		}
@@ -252,32 +244,6 @@
 	s.beginAnswer(ctx)
 }
 
-// checkMessageFraming refuses a request with both Content-Length and Transfer-Encoding: another proxy may place
-// the boundary between two requests elsewhere, which permits request smuggling.
-func checkMessageFraming(ctx *fasthttp.RequestCtx) error {
-	raw := ctx.Request.Header.RawHeaders()
-	if hasHeaderField(raw, "content-length:") && hasHeaderField(raw, "transfer-encoding:") {
-		return errs.New(errs.InvalidArgument, "send one of them", "request has both Content-Length and Transfer-Encoding")
-	}
-	return nil
-}
-
-// hasHeaderField reports whether a line begins with the prefix, in any letter case. It allocates nothing, because it runs for each
-// request.
-func hasHeaderField(raw []byte, prefix string) bool {
-	for len(raw) >= len(prefix) {
-		if raw[0]|0x20 == prefix[0] && strings.EqualFold(string(raw[:len(prefix)]), prefix) {
-			return true
-		}
-		end := bytes.IndexByte(raw, '\n')
-		if end < 0 {
-			return false
-		}
-		raw = raw[end+1:]
-	}
-	return false
-}
-
 // answerReadError answers a request that the HTTP library could not read.
 func (s *Server) answerReadError(ctx *fasthttp.RequestCtx, err error) {
 	c, ok := ctx.Conn().(*conn)
@@ -292,17 +258,14 @@
 }
 
 func (s *Server) describeReadError(err error) error {
-	var smallBuffer *fasthttp.ErrSmallBuffer
 	var timeout net.Error
 	switch {
-	case errors.As(err, &smallBuffer):
-		return errs.New(errs.PayloadTooLarge, "send shorter headers", "request header exceeds %d bytes", s.opts.MaxHeaderBytes)
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		return errs.New(errs.PayloadTooLarge, "send a shorter body", "request body exceeds %d bytes", s.opts.MaxBodyBytes)
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return errs.New(errs.InvalidArgument, "send the whole request faster", "request was not received within %s", s.opts.ReadTimeout)
 	}
-	return errs.New(errs.InvalidArgument, "send a well-formed HTTP/1.1 request", "request is malformed")
+	return errMalformed
 }
 
 // refuse answers and counts a request that was not served. The outcome of the call is unknown, because earlier
