Probes and metrics count towards the budget for callers

Seen: 1,000 unfinished headers at the listener of the metrics took 208 MB of 64; 1,000 connections that send nothing, there or at the listener of the probes, took 1,006 sockets of 600.

Cause: both listeners had HTTP servers of their own, without a limit and outside the budget.

All HTTP listeners now use the same server and budget. Those for probes and metrics have a share of 32 connections each, whose memory is reserved at the start, so that neither they nor the callers can take the place of the other.

New: TestSharesAreApart.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -62,14 +62,14 @@
 
 // Budget is what a process may hold for its callers.
 type Budget struct {
-	opts Options
-	bulk int64 // limit of the reservations above SmallBytes
+	opts   Options
+	bulk   int64  // limit of the reservations above SmallBytes
+	common *Share // of the connections that belong to no other share
 
 	mu       sync.Mutex
 	used     int64
 	bulkUsed int64
 	holders  map[*Holder]struct{}
-	closing  int           // holders that were dropped and are not closed yet
 	changed  chan struct{} // closed when room is given back; nil without waiters
 	refused  map[Reason]int64
 	dropped  map[Reason]int64
@@ -84,14 +84,46 @@
 		start := time.Now()
 		o.Now = func() time.Duration { return time.Since(start) }
 	}
-	return &Budget{
+	b := &Budget{
 		opts: o, bulk: int64(bulkShare * float64(o.Bytes)), holders: map[*Holder]struct{}{}, refused: map[Reason]int64{}, dropped: map[Reason]int64{},
 	}
+	b.common = &Share{budget: b, connections: o.Connections}
+	return b
+}
+
+// Share is the part of the connections that one listener has for itself, so that the connections of another one cannot take its
+// place.
+type Share struct {
+	budget      *Budget
+	connections int  // limit; 0 means none
+	setAside    bool // the memory of all connections was reserved when the share was created
+
+	// Guarded by budget.mu.
+	open    int
+	closing int // connections that were dropped and are not closed yet
+}
+
+// Open adds a connection to the common share.
+func (b *Budget) Open(drop func(Reason)) *Holder { return b.common.Open(drop) }
+
+// Common returns the share of the connections that Options.Connections limits.
+func (b *Budget) Common() *Share { return b.common }
+
+// NewShare returns a share of the given number of further connections.
+func (b *Budget) NewShare(connections int) *Share { return &Share{budget: b, connections: connections} }
+
+// NewReservedShare is NewShare, but the memory of the connections is reserved at once, so that a new one never waits for it.
+func (b *Budget) NewReservedShare(connections int) *Share {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.used += int64(connections) * b.opts.ConnectionBytes
+	return &Share{budget: b, connections: connections, setAside: true}
 }
 
 // Holder is the part of the budget that one connection holds.
 type Holder struct {
 	budget   *Budget
+	share    *Share // nil for Borrow
 	drop     func(Reason)
 	phase    atomic.Int32
 	progress atomic.Int64 // time of the last progress, in nanoseconds
@@ -103,30 +135,35 @@
 	waiting          bool // in Reserve
 }
 
-// Open adds a connection. If there is no room, it drops the connection that has made no progress for the longest time. drop must
-// close the connection without blocking; it may be called from any goroutine, at most once. Open returns nil if there is no room.
-func (b *Budget) Open(drop func(Reason)) *Holder {
-	h := &Holder{budget: b, drop: drop}
+// Open adds a connection. If there is no room, it drops the connection that has made no progress for the longest time; without room
+// in the share, only one of the share. drop must close the connection without blocking; it may be called from any goroutine, at most
+// once. Open returns nil if there is no room.
+func (s *Share) Open(drop func(Reason)) *Holder {
+	b := s.budget
+	h := &Holder{budget: b, share: s, drop: drop}
 	h.progress.Store(int64(b.opts.Now()))
 	b.mu.Lock()
+	var victim *Holder
 	var reason Reason
 	switch {
-	case b.opts.Connections > 0 && len(b.holders)-b.closing >= b.opts.Connections:
+	case s.connections > 0 && s.open-s.closing >= s.connections:
 		reason = Connections
-	case b.opts.Bytes > 0 && b.used+b.opts.ConnectionBytes > b.opts.Bytes:
+		victim = b.dropOldest(0, reason, func(h *Holder) bool { return h.share == s })
+	case !s.setAside && b.opts.Bytes > 0 && b.used+b.opts.ConnectionBytes > b.opts.Bytes:
 		reason = Memory
+		victim = b.dropOldest(0, reason, (*Holder).holdsMemory)
 	}
-	var victim *Holder
-	if reason != "" {
-		if victim = b.dropOldest(0, false, reason); victim == nil {
-			b.refused[reason]++
-			b.mu.Unlock()
-			return nil
-		}
+	if reason != "" && victim == nil {
+		b.refused[reason]++
+		b.mu.Unlock()
+		return nil
 	}
 	b.holders[h] = struct{}{}
-	h.bytes = b.opts.ConnectionBytes
-	b.used += h.bytes
+	s.open++
+	if !s.setAside {
+		h.bytes = b.opts.ConnectionBytes
+		b.used += h.bytes
+	}
 	b.mu.Unlock()
 	if victim != nil {
 		victim.drop(reason)
@@ -134,6 +171,12 @@
 	return h
 }
 
+// holdsMemory reports whether the end of the connection gives memory back. budget.mu must be held.
+func (h *Holder) holdsMemory() bool { return h.bytes > 0 }
+
+// holdsLargeMemory reports whether the connection holds a reservation above SmallBytes. budget.mu must be held.
+func (h *Holder) holdsLargeMemory() bool { return h.bulkBytes > 0 }
+
 // Borrow reserves n bytes for something that is no connection, such as a request that another VM handed over. The returned
 // function gives them back; it may be called more than once.
 func (b *Budget) Borrow(n int64) (release func(), ok bool) {
@@ -145,18 +188,17 @@
 	return h.Close, true
 }
 
-// dropOldest marks a connection as dropped: of those without progress for at least stall, the one that made its last progress
-// first. Connections that receive or are sent something come before idle ones; those that wait for memory are left out, and if
-// large is set, those that hold no reservation above SmallBytes. It returns nil if there is none. The caller must call the
-// connection's drop function without b.mu, which must be held.
-func (b *Budget) dropOldest(stall time.Duration, large bool, reason Reason) *Holder {
+// dropOldest marks a connection as dropped: of those that qualify and made no progress for at least stall, the one that made its
+// last progress first. Connections that receive or are sent something come before idle ones; those that wait for memory are left
+// out. It returns nil if there is none. The caller must call the connection's drop function without b.mu, which must be held.
+func (b *Budget) dropOldest(stall time.Duration, reason Reason, qualifies func(*Holder) bool) *Holder {
 	now := int64(b.opts.Now())
 	var best *Holder
 	var bestPhase Phase
 	var bestProgress int64
 	for h := range b.holders {
 		phase, progress := h.Phase(), h.progress.Load()
-		if h.waiting || (large && h.bulkBytes == 0) || phase == Running || phase == dropped || now-progress < int64(stall) {
+		if h.waiting || !qualifies(h) || phase == Running || phase == dropped || now-progress < int64(stall) {
 			continue
 		}
 		idle, bestIdle := phase == Idle, bestPhase == Idle
@@ -167,7 +209,7 @@
 	if best == nil || !best.phase.CompareAndSwap(int32(bestPhase), int32(dropped)) {
 		return nil // or it has just made progress
 	}
-	b.closing++
+	best.share.closing++
 	b.dropped[reason]++
 	return best
 }
@@ -201,7 +243,11 @@
 			return true
 		}
 		h.waiting = true
-		victim := b.dropOldest(b.opts.Stall, n > SmallBytes && b.bulkUsed+n > b.bulk, Memory)
+		qualifies := (*Holder).holdsMemory
+		if n > SmallBytes && b.bulkUsed+n > b.bulk {
+			qualifies = (*Holder).holdsLargeMemory
+		}
+		victim := b.dropOldest(b.opts.Stall, Memory, qualifies)
 		if wait <= 0 {
 			h.waiting = false
 			b.refused[Memory]++
@@ -288,8 +334,11 @@
 		return
 	}
 	h.closed = true
-	if h.Dropped() {
-		b.closing--
+	if h.share != nil {
+		h.share.open--
+		if h.Dropped() {
+			h.share.closing--
+		}
 	}
 	b.used -= h.bytes
 	b.bulkUsed -= h.bulkBytes
@@ -336,7 +385,7 @@
 	phase := h.phase.Load()
 	ok := !h.closed && Phase(phase) != Running && Phase(phase) != dropped && h.phase.CompareAndSwap(phase, int32(dropped))
 	if ok {
-		b.closing++
+		h.share.closing++
 		b.dropped[r]++
 	}
 	b.mu.Unlock()
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -111,8 +111,33 @@
 		for h := range held {
 			h.Close()
 		}
-		if s := b.Stats(); s.Bytes != 0 || s.Connections != 0 || b.bulkUsed != 0 || b.closing != 0 {
-			t.Fatalf("left: %+v, %d large, %d closing", s, b.bulkUsed, b.closing)
+		if s := b.Stats(); s.Bytes != 0 || s.Connections != 0 || b.bulkUsed != 0 || b.common.closing != 0 || b.common.open != 0 {
+			t.Fatalf("left: %+v, %d large, %d closing", s, b.bulkUsed, b.common.closing)
 		}
 	})
 }
+
+// Guards against a listener whose connections take the place of another one's, or that waits for memory that was reserved for it.
+func TestSharesAreApart(t *testing.T) {
+	b, c := newTestBudget(40, 2)
+	probes := b.NewReservedShare(2) // 20 bytes
+	dropped := map[string]int{}
+	open := func(s *Share, name string) *Holder {
+		c.now++
+		return s.Open(func(Reason) { dropped[name]++ })
+	}
+	for range 2 {
+		open(b.Common(), "callers").SetPhase(Running)
+	}
+	if open(b.Common(), "callers") != nil {
+		t.Error("more connections than the common share has")
+	}
+	for range 3 {
+		if open(probes, "probes") == nil {
+			t.Error("no room in the share of the probes")
+		}
+	}
+	if dropped["probes"] != 1 || dropped["callers"] != 0 || b.Stats().Bytes != 40 {
+		t.Errorf("dropped %v, %+v", dropped, b.Stats())
+	}
+}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -47,7 +47,7 @@
 		}
 		c := &conn{Conn: nc, server: l.server}
 		c.in = bufio.NewReaderSize(received{c}, receiveBufferBytes)
-		if c.holder = l.server.opts.Budget.Open(c.drop); c.holder != nil {
+		if c.holder = l.server.opts.Share.Open(c.drop); c.holder != nil {
 			return c, nil
 		}
 		reset(nc)
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -7,11 +7,14 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
 
 	"filbertledge/internal/api"
 	"filbertledge/internal/budget"
@@ -30,10 +33,13 @@
 const (
 	MaxBodyBytes          = 4 << 20
 	defaultMaxHeaderBytes = 16 << 10
-	// probeHeaderBytes bounds the header of a request on the listener of ServeProbes.
-	probeHeaderBytes   = 2 << 10
-	defaultReadTimeout = 30 * time.Second
-	defaultIdleTimeout = 75 * time.Second
+	// smallRequestBytes bounds the header and the body of a request on a listener for probes or metrics, and
+	// auxiliaryConnections its connections.
+	smallRequestBytes      = 4 << 10
+	auxiliaryConnections   = 32
+	auxiliaryHeaderTimeout = 5 * time.Second
+	defaultReadTimeout     = 30 * time.Second
+	defaultIdleTimeout     = 75 * time.Second
 	// writeTimeout exceeds the longest deadline of a request, because it also covers streamed responses.
 	writeTimeout = 11 * time.Minute
 	// maxConnections bounds the memory that slow callers can occupy.
@@ -79,7 +85,9 @@
 	IdleTimeout    time.Duration
 	HeaderTimeout  time.Duration
 	// Budget bounds what the connections hold. Nil means a budget that bounds only their number.
-	Budget  *budget.Budget
+	Budget *budget.Budget
+	// Share is the part of the budget's connections that the listeners of this server use; nil means Budget.Common.
+	Share   *budget.Share
 	Metrics *metrics.Metrics
 	Events  *events.Recorder
 }
@@ -95,6 +103,9 @@
 	if o.Budget == nil {
 		o.Budget = NewBudget(0, 0)
 	}
+	if o.Share == nil {
+		o.Share = o.Budget.Common()
+	}
 	return o
 }
 
@@ -218,16 +229,33 @@
 
 // ServeProbes answers only the probes of the load balancer, on a listener of their own, until ln is closed.
 func (s *Server) ServeProbes(ln net.Listener) error {
-	probes := &fasthttp.Server{
-		Handler: func(ctx *fasthttp.RequestCtx) {
-			if !s.answerProbe(ctx) {
-				WriteError(ctx, errs.New(errs.NotFound, "check the path", "path is not served"))
-			}
-		},
-		Logger: discardLogger{}, ReadBufferSize: probeHeaderBytes, ReadTimeout: s.opts.ReadTimeout, IdleTimeout: s.opts.IdleTimeout,
-		NoDefaultServerHeader: true,
+	o := auxiliaryOptions(s.opts.Budget, s.answerProbe)
+	o.HeaderTimeout, o.ReadTimeout, o.IdleTimeout = s.opts.HeaderTimeout, s.opts.ReadTimeout, s.opts.IdleTimeout
+	return New(o).Serve(ln)
+}
+
+// ServeMetrics answers requests for path with h, one at a time, until ln is closed. Its connections count towards the budget.
+func ServeMetrics(ln net.Listener, path string, h http.Handler, b *budget.Budget) error {
+	answer := fasthttpadaptor.NewFastHTTPHandler(h)
+	var mu sync.Mutex // an answer takes much more memory than its request
+	return New(auxiliaryOptions(b, func(ctx *fasthttp.RequestCtx) bool {
+		if string(ctx.Path()) != path {
+			return false
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		answer(ctx)
+		return true
+	})).Serve(ln)
+}
+
+// auxiliaryOptions returns the options of a server for a listener beside the one for requests. It has connections of its own, so
+// that a crowd at one listener leaves room at the others.
+func auxiliaryOptions(b *budget.Budget, h Handler) Options {
+	return Options{
+		Handlers: []Handler{h}, DisableProbes: true, MaxHeaderBytes: smallRequestBytes, MaxBodyBytes: smallRequestBytes, HeaderTimeout: auxiliaryHeaderTimeout,
+		Budget: b, Share: b.NewReservedShare(auxiliaryConnections),
 	}
-	return probes.Serve(ln)
 }
 
 // recoverPanic keeps a panic in one request from ending the process.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -6,7 +6,6 @@
 	"context"
 	"math"
 	"net"
-	"net/http"
 	"os"
 	"runtime/debug"
 	"sync"
@@ -17,6 +16,7 @@
 
 	"filbertledge/internal/api"
 	"filbertledge/internal/backend"
+	"filbertledge/internal/budget"
 	"filbertledge/internal/caller"
 	"filbertledge/internal/config"
 	"filbertledge/internal/control"
@@ -34,8 +34,7 @@
 const (
 	// releaseTimeout bounds the wait for the control leader while a draining VM releases its groups and its shares of the
 	// rows' in-flight limits.
-	releaseTimeout       = 5 * time.Second
-	metricsHeaderTimeout = 5 * time.Second
+	releaseTimeout = 5 * time.Second
 	// heapPerCallerMemory is the memory limit of the Go runtime in relation to limits.caller_memory, and minHeap its lower bound.
 	// The limit makes the garbage collector run before the heap has doubled while callers hold all that they may.
 	heapPerCallerMemory = 2
@@ -60,6 +59,7 @@
 	counters   *transport.Counters
 	internal   *transport.Server
 	client     *transport.Client
+	callers    *budget.Budget // of all listeners for HTTP
 	control    *control.RemoteClient
 	registry   *membership.Registry
 	backend    *backend.Client
@@ -192,8 +192,8 @@
 	if debug.SetMemoryLimit(-1) == math.MaxInt64 { // GOMEMLIMIT is not set
 		debug.SetMemoryLimit(max(heapPerCallerMemory*int64(vm.cfg.Limits.CallerMemory), minHeap))
 	}
-	callers := front.NewBudget(int64(vm.cfg.Limits.CallerMemory), 0)
-	if err := vm.metrics.ObserveBudget(callers); err != nil {
+	vm.callers = front.NewBudget(int64(vm.cfg.Limits.CallerMemory), 0)
+	if err := vm.metrics.ObserveBudget(vm.callers); err != nil {
 		return errs.Wrap(err, errs.Internal, "report this error", "metrics cannot be set up")
 	}
 	vm.front = front.New(front.Options{
@@ -203,7 +203,7 @@
 			backend.AnnounceHandler(backend.AnnounceOptions{Registry: vm.registry, TokenDigests: tokens, Events: vm.events}),
 		},
 		Ready: vm.hasTable.Load, InFlight: vm.caller.InFlight, DrainLimit: time.Duration(vm.cfg.Limits.Drain),
-		Budget: callers, Metrics: vm.metrics, Events: vm.events,
+		Budget: vm.callers, Metrics: vm.metrics, Events: vm.events,
 	})
 	vm.registerInternalMethods()
 	return nil
@@ -330,13 +330,13 @@
 	}
 }
 
+// serveMetrics serves the metrics until ctx ends.
 func (vm *VM) serveMetrics(ctx context.Context, ln net.Listener) {
-	mux := http.NewServeMux()
-	mux.Handle("/metrics", vm.metrics.Handler())
-	s := &http.Server{Handler: mux, ReadHeaderTimeout: metricsHeaderTimeout}
-	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = ln.Close() }) // the listener is no longer used
 	defer stop()
-	_ = s.Serve(ln) // ends with http.ErrServerClosed
+	if err := front.ServeMetrics(ln, "/metrics", vm.metrics.Handler(), vm.callers); err != nil && ctx.Err() == nil {
+		vm.events.Log().WithError(err).Warn("metrics server failed; metrics are no longer served")
+	}
 }
 
 func listen(key, address string) (net.Listener, error) {
