Connections at the listener for other VMs are limited

Cause: accepted connections had no limit, and the payload of a frame was allocated from its announced size.

Accepted connections count towards the budget with a limit of their own. A new one takes the place of one that has called no method yet; that of a VM is never dropped. A frame above 64 kB is read only if its method exists.

Ruled out: letting the buffer of a frame grow as data arrives. Large frames of VMs would be copied and take twice their size.

New: TestConnectionsOfVMsAreKept, TestLargeFrameNeedsKnownMethod.

--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -12,6 +12,7 @@
 
 	"filbertledge/internal/blobs"
 	"filbertledge/internal/boottime"
+	"filbertledge/internal/budget"
 	"filbertledge/internal/errs"
 	"filbertledge/internal/events"
 	"filbertledge/internal/fleet"
@@ -82,6 +83,8 @@
 	EngineClient EngineClient
 	Exchanger    forward.Exchanger // sends the scorer calls
 	Events       *events.Recorder
+	// Peers limits the connections that other VMs open; nil means no limit.
+	Peers *budget.Share
 	// MemoryLimit is what the process may use, in bytes; 0 means no limit.
 	MemoryLimit int64
 	// DiskLimit is what the data folder may take, in bytes; 0 means unknown.
@@ -125,6 +128,9 @@
 		opts: o, texts: texts, state: rollout.NewState(texts), registry: fleet.NewRegistry(o.AnnounceInterval),
 		client: link.NewClient(), server: link.NewServer(), limits: ratelimit.NewTable(),
 	}
+	if o.Peers != nil {
+		n.server.LimitConnections(o.Peers)
+	}
 	if o.MemoryLimit > 0 {
 		n.server.LimitReplies(int64(repliesFraction * float64(o.MemoryLimit)))
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,6 +56,7 @@
 	Exchanger        forward.Exchanger
 	Prober           forward.Prober
 	PeerAddress      string         // where other VMs reach this one's link; empty if it takes no requests of them
+	Peers            *budget.Share  // of the connections that other VMs open; nil means no limit
 	Budget           *budget.Budget // of what callers hold, which requests of other VMs count towards; nil means no limit
 	Events           *events.Recorder
 	// MinSchema is the lowest schema of a configuration that is used. One of a lower schema, which a leader of an earlier
@@ -250,6 +251,9 @@
 	server.OnMalformedFrame = func(remote string, err error) {
 		g.opts.Events.Log().WithField("remote", remote).WithError(err).Warn("another VM sent a malformed frame")
 	}
+	if g.opts.Peers != nil {
+		server.LimitConnections(g.opts.Peers)
+	}
 	g.handover.serve(server)
 	return server.Serve(ctx, ln)
 }
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -199,7 +199,7 @@
 func newClientConn(nc net.Conn) *clientConn {
 	c := &clientConn{conn: newConn(nc), pending: map[uint64]chan response{}}
 	go c.writeLoop()
-	go func() { _ = c.readLoop(c.receive) }() // the error is not needed: callers are notified through done
+	go func() { _ = c.readLoop(nil, c.receive) }() // the error is not needed: callers are notified through done
 	go c.monitor()
 	return c
 }
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"filbertledge/internal/boottime"
+	"filbertledge/internal/budget"
 	"filbertledge/internal/errs"
 )
 
@@ -29,7 +30,7 @@
 // conn is a network connection with a send queue.
 type conn struct {
 	net.Conn
-	sendQueue        chan frame
+	sendQueue        chan *frame
 	done             chan struct{}
 	closeOnce        sync.Once
 	lastReceived     atomic.Int64 // time since boot of the last received frame, in nanoseconds
@@ -37,10 +38,11 @@
 	queuedBytes      atomic.Int64 // size of the frames in the send queue
 	replyLimit       int64        // bytes; accepted connections only
 	replies          *semaphore.Weighted
+	holder           *budget.Holder // nil if accepted connections have no limit
 }
 
 func newConn(nc net.Conn) *conn {
-	c := &conn{Conn: nc, sendQueue: make(chan frame, maxQueuedFrames), done: make(chan struct{})}
+	c := &conn{Conn: nc, sendQueue: make(chan *frame, maxQueuedFrames), done: make(chan struct{})}
 	c.lastReceived.Store(int64(boottime.Now()))
 	return c
 }
@@ -76,7 +78,7 @@
 		return false
 	}
 	select {
-	case c.sendQueue <- f:
+	case c.sendQueue <- &f:
 		c.queuedSinceCheck.Add(1)
 	default:
 		c.queuedBytes.Add(-size)
@@ -101,7 +103,7 @@
 	for {
 		select {
 		case f := <-c.sendQueue:
-			c.dequeued(f)
+			c.dequeued(*f)
 		default:
 			return
 		}
@@ -112,12 +114,15 @@
 func (c *conn) writeLoop() {
 	defer c.dropQueued()
 	defer c.close()
-	w := bufio.NewWriterSize(c.Conn, bufferBytes)
+	var w *bufio.Writer
 	for {
 		select {
 		case <-c.done:
 			return
 		case f := <-c.sendQueue:
+			if w == nil {
+				w = bufio.NewWriterSize(c.Conn, bufferBytes)
+			}
 			if c.writeQueued(w, f) != nil {
 				return
 			}
@@ -126,13 +131,13 @@
 }
 
 // writeQueued writes f and then the queued frames, and flushes when the queue is empty.
-func (c *conn) writeQueued(w *bufio.Writer, f frame) error {
+func (c *conn) writeQueued(w *bufio.Writer, f *frame) error {
 	for {
 		err := c.SetWriteDeadline(time.Now().Add(writeTimeout))
 		if err == nil {
-			err = writeFrame(w, f)
+			err = writeFrame(w, *f)
 		}
-		c.dequeued(f)
+		c.dequeued(*f)
 		if err != nil {
 			return err
 		}
@@ -144,12 +149,12 @@
 	}
 }
 
-// readLoop passes each received frame to handle, until the connection ends.
-func (c *conn) readLoop(handle func(frame)) error {
+// readLoop passes each received frame to handle, until the connection ends. knows is that of readFrame.
+func (c *conn) readLoop(knows func(method string) bool, handle func(frame)) error {
 	defer c.close()
 	r := bufio.NewReaderSize(c.Conn, bufferBytes)
 	for {
-		f, err := readFrame(r)
+		f, err := readFrame(r, knows)
 		if errs.Is(err, errs.InvalidArgument) {
 			return err
 		}
--- a/internal/link/frame.go
+++ b/internal/link/frame.go
@@ -18,6 +18,9 @@
 // bodies of its items.
 const MaxFrameBytes = 64 << 20
 
+// knownFrameBytes is the size above which a server reads only frames for methods that it has.
+const knownFrameBytes = 64 << 10
+
 // Kinds of frames. The values are part of the wire format.
 const (
 	frameRequest byte = iota + 1
@@ -69,7 +72,9 @@
 	return err
 }
 
-func readFrame(r *bufio.Reader) (frame, error) {
+// readFrame reads the next frame. If knows is not nil, a request or message above knownFrameBytes is accepted only if knows reports
+// its method as known: whoever can connect could otherwise make the process allocate the largest frame.
+func readFrame(r *bufio.Reader, knows func(method string) bool) (frame, error) {
 	var header [frameHeaderBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return frame{}, err
@@ -78,6 +83,15 @@
 	if size == 0 || size > MaxFrameBytes {
 		return frame{}, errs.New(errs.InvalidArgument, "use the same version of filbertledge on both sides", "invalid frame size of %d bytes", size)
 	}
+	if kind := header[kindOffset]; knows != nil && size > knownFrameBytes {
+		method, err := peekMethod(r)
+		if err != nil {
+			return frame{}, err
+		}
+		if (kind != frameRequest && kind != frameOneWay) || !knows(method) {
+			return frame{}, errs.New(errs.InvalidArgument, "use the same version of filbertledge on both sides", "unexpected frame of %d bytes for method %q", size, method)
+		}
+	}
 	payload := make([]byte, size)
 	if _, err := io.ReadFull(r, payload); err != nil {
 		return frame{}, err
@@ -94,3 +108,16 @@
 		body:    payload[1+methodBytes:],
 	}, nil
 }
+
+// peekMethod returns the method of the payload that follows, which stays unread.
+func peekMethod(r *bufio.Reader) (string, error) {
+	length, err := r.Peek(1)
+	if err != nil {
+		return "", err
+	}
+	name, err := r.Peek(1 + int(length[0]))
+	if err != nil {
+		return "", err
+	}
+	return string(name[1:]), nil
+}
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -203,7 +203,7 @@
 		if len(data) >= 4 && data[0] > 0 {
 			return // skip frames of 16 MiB and more, which only cost memory
 		}
-		fr, err := readFrame(newReader(data))
+		fr, err := readFrame(newReader(data), nil)
 		if err == nil && len(fr.method)+len(fr.body)+1 > len(data) {
 			t.Fatal("the frame is longer than its data")
 		}
@@ -231,7 +231,7 @@
 				return
 			}
 			defer nc.Close()
-			if _, err := readFrame(bufio.NewReader(nc)); err == nil {
+			if _, err := readFrame(bufio.NewReader(nc), nil); err == nil {
 				_, _ = nc.Write(whole.Bytes()[:n])
 			}
 		}()
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sync/semaphore"
 
+	"filbertledge/internal/budget"
 	"filbertledge/internal/errs"
 	"filbertledge/internal/transport"
 )
@@ -26,6 +27,8 @@
 	replies    *semaphore.Weighted // room for replies; nil if it has no bound
 	oversize   *semaphore.Weighted // of weight 1, for a reply that is larger than the share of a connection
 
+	connections *budget.Share // nil if accepted connections have no limit
+
 	mu    sync.Mutex
 	conns map[*conn]struct{}
 }
@@ -90,8 +93,34 @@
 		if err != nil {
 			continue // a temporary error, for example a connection reset before it was accepted
 		}
-		go s.serveConn(ctx, s.limitConn(newConn(nc)))
+		if c := s.accept(nc); c != nil {
+			go s.serveConn(ctx, c)
+		}
+	}
+}
+
+// LimitConnections makes accepted connections count towards a share. When it is full, a new connection takes the place of one that
+// has not called any method yet. It must be called before Serve.
+func (s *Server) LimitConnections(share *budget.Share) { s.connections = share }
+
+// accept returns the connection, or nil if there is no room for it.
+func (s *Server) accept(nc net.Conn) *conn {
+	if s.connections == nil {
+		return s.limitConn(newConn(nc))
 	}
+	holder := s.connections.Open(func(budget.Reason) { _ = nc.Close() }) // serveConn then ends
+	if holder == nil {
+		_ = nc.Close() // it was never used
+		return nil
+	}
+	holder.SetPhase(budget.Receiving)
+	c := s.limitConn(newConn(nc))
+	c.holder = holder
+	return c
+}
+
+func (s *Server) knows(method string) bool {
+	return s.handlers[method] != nil || s.oneWay[method] != nil
 }
 
 func (s *Server) closeAll() {
@@ -112,7 +141,15 @@
 		s.mu.Unlock()
 	}()
 	go c.writeLoop()
-	err := c.readLoop(func(f frame) { s.receive(ctx, c, f) })
+	if c.holder != nil {
+		defer c.holder.Close()
+	}
+	err := c.readLoop(s.knows, func(f frame) {
+		if c.holder != nil && s.knows(f.method) {
+			c.holder.SetPhase(budget.Running) // the connection of a VM is never dropped
+		}
+		s.receive(ctx, c, f)
+	})
 	if errs.Is(err, errs.InvalidArgument) && s.OnMalformedFrame != nil {
 		s.OnMalformedFrame(c.RemoteAddr().String(), err)
 	}
