One body of the largest size fits on the smallest machines

Cause: large requests may hold three quarters of 0.35 of the memory together, less than one such body. And what had ended counted as free before it was collected, so that bodies of that size in turn would have exceeded the memory.

While no other connection holds a large request, one may hold a body of the largest size beyond the limit; ordinary requests keep their quarter. Ended reservations above 64 KiB count as used until the garbage collector has run, which it does when a reservation does not fit otherwise.

New: TestEndedReservationsCountUntilCollected.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -46,10 +46,15 @@
 // Options configures a Budget.
 type Options struct {
 	Bytes           int64         // memory in bytes; 0 means no limit
+	LargestBytes    int64         // a connection may hold this much in reservations above SmallBytes, beyond Bytes, if no other has any
 	Connections     int           // number of connections; 0 means no limit
 	ConnectionBytes int64         // memory that every connection holds
 	Stall           time.Duration // zero means DefaultStall
 	Now             func() time.Duration
+	// Collect, if not nil, makes the memory of ended reservations above SmallBytes available again. Until it has been called they
+	// count as used: with a garbage collector, what is not referred to any more still takes memory. It may be called from any
+	// goroutine, one at a time.
+	Collect func()
 }
 
 // Stats are the counters of a Budget.
@@ -69,6 +74,8 @@
 	mu       sync.Mutex
 	used     int64
 	bulkUsed int64
+	garbage  int64 // the part of both that has ended and waits for Options.Collect
+	collects bool  // Options.Collect is running
 	holders  map[*Holder]struct{}
 	changed  chan struct{} // closed when room is given back; nil without waiters
 	refused  map[Reason]int64
@@ -143,13 +150,16 @@
 	h := &Holder{budget: b, share: s, drop: drop}
 	h.progress.Store(int64(b.opts.Now()))
 	b.mu.Lock()
+	if !s.setAside && !b.fits(h, b.opts.ConnectionBytes) {
+		b.collect()
+	}
 	var victim *Holder
 	var reason Reason
 	switch {
 	case s.connections > 0 && s.open-s.closing >= s.connections:
 		reason = Connections
 		victim = b.dropOldest(0, reason, func(h *Holder) bool { return h.share == s })
-	case !s.setAside && b.opts.Bytes > 0 && b.used+b.opts.ConnectionBytes > b.opts.Bytes:
+	case !s.setAside && !b.fits(h, b.opts.ConnectionBytes):
 		reason = Memory
 		victim = b.dropOldest(0, reason, (*Holder).holdsMemory)
 	}
@@ -216,7 +226,7 @@
 
 // Fits reports whether n bytes could be reserved if nothing else were held.
 func (b *Budget) Fits(n int64) bool {
-	return b.opts.Bytes == 0 || n <= b.bulk || n <= min(SmallBytes, b.opts.Bytes)
+	return b.opts.Bytes == 0 || n <= max(b.bulk, b.opts.LargestBytes) || n <= min(SmallBytes, b.opts.Bytes)
 }
 
 // Limited reports whether the memory is bounded.
@@ -236,7 +246,10 @@
 			b.mu.Unlock()
 			return false
 		}
-		if b.fits(n) {
+		if !b.fits(h, n) {
+			b.collect()
+		}
+		if b.fits(h, n) {
 			b.add(h, n)
 			h.waiting = false
 			b.mu.Unlock()
@@ -279,12 +292,19 @@
 	}
 }
 
-// fits reports whether n more bytes can be reserved. b.mu must be held.
-func (b *Budget) fits(n int64) bool {
+// fits reports whether h can reserve n more bytes. b.mu must be held.
+func (b *Budget) fits(h *Holder, n int64) bool {
 	if b.opts.Bytes == 0 {
 		return true
 	}
-	return b.used+n <= b.opts.Bytes && (n <= SmallBytes || b.bulkUsed+n <= b.bulk)
+	small, bulk := b.used-b.bulkUsed, b.bulkUsed
+	if n <= SmallBytes {
+		small += n
+	} else if bulk += n; bulk > b.bulk && (bulk > b.opts.LargestBytes || b.bulkUsed > h.bulkBytes) {
+		return false
+	}
+	// What the largest request takes beyond the limit of large reservations is no part of Bytes.
+	return small+min(bulk, b.bulk) <= b.opts.Bytes
 }
 
 // add charges n bytes to h. b.mu must be held.
@@ -309,11 +329,39 @@
 		return // Close has given back everything
 	}
 	h.bytes -= n
-	b.used -= n
 	if n > SmallBytes {
 		h.bulkBytes -= n
-		b.bulkUsed -= n
+		b.endBulk(n)
+		n = 0
+	}
+	b.used -= n
+	b.signal()
+}
+
+// endBulk ends reservations above SmallBytes. b.mu must be held.
+func (b *Budget) endBulk(n int64) {
+	if b.opts.Collect != nil && b.opts.Bytes > 0 {
+		b.garbage += n
+		return
 	}
+	b.used -= n
+	b.bulkUsed -= n
+}
+
+// collect makes the memory of ended reservations available. b.mu must be held; it is released meanwhile.
+func (b *Budget) collect() {
+	if b.garbage == 0 || b.collects {
+		return
+	}
+	n := b.garbage
+	b.collects = true
+	b.mu.Unlock()
+	b.opts.Collect()
+	b.mu.Lock()
+	b.collects = false
+	b.garbage -= n
+	b.used -= n
+	b.bulkUsed -= n
 	b.signal()
 }
 
@@ -340,8 +388,8 @@
 			h.share.closing--
 		}
 	}
-	b.used -= h.bytes
-	b.bulkUsed -= h.bulkBytes
+	b.used -= h.bytes - h.bulkBytes
+	b.endBulk(h.bulkBytes)
 	delete(b.holders, h)
 	b.signal()
 }
@@ -398,7 +446,7 @@
 func (b *Budget) Stats() Stats {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := Stats{Bytes: b.used, LimitBytes: b.opts.Bytes, Connections: len(b.holders), Refused: map[Reason]int64{}, Dropped: map[Reason]int64{}}
+	s := Stats{Bytes: b.used - b.garbage, LimitBytes: b.opts.Bytes, Connections: len(b.holders), Refused: map[Reason]int64{}, Dropped: map[Reason]int64{}}
 	for r, n := range b.refused {
 		s.Refused[r] = n
 	}
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -141,3 +141,29 @@
 		t.Errorf("dropped %v, %+v", dropped, b.Stats())
 	}
 }
+
+// Guards against a body that gets the memory of one that has ended while that is not collected, and against a connection that is
+// dropped although collecting gives room.
+func TestEndedReservationsCountUntilCollected(t *testing.T) {
+	collections := 0
+	b := New(Options{Bytes: 8 * SmallBytes, LargestBytes: 7 * SmallBytes, Collect: func() { collections++ }})
+	first, second := b.Open(func(Reason) {}), b.Open(func(Reason) { t.Error("dropped") })
+	for i := range 3 {
+		if !first.Reserve(7*SmallBytes, 0) || collections != i {
+			t.Fatalf("round %d: %d collections, %+v", i, collections, b.Stats())
+		}
+		if second.Reserve(2*SmallBytes, 0) {
+			t.Fatal("room for a large reservation beside the largest")
+		}
+		if !second.Reserve(SmallBytes, 0) {
+			t.Fatal("no room for a small reservation beside the largest")
+		}
+		second.Release(SmallBytes)
+		first.Release(7 * SmallBytes)
+	}
+	first.Close()
+	second.Close()
+	if s := b.Stats(); s.Bytes != 0 || b.used != b.garbage {
+		t.Errorf("left: %+v, %d used, %d garbage", s, b.used, b.garbage)
+	}
+}
--- a/internal/front/receive.go
+++ b/internal/front/receive.go
@@ -32,7 +32,7 @@
 
 var errNoRoom = errs.New(errs.Unavailable, "send the request again", "this VM has no memory for the request at the moment")
 
-// releaseBody gives back the memory of the present body.
+// releaseBody gives back the memory of the present body, to which nothing may refer any more.
 func (c *conn) releaseBody() {
 	c.holder.Release(c.bodyBytes)
 	c.holder.Release(c.documentBytes)
@@ -83,6 +83,7 @@
 		return false
 	}
 	c.holder.SetPhase(budget.Answering)
+	ctx.Request.ResetBody()
 	c.releaseBody()
 	c.releaseHeader(ctx)
 	s.refuseUnread(ctx, err)
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -112,10 +112,24 @@
 // NewBudget returns a budget of memory bytes for at most the given number of connections. Zero means no limit of the memory, and
 // as many connections as the HTTP server has.
 func NewBudget(bytes int64, connections int) *budget.Budget {
+	return budget.New(budgetOptions(bytes, connections))
+}
+
+// NewBudgetFor is NewBudget with room for one request body of largestBody bytes at a time, beyond the memory bytes.
+func NewBudgetFor(bytes int64, connections, largestBody int) *budget.Budget {
+	o := budgetOptions(bytes, connections)
+	o.LargestBytes = LargestRequestBytes(largestBody)
+	return budget.New(o)
+}
+
+// LargestRequestBytes returns the memory of a request body of the given size. A chunked one is copied to its last buffer.
+func LargestRequestBytes(largestBody int) int64 { return int64(largestBody) + 1 + largeBufferBytes }
+
+func budgetOptions(bytes int64, connections int) budget.Options {
 	if connections == 0 {
 		connections = maxConnections
 	}
-	return budget.New(budget.Options{Bytes: bytes, Connections: min(connections, maxConnections), ConnectionBytes: connectionBytes})
+	return budget.Options{Bytes: bytes, Connections: min(connections, maxConnections), ConnectionBytes: connectionBytes, Collect: debug.FreeOSMemory}
 }
 
 // Server is the HTTP server of a VM for callers, trainers, backend servers and the load balancer.
@@ -169,6 +183,7 @@
 func (s *Server) beginAnswer(ctx *fasthttp.RequestCtx) {
 	c, ok := ctx.Conn().(*conn)
 	if ok {
+		ctx.Request.ResetBody()
 		c.releaseBody()
 	}
 	if !ok || ctx.Response.IsBodyStream() {
@@ -191,6 +206,7 @@
 // kind errs.Unavailable if there is no room for the buffer.
 func StreamAnswer(ctx *fasthttp.RequestCtx, body io.Reader, length, buffer int) error {
 	if c, ok := ctx.Conn().(*conn); ok {
+		ctx.Request.ResetBody()
 		c.releaseBody()
 		if !c.holder.Reserve(int64(buffer), roomWait) {
 			return errNoRoom
