Connections to servers have a limit, and idle ones end

Seen: 1,000 callers with whole small requests brought an entry VM to 758 to 962 sockets of 600; after fifty crowds 1,600 of 400 were open, and connections to servers stayed open.

Cause: each running request opens a connection to a server, without a limit. Idle ones were closed only when the next request for the same server looked for one.

At its limit the client closes the connection that was idle for the longest time for a new one; if none is idle, the request waits up to the time of a dial and then fails as not sent. Idle connections are closed when their time has passed.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/semaphore"
 
 	"filbertledge/internal/api"
 	"filbertledge/internal/errs"
@@ -47,6 +48,9 @@
 	KeepAlive net.KeepAliveConfig
 	// AcceptCloseDelimitedBody accepts bodies without a length that end with the orderly close of the connection.
 	AcceptCloseDelimitedBody bool
+	// MaxConnections limits the open connections, idle ones included; 0 means no limit. At the limit, the connection that was idle
+	// for the longest time is closed for a new one; if none is idle, the request waits up to DialTimeout for one.
+	MaxConnections int
 	// MaxBufferedBytes limits what the bodies and events hold that are being read at the same time, in bytes; 0 means no limit.
 	// It keeps servers that send bytes without end from exhausting the memory.
 	MaxBufferedBytes int64
@@ -70,6 +74,10 @@
 	}
 	c := &Client{opts: opts, buffers: newBuffers(opts.MaxBufferedBytes), dialer: net.Dialer{Timeout: opts.DialTimeout, KeepAliveConfig: opts.KeepAlive}}
 	c.pool.idle = map[poolKey][]*conn{}
+	c.pool.idleTimeout = opts.IdleTimeout
+	if opts.MaxConnections > 0 {
+		c.pool.slots = semaphore.NewWeighted(int64(opts.MaxConnections))
+	}
 	return c
 }
 
@@ -233,15 +241,24 @@
 func (c *Client) connect(ctx context.Context, to destination) (*conn, error) {
 	key := poolKey{addr: to.addr, named: to.attempt != ""}
 	if !to.fresh {
-		if cn := c.pool.get(key, to.attempt, c.opts.IdleTimeout); cn != nil {
+		if cn := c.pool.get(key, to.attempt); cn != nil {
 			return cn, nil
 		}
 	}
+	if err := c.pool.acquireSlot(ctx, c.opts.DialTimeout); err != nil {
+		if ctx.Err() != nil {
+			err = contextError(ctx)
+		}
+		return nil, &Failure{NotSent: true, Err: err}
+	}
 	nc, err := c.dialer.DialContext(ctx, "tcp", to.addr)
 	if err != nil {
+		c.pool.releaseSlot()
 		return nil, dialFailure(ctx, err)
 	}
-	return newConn(nc, key), nil
+	cn := newConn(nc, key)
+	cn.onClose = c.pool.releaseSlot
+	return cn, nil
 }
 
 func dialFailure(ctx context.Context, err error) error {
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -14,6 +15,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/semaphore"
 
 	"filbertledge/internal/errs"
 )
@@ -33,6 +35,8 @@
 	bytesWritten      atomic.Int64 // in the current exchange
 	idleSince         time.Time
 	serverIdleTimeout time.Duration // after which the server closes an idle connection; zero if unknown
+	onClose           func()        // called once; may be nil
+	closeOnce         sync.Once
 }
 
 func newConn(nc net.Conn, key poolKey) *conn {
@@ -42,6 +46,17 @@
 	return c
 }
 
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	err := c.Conn.Close()
+	c.closeOnce.Do(func() {
+		if c.onClose != nil {
+			c.onClose()
+		}
+	})
+	return err
+}
+
 // Write writes p and counts the bytes written.
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
@@ -110,25 +125,115 @@
 	named bool // requests have attempt IDs
 }
 
-// connPool holds the idle connections by key, the most recently used last.
+// connPool holds the idle connections by key, the most recently used last, and counts all connections.
 type connPool struct {
-	mu     sync.Mutex
-	idle   map[poolKey][]*conn
-	closed bool
+	idleTimeout time.Duration       // of connections whose server states none
+	slots       *semaphore.Weighted // one for each connection; nil means no limit
+	waiting     atomic.Int64        // number of requests that wait for a slot
+
+	mu      sync.Mutex
+	idle    map[poolKey][]*conn
+	expires *time.Timer // while there are idle connections; nil otherwise
+	closed  bool
+}
+
+var errNoConnection = errs.New(errs.Unavailable, "resend the request", "all connections to backend servers are in use")
+
+// acquireSlot waits up to the given time until a further connection may be opened.
+func (p *connPool) acquireSlot(ctx context.Context, wait time.Duration) error {
+	if p.slots == nil || p.slots.TryAcquire(1) {
+		return nil
+	}
+	p.closeOldest()
+	p.waiting.Add(1) // so that a connection that becomes idle is closed
+	defer p.waiting.Add(-1)
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	if p.slots.Acquire(ctx, 1) != nil {
+		return errNoConnection
+	}
+	return nil
+}
+
+func (p *connPool) releaseSlot() {
+	if p.slots != nil {
+		p.slots.Release(1)
+	}
+}
+
+// closeOldest closes the connection that has been idle for the longest time, if there is one.
+func (p *connPool) closeOldest() {
+	p.mu.Lock()
+	var oldest *conn
+	for _, list := range p.idle {
+		if oldest == nil || list[0].idleSince.Before(oldest.idleSince) {
+			oldest = list[0]
+		}
+	}
+	if oldest != nil {
+		p.remove(oldest.key, 0)
+	}
+	p.mu.Unlock()
+	if oldest != nil {
+		oldest.Close()
+	}
+}
+
+// remove removes a connection from the idle ones. p.mu must be held.
+func (p *connPool) remove(key poolKey, i int) {
+	if list := p.idle[key]; len(list) == 1 {
+		delete(p.idle, key)
+	} else {
+		p.idle[key] = slices.Delete(list, i, i+1)
+	}
+}
+
+// expired reports whether the server closes the idle connection soon, or has done so.
+func (p *connPool) expired(c *conn) bool {
+	limit := p.idleTimeout
+	if c.serverIdleTimeout > 0 {
+		limit = c.serverIdleTimeout
+	}
+	return time.Since(c.idleSince) >= limit
+}
+
+// closeExpired closes the connections that would not be used any more.
+func (p *connPool) closeExpired() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key, list := range p.idle {
+		kept := slices.DeleteFunc(list, func(c *conn) bool {
+			if !p.expired(c) {
+				return false
+			}
+			c.Close()
+			return true
+		})
+		if len(kept) == 0 {
+			delete(p.idle, key)
+		} else {
+			p.idle[key] = kept
+		}
+	}
+	p.expires = nil
+	p.expireLater()
+}
+
+// expireLater arms the timer of closeExpired. p.mu must be held.
+func (p *connPool) expireLater() {
+	if p.expires == nil && p.idleTimeout > 0 && len(p.idle) > 0 && !p.closed {
+		p.expires = time.AfterFunc(p.idleTimeout, p.closeExpired)
+	}
 }
 
 // get returns an idle connection that has not carried the given attempt, or nil.
-func (p *connPool) get(key poolKey, attempt string, idleTimeout time.Duration) *conn {
+func (p *connPool) get(key poolKey, attempt string) *conn {
 	for {
 		c := p.pop(key, attempt)
 		if c == nil {
 			return nil
 		}
-		limit := idleTimeout
-		if c.serverIdleTimeout > 0 {
-			limit = c.serverIdleTimeout
-		}
-		if time.Since(c.idleSince) < limit && c.alive() {
+		if !p.expired(c) && c.alive() {
 			c.bytesWritten.Store(0)
 			return c
 		}
@@ -144,11 +249,7 @@
 		if c.hasCarried(attempt) {
 			continue
 		}
-		if len(list) == 1 {
-			delete(p.idle, key)
-		} else {
-			p.idle[key] = slices.Delete(list, i, i+1)
-		}
+		p.remove(key, i)
 		return c
 	}
 	return nil
@@ -158,17 +259,21 @@
 	c.idleSince = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || len(p.idle[c.key]) >= maxIdlePerHost {
+	if p.closed || len(p.idle[c.key]) >= maxIdlePerHost || p.waiting.Load() > 0 {
 		c.Close()
 		return
 	}
 	p.idle[c.key] = append(p.idle[c.key], c)
+	p.expireLater()
 }
 
 func (p *connPool) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
+	if p.expires != nil {
+		p.expires.Stop()
+	}
 	for _, list := range p.idle {
 		for _, c := range list {
 			c.Close()
