Connections on which no request has run give way first

At the limit of connections, a crowd of new ones took the place of callers and servers that were idle between two requests: what had just been opened had newer progress.

Connections on which no request has run now give way before all others.

Failed before, passes now: TestConnectionsWithoutRequestGoFirst.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -134,6 +134,7 @@
 	drop     func(Reason)
 	phase    atomic.Int32
 	progress atomic.Int64 // time of the last progress, in nanoseconds
+	served   atomic.Bool  // a request has run on it
 	partial  atomic.Int64 // bytes since then
 
 	// Guarded by budget.mu.
@@ -198,22 +199,22 @@
 	return h.Close, true
 }
 
-// dropOldest marks a connection as dropped: of those that qualify and made no progress for at least stall, the one that made its
-// last progress first. Connections that receive or are sent something come before idle ones; those that wait for memory are left
-// out. It returns nil if there is none. The caller must call the connection's drop function without b.mu, which must be held.
+// dropOldest marks a connection as dropped: of those that qualify and made no progress for at least stall, the one with the lowest
+// dropRank, and among these the one that made its last progress first. Those that wait for memory are left out. It returns nil if
+// there is none. The caller must call the connection's drop function without b.mu, which must be held.
 func (b *Budget) dropOldest(stall time.Duration, reason Reason, qualifies func(*Holder) bool) *Holder {
 	now := int64(b.opts.Now())
 	var best *Holder
 	var bestPhase Phase
+	var bestRank int
 	var bestProgress int64
 	for h := range b.holders {
 		phase, progress := h.Phase(), h.progress.Load()
 		if h.waiting || !qualifies(h) || phase == Running || phase == dropped || now-progress < int64(stall) {
 			continue
 		}
-		idle, bestIdle := phase == Idle, bestPhase == Idle
-		if best == nil || (bestIdle && !idle) || (bestIdle == idle && progress < bestProgress) {
-			best, bestPhase, bestProgress = h, phase, progress
+		if rank := h.dropRank(phase); best == nil || rank < bestRank || (rank == bestRank && progress < bestProgress) {
+			best, bestPhase, bestRank, bestProgress = h, phase, rank, progress
 		}
 	}
 	if best == nil || !best.phase.CompareAndSwap(int32(bestPhase), int32(dropped)) {
@@ -224,6 +225,19 @@
 	return best
 }
 
+// dropRank orders connections that may be dropped. Those on which no request has run go first, as nothing is known of their callers;
+// then those in the middle of a request or an answer, which hold more, before idle ones.
+func (h *Holder) dropRank(phase Phase) int {
+	rank := 0
+	if h.served.Load() {
+		rank = 2
+	}
+	if phase == Idle {
+		rank++
+	}
+	return rank
+}
+
 // Fits reports whether n bytes could be reserved if nothing else were held.
 func (b *Budget) Fits(n int64) bool {
 	return b.opts.Bytes == 0 || n <= max(b.bulk, b.opts.LargestBytes) || n <= min(SmallBytes, b.opts.Bytes)
@@ -409,6 +423,9 @@
 			return false
 		}
 		if h.phase.CompareAndSwap(old, int32(p)) {
+			if p == Running && !h.served.Load() {
+				h.served.Store(true)
+			}
 			return true
 		}
 	}
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -167,3 +167,22 @@
 		t.Errorf("left: %+v, %d used, %d garbage", s, b.used, b.garbage)
 	}
 }
+
+// Guards against a crowd that takes the connections of callers and servers that are idle between two requests.
+func TestConnectionsWithoutRequestGoFirst(t *testing.T) {
+	b, c := newTestBudget(0, 3)
+	served := b.Open(func(Reason) { t.Error("a connection that has served a request was dropped") })
+	for _, p := range []Phase{Receiving, Running, Answering, Idle} {
+		served.SetPhase(p)
+	}
+	for i := range 20 {
+		c.now++
+		h := b.Open(func(Reason) {})
+		if i%2 == 0 {
+			h.SetPhase(Receiving)
+		}
+	}
+	if served.Dropped() {
+		t.Error("dropped")
+	}
+}
--- a/internal/front/receive.go
+++ b/internal/front/receive.go
@@ -23,8 +23,8 @@
 	// refusedRetryAfter is the Retry-After of a request that was refused for want of memory, in seconds.
 	refusedRetryAfter = 1
 	// firstBufferBytes is the size of the first buffer of a chunked body. Each further one is bufferGrowth times as large, up to
-	// largeBufferBytes. The next one has the size of the largest body if that fits: with both held while the content is copied, a
-	// body of 32 MiB fits into the smallest budget of the platform (memory-mb of 134).
+	// largeBufferBytes. The next one has the size of the largest body if that fits, so that no more than largeBufferBytes is held
+	// twice while the content is copied.
 	firstBufferBytes = 16 << 10
 	bufferGrowth     = 4
 	largeBufferBytes = 2 << 20
