A connection that ends during a collection gets no memory; one that becomes idle frees a waiting request

The budget releases its lock while the garbage collector runs; a connection that ended meanwhile still got its reservation, which nobody gave back. A connection to a server that became idle between the search for one and the wait for one stayed open, so that the request waited up to 300 ms.

The state is read again after a collection, and no connection is dropped while one runs. The request counts as waiting before it looks for an idle connection.

Failed before, passes now: TestConnectionEndsDuringCollection. The second fault is not shown by a test.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -144,9 +144,9 @@
 	if p.slots == nil || p.slots.TryAcquire(1) {
 		return nil
 	}
-	p.closeOldest()
-	p.waiting.Add(1) // so that a connection that becomes idle is closed
+	p.waiting.Add(1) // from now on, a connection that becomes idle is closed
 	defer p.waiting.Add(-1)
+	p.closeOldest()
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	if p.slots.Acquire(ctx, 1) != nil {
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -260,8 +260,9 @@
 			b.mu.Unlock()
 			return false
 		}
-		if !b.fits(h, n) {
-			b.collect()
+		if !b.fits(h, n) && b.collect() {
+			b.mu.Unlock()
+			continue // meanwhile the connection may have ended
 		}
 		if b.fits(h, n) {
 			b.add(h, n)
@@ -274,7 +275,10 @@
 		if n > SmallBytes && b.bulkUsed+n > b.bulk {
 			qualifies = (*Holder).holdsLargeMemory
 		}
-		victim := b.dropOldest(b.opts.Stall, Memory, qualifies)
+		var victim *Holder
+		if !b.collects {
+			victim = b.dropOldest(b.opts.Stall, Memory, qualifies)
+		}
 		if wait <= 0 {
 			h.waiting = false
 			b.refused[Memory]++
@@ -362,10 +366,11 @@
 	b.bulkUsed -= n
 }
 
-// collect makes the memory of ended reservations available. b.mu must be held; it is released meanwhile.
-func (b *Budget) collect() {
+// collect makes the memory of ended reservations available. It returns false if there is none, or if another call does so at the
+// moment. b.mu must be held; it is released meanwhile.
+func (b *Budget) collect() bool {
 	if b.garbage == 0 || b.collects {
-		return
+		return false
 	}
 	n := b.garbage
 	b.collects = true
@@ -377,6 +382,7 @@
 	b.used -= n
 	b.bulkUsed -= n
 	b.signal()
+	return true
 }
 
 // signal wakes the waiting reservations. b.mu must be held.
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -186,3 +186,21 @@
 		t.Error("dropped")
 	}
 }
+
+// Guards against a reservation of a connection that ends while the garbage collector runs for it.
+func TestConnectionEndsDuringCollection(t *testing.T) {
+	var h *Holder
+	b := New(Options{Bytes: 8 * SmallBytes, Collect: func() { h.Close() }})
+	other := b.Open(func(Reason) {})
+	h = b.Open(func(Reason) {})
+	if !other.Reserve(5*SmallBytes, 0) {
+		t.Fatal("no room")
+	}
+	other.Close()
+	if h.Reserve(5*SmallBytes, 0) {
+		t.Error("a reservation of a connection that has ended")
+	}
+	if b.used != 0 || b.bulkUsed != 0 {
+		t.Errorf("left: %d, %d large", b.used, b.bulkUsed)
+	}
+}
