A header that fills its limit is refused at once

The change of framing made a header of exactly 16 KiB without an end wait for its time limit instead of getting 413 at once. The connection knows how much of the header has arrived, also of a line that is not complete, and refuses it before it waits for more.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -67,6 +67,8 @@
 	header        []byte        // the part of the present header that the HTTP library has not read
 	headerBuffer  []byte        // that header was received in
 	headerParts   []int64       // reserved for the present header
+	inHeader      bool          // the present header is being received
+	headerBytes   int           // of it that were taken from in
 	headerErr     error         // why the present header was refused
 	firstByte     [1]byte       // of the present header
 	answerBytes   int64         // reserved for the present answer
@@ -121,6 +123,9 @@
 
 // Read implements io.Reader.
 func (r received) Read(p []byte) (int, error) {
+	if err := r.checkHeaderRoom(); err != nil {
+		return 0, err
+	}
 	n, err := r.readInTime(p)
 	if n > 0 {
 		r.holder.Transferred(n)
--- a/internal/front/header.go
+++ b/internal/front/header.go
@@ -65,10 +65,12 @@
 // receiveHeader receives a header up to its empty line, and reserves the memory that parsing it takes.
 func (c *conn) receiveHeader() error {
 	header, fields, lineStart := c.headerBuffer[:0], 0, 0
-	for received := 0; ; {
+	c.inHeader, c.headerBytes = true, 0
+	defer func() { c.inHeader = false }()
+	for {
 		part, err := c.in.ReadSlice('\n')
-		if received += len(part); received > c.server.opts.MaxHeaderBytes {
-			return errs.New(errs.PayloadTooLarge, "send shorter headers", "request header exceeds %d bytes", c.server.opts.MaxHeaderBytes)
+		if c.headerBytes += len(part); c.headerBytes > c.server.opts.MaxHeaderBytes {
+			return c.errLargeHeader()
 		}
 		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
 			return truncated(err)
@@ -102,6 +104,19 @@
 	return nil
 }
 
+// checkHeaderRoom returns an error if the present header is as large as allowed and has not ended, so that it is refused without
+// waiting for more of it.
+func (c *conn) checkHeaderRoom() error {
+	if c.inHeader && c.headerBytes+c.in.Buffered() >= c.server.opts.MaxHeaderBytes {
+		return c.errLargeHeader()
+	}
+	return nil
+}
+
+func (c *conn) errLargeHeader() error {
+	return errs.New(errs.PayloadTooLarge, "send shorter headers", "request header exceeds %d bytes", c.server.opts.MaxHeaderBytes)
+}
+
 func isEmptyLine(line []byte) bool { return string(line) == "\r\n" || string(line) == "\n" }
 
 // appendHeader appends a part of a header. It reserves the memory of a larger buffer before it allocates it.
