Answers with a malformed field line are no answers

Cause: the HTTP library accepts blanks in the names of response fields. It drops those before the colon, keeps those within a name, and joins a line that begins with a blank to the field before it.

Change: all lines of a head are checked before the library reads it, in the one function that reads the heads of all exchanges with servers. A VM refuses malformed fields in an answer that another VM, maybe of an earlier build, passes on.

Ruled out: control bytes in names and in values, which the library refuses already; their cases stay as tests.

Why this works: nothing of a head is used before each of its lines is known to be a field as HTTP defines it, so that the library cannot read one in a way of its own.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -310,7 +310,7 @@
 // readHeader reads the header of the response. It skips interim (1xx) responses.
 func (ex *exchange) readHeader() error {
 	for interim := 0; ; interim++ {
-		status, err := peekStatus(ex.conn.br)
+		status, err := peekHead(ex.conn.br)
 		if err != nil {
 			return err
 		}
--- a/internal/backend/status.go
+++ b/internal/backend/status.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"errors"
 	"io"
-	"net"
 
 	"github.com/valyala/fasthttp"
 
@@ -70,51 +69,3 @@
 	}
 	return nil
 }
-
-// Dial connects for an HTTP client that does not check status lines itself. A response whose status is not a final one, from 200
-// to 599, fails.
-func Dial(addr string) (net.Conn, error) {
-	nc, err := fasthttp.Dial(addr)
-	if err != nil {
-		return nil, err
-	}
-	return &checkedConn{Conn: nc}, nil
-}
-
-// checkedConn checks the status line of each response. A response follows a request; it is not used with pipelining.
-type checkedConn struct {
-	net.Conn
-	line    []byte // first bytes of the present response
-	checked bool
-}
-
-// Write implements net.Conn.
-func (c *checkedConn) Write(p []byte) (int, error) {
-	c.line, c.checked = c.line[:0], false
-	return c.Conn.Write(p)
-}
-
-// Read implements net.Conn.
-func (c *checkedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if c.checked || n == 0 {
-		return n, err
-	}
-	c.line = append(c.line, p[:min(n, len(statusLinePrefix)+1-len(c.line))]...)
-	end := bytes.IndexByte(c.line, '\n')
-	if end < 0 && len(c.line) <= len(statusLinePrefix) {
-		return n, err // the library waits for the rest
-	}
-	if end >= 0 {
-		c.line = c.line[:end]
-	}
-	status, statusErr := parseStatusLine(c.line)
-	if statusErr == nil && status < fasthttp.StatusOK {
-		statusErr = errs.New(errs.BackendFailed, "check the server", "interim response with status %d", status)
-	}
-	if statusErr != nil {
-		return 0, statusErr
-	}
-	c.checked = true
-	return n, err
-}
--- a/internal/backend/status_test.go
+++ b/internal/backend/status_test.go
@@ -49,7 +49,11 @@
 
 // Guards against a response without a valid status that is taken for an answer, as status 000 was for a 200, and against bytes of
 // an interim response that are read as the next response's head.
-func TestResponseWithoutStatusIsNoAnswer(t *testing.T) {
+func TestResponseWithoutStatusIsNoAnswer(t *testing.T) { checkHeads(t, invalidHeads, validHeads) }
+
+// checkHeads checks which responses count as answers whose head begins with the given bytes, at all calls that read responses.
+func checkHeads(t *testing.T, invalid, valid map[string]string) {
+	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
 	rest := fmt.Sprintf("%s: a\r\nContent-Length: 4\r\n\r\nbody", api.HeaderAttemptID)
@@ -73,12 +77,12 @@
 		},
 	}
 	for call, send := range calls {
-		for name, head := range invalidHeads {
+		for name, head := range invalid {
 			if body, err := send(serveOnce(t, head+rest)); err == nil {
 				t.Errorf("%s, %s: answered with %q", call, name, body)
 			}
 		}
-		for name, head := range validHeads {
+		for name, head := range valid {
 			if call == "checked dial" && name == "after interim heads" {
 				continue // it accepts final responses only
 			}
@@ -87,7 +91,7 @@
 			}
 		}
 	}
-	for name, head := range invalidHeads {
+	for name, head := range invalid {
 		if s, err := New(Options{}).Stream(ctx, Request{Address: serveOnce(t, head+rest), Method: "POST", Path: "/", AttemptID: "a"}, 0); err == nil {
 			if _, err := s.Next(); err == nil {
 				t.Errorf("stream, %s: an event was read", name)
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -76,6 +76,11 @@
 	SinceFirstEvent time.Duration `cbor:"10,keyasint,omitempty"`
 }
 
+// isValid reports whether the response in a reply is one of HTTP. An earlier build passes on whatever a server sends.
+func (r *handoverReply) isValid() bool {
+	return backend.IsStatus(r.Status) && !slices.ContainsFunc(r.Headers, func(h handoverHeader) bool { return !backend.IsField(h.Name, h.Value) })
+}
+
 // handoverCancel names a request whose caller has left.
 type handoverCancel struct {
 	VM     string `cbor:"1,keyasint"`
@@ -166,9 +171,8 @@
 		}
 		return nil, reply.Ran, len(reply.Ran) == 0, errs.New(reply.Kind, "call again if the call may be repeated", "VM %s: %s", p.VM, reply.Message)
 	}
-	if !backend.IsStatus(reply.Status) {
-		// An earlier build takes whatever number a server sends.
-		return nil, reply.Ran, false, errs.New(errs.BackendFailed, "call again if the call may be repeated", "VM %s passed on an answer with status %d", p.VM, reply.Status)
+	if !reply.isValid() {
+		return nil, reply.Ran, false, errs.New(errs.BackendFailed, "call again if the call may be repeated", "VM %s passed on a malformed answer with status %d", p.VM, reply.Status)
 	}
 	return &forward.Response{Status: reply.Status, Headers: fromLink(reply.Headers), Body: reply.Body, NotRun: reply.NotRun, Signature: reply.Signature, SinceFirstEvent: reply.SinceFirstEvent}, reply.Ran, false, nil
 }
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -83,3 +83,24 @@
 		t.Errorf("%s was chosen, which has run or refused the request", p.VM)
 	}
 }
+
+// Guards against a malformed answer of a server that a VM of an earlier build passes on.
+func TestMalformedAnswerOfAnotherVMIsRefused(t *testing.T) {
+	for name, tc := range map[string]struct {
+		reply handoverReply
+		valid bool
+	}{
+		"sound":                     {handoverReply{Status: 200, Headers: []handoverHeader{{"X-A", "b\tc"}, {"X-Empty", ""}}}, true},
+		"status 000":                {handoverReply{Status: 0}, false},
+		"blank in a name":           {handoverReply{Status: 200, Headers: []handoverHeader{{"X-A", "b"}, {"X A", "b"}}}, false},
+		"blank at the end of one":   {handoverReply{Status: 200, Headers: []handoverHeader{{"X-A ", "b"}}}, false},
+		"control byte in a name":    {handoverReply{Status: 200, Headers: []handoverHeader{{"X\x01A", "b"}}}, false},
+		"no name":                   {handoverReply{Status: 200, Headers: []handoverHeader{{"", "b"}}}, false},
+		"further field in a value":  {handoverReply{Status: 200, Headers: []handoverHeader{{"X-A", "b\r\nX-B: c"}}}, false},
+		"control byte in a failure": {handoverReply{Status: 500, Headers: []handoverHeader{{"X-A", "\x00"}}}, false},
+	} {
+		if got := tc.reply.isValid(); got != tc.valid {
+			t.Errorf("%s: valid %t", name, got)
+		}
+	}
+}
