Chunks of an HTTP/1.0 response are not its body

Cause: the HTTP library ignores Transfer-Encoding unless the response is of HTTP/1.1. The body then seemed to end with its connection.

Change: the check of a head refuses a response that has the field and is of another version.

Ruled out: Content-Length beside chunks, where the chunks count (RFC 9112, section 6.3), and lengths that are no number, which the library refuses already (tried by hand, not changed).

Why this works: without the field, a response of another version has a length or ends with its connection, as before; with it, nothing says which bytes are the body.

--- a/internal/backend/head.go
+++ b/internal/backend/head.go
@@ -25,6 +25,7 @@
 	if err != nil {
 		return 0, err
 	}
+	hasChunks := bytes.HasPrefix(statusLine, []byte("HTTP/1.1 "))
 	for start := len(statusLine); ; {
 		line, err := peekLine(br, start)
 		if err != nil {
@@ -34,9 +35,14 @@
 		if line = trimLineEnd(line); len(line) == 0 {
 			return status, nil
 		}
-		if err := checkField(line); err != nil {
+		name, err := fieldName(line)
+		if err != nil {
 			return 0, err
 		}
+		// The HTTP library ignores the field in responses of other versions, and chunks would be taken for the body.
+		if !hasChunks && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
+			return 0, errs.New(errs.BackendFailed, "check the backend server", "response has a Transfer-Encoding and is not of HTTP/1.1")
+		}
 	}
 }
 
@@ -68,14 +74,14 @@
 	return bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
 }
 
-// checkField returns an error unless the line is a header field (RFC 9110, section 5): a name of token characters, a colon that
-// follows it at once, and a value without control characters other than tabs.
-func checkField(line []byte) error {
+// fieldName returns the name of the header field in a line, or an error unless the line is one (RFC 9110, section 5): a name of token
+// characters, a colon that follows it at once, and a value without control characters other than tabs.
+func fieldName(line []byte) ([]byte, error) {
 	name, value, found := bytes.Cut(line, []byte(":"))
 	if !found || !IsField(unsafe.String(unsafe.SliceData(name), len(name)), unsafe.String(unsafe.SliceData(value), len(value))) {
-		return errs.New(errs.BackendFailed, "check the backend server", "line %.60q of the response's header is no header field", line)
+		return nil, errs.New(errs.BackendFailed, "check the backend server", "line %.60q of the response's header is no header field", line)
 	}
-	return nil
+	return name, nil
 }
 
 // IsField reports whether a name and a value make a header field of HTTP.
--- a/internal/backend/head_test.go
+++ b/internal/backend/head_test.go
@@ -56,6 +56,18 @@
 	})
 }
 
+// Guards against a response that is taken for an answer though its version of HTTP has no chunks and its body is sent in some.
+func TestChunksOfOtherVersionsAreNoAnswer(t *testing.T) {
+	checkHeads(t, map[string]string{
+		"HTTP/1.0":         "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n",
+		"HTTP/1.2":         "HTTP/1.2 200 OK\r\ntransfer-encoding:chunked\r\n",
+		"other encoding":   "HTTP/1.0 200 OK\r\nTransfer-Encoding: gzip\r\n",
+		"in the last line": "HTTP/1.0 200 OK\r\nX-A: b\r\nTRANSFER-ENCODING: chunked\r\n",
+	}, map[string]string{
+		"HTTP/1.0 with a length": "HTTP/1.0 200 OK\r\nX-Transfer-Encoding: chunked\r\n",
+	})
+}
+
 // Guards against bytes that follow a response and are taken for the next one on its connection.
 func TestBytesBehindResponseAreDropped(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
