The test of bytes behind a response could not fail

Cause: the HTTP library's buffer took all that had been read, so that nothing was left to drop: the test passed with the drop taken out. Change: the test gives the library a buffer of 64 bytes.

--- a/internal/backend/head.go
+++ b/internal/backend/head.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		return 0, err
 	}
-	hasChunks := bytes.HasPrefix(statusLine, []byte("HTTP/1.1 "))
+	allowsChunks := bytes.HasPrefix(statusLine, []byte("HTTP/1.1 "))
 	for start := len(statusLine); ; {
 		line, err := peekLine(br, start)
 		if err != nil {
@@ -40,7 +40,7 @@
 			return 0, err
 		}
 		// The HTTP library ignores the field in responses of other versions, and chunks would be taken for the body.
-		if !hasChunks && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
+		if !allowsChunks && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
 			return 0, errs.New(errs.BackendFailed, "check the backend server", "response has a Transfer-Encoding and is not of HTTP/1.1")
 		}
 	}
@@ -93,7 +93,7 @@
 const checkedHeadBytes = 4 << 10
 
 // Dial connects for an HTTP client that does not check heads itself. A response fails whose status is not a final one, from 200
-// to 599, or whose header has a malformed field.
+// to 599, or whose head is malformed.
 func Dial(addr string) (net.Conn, error) {
 	nc, err := fasthttp.Dial(addr)
 	if err != nil {
--- a/internal/backend/head_test.go
+++ b/internal/backend/head_test.go
@@ -89,7 +89,8 @@
 			fmt.Fprintf(nc, "%sContent-Length: 1\r\n\r\n%d%sContent-Length: 5\r\n\r\nextra", statusOK, i, statusOK)
 		}
 	}()
-	client := &fasthttp.Client{Dial: Dial, MaxIdemponentCallAttempts: 1}
+	// The library's buffer holds one response and a part of what follows it.
+	client := &fasthttp.Client{Dial: Dial, MaxIdemponentCallAttempts: 1, ReadBufferSize: 64}
 	for i := range 3 {
 		if _, body, err := client.GetTimeout(nil, "http://"+ln.Addr().String()+"/", 5*time.Second); err != nil || string(body) != fmt.Sprint(i) {
 			t.Errorf("request %d: got %q, %v", i, body, err)
