--- a/review/_kit3/case_deregister.go
+++ b/review/_kit3/case_deregister.go
@@ -110,39 +110,6 @@
 	if err := d.submit("b1", doc, 3*time.Second); err != nil {
 		return result{}, err
 	}
-	steadyFrom := healedAt.Add(3 * time.Second) // contact-ms
-	stepEnd := submitted.Add(12 * time.Second)
-	// The longest time that an open item was at no server, in steady state and while the servers were under half full.
-	idle, longest := map[string]time.Duration{}, time.Duration(0)
-	worst, listed, last := "", 0, time.Now()
-	for time.Now().Before(stepEnd) {
-		outputs, _, err := d.read(0, "b1", listed)
-		if err == nil {
-			listed += len(outputs)
-		}
-		now := time.Now()
-		for _, id := range ids {
-			g.mu.Lock()
-			done, at := g.done[id], g.running[id] > 0
-			g.mu.Unlock()
-			if done || at || now.Before(steadyFrom) || g.inWork()*2 >= 2*slots {
-				idle[id] = 0
-				continue
-			}
-			if idle[id] += now.Sub(last); idle[id] > longest {
-				longest, worst = idle[id], id
-			}
-		}
-		last = now
-		if listed == len(ids) {
-			break
-		}
-		time.Sleep(50 * time.Millisecond)
-	}
-	g.mu.Lock()
-	begun := len(g.begun)
-	g.mu.Unlock()
-	e.rec.logf("%d of %d items listed, %d had begun, %s after the submission", listed, len(ids), begun, time.Since(submitted).Round(time.Millisecond))
-	broken := listed < len(ids) && begun > 0 && begun < len(ids) && longest >= 5*time.Second
-	return result{broken: broken, detail: fmt.Sprintf("%d of %d items listed, %d begun; longest at no server in steady state: %s (%s)", listed, len(ids), begun, longest.Round(10*time.Millisecond), worst)}, nil
+	// contact-ms after the cut has healed
+	return d.judgeStep(g, "b1", ids, submitted, healedAt.Add(3*time.Second), 2*slots)
 }
--- a/review/_kit3/engine.go
+++ b/review/_kit3/engine.go
@@ -57,6 +57,19 @@
 	return g.running[id] > 0
 }
 
+func (g *engines) isDone(id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.done[id]
+}
+
+// begunItems returns how many items have begun.
+func (g *engines) begunItems() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.begun)
+}
+
 func (g *engines) inWork() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
