--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -3,4 +3,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/filbertledge ] && [ -x target/review3 ] || { echo "build the deploy file and review/build-3.sh first"; exit 2; }
-exec timeout -k 2 118 target/review3 writer target/filbertledge "$here/record.txt"
+exec timeout -k 2 118 target/review3 deregister target/filbertledge "$here/record.txt"
