--- a/review/_kit3/case_recover.go
+++ b/review/_kit3/case_recover.go
@@ -67,11 +67,11 @@
 	const (
 		trainers  = 8
 		items     = 64
-		itemBytes = 96 << 10
+		itemBytes = 128 << 10
 		stepEvery = 4 * time.Second
-		before    = 16 * time.Second
+		before    = 12 * time.Second
 		recoverS  = 12 * time.Second
-		after     = 20 * time.Second
+		after     = 16 * time.Second
 	)
 	payload := base64.StdEncoding.EncodeToString(bytes.Repeat([]byte("p"), itemBytes))
 	begin := time.Now()
