A departure applies to one start of its server

Two servers restarted in place while a zone was cut off.

Cause: a departure named no start of the server. The leader recorded it for the start that it knew when the call came, whatever its age. The logs show server.leaving "deregistered" 3 to 9 s after server.announced of the new start. The same happens with a call that another VM has passed to the leader and that a cut held up, and with one in the socket of a VM that stood still.

Change: a departure names a start on its whole way. The start is the one in the body, or the one announced on the same connection. If there is none, the VM asks the leader for it, goes on only while the sender keeps its connection open (250 ms, in which the end of the connection follows a held-up call), and then passes the departure on for that start. The leader never applies it to a later one. server.leaving says which start was meant and how that is known, over which VM it came, and how old connection and call are; server.departure_void is new. A leader of an older build gets the call as before; a call of an older VM is treated as before.

Why it works: the next start of a server in place begins after the process of the last one has ended, and the end of its connections follows the call on its way. A call between VMs that comes late names a start that has left.

Times of the servers' clocks are not compared with those of the VMs.

--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -33,6 +33,7 @@
 	handleOnLeader(n, MethodItemBody, (*session).body)
 	handleOnLeader(n, MethodEndBatch, (*session).end)
 	handleOnLeader(n, methodAnnounce, (*session).announce)
+	handleOnLeader(n, methodServerStart, (*session).serverStart)
 	handleOnLeader(n, methodDepart, (*session).depart)
 	handleOnLeader(n, methodConfigure, (*session).configure)
 	handleOnLeader(n, methodConfig, (*session).configuration)
@@ -126,12 +127,6 @@
 	return r.Leader, err
 }
 
-// Depart tells the leader that a server leaves or has left.
-func (n *Node) Depart(ctx context.Context, server string) error {
-	_, err := callLeader(ctx, n, methodDepart, (*session).depart, DepartRequest{Server: server})
-	return err
-}
-
 // Configure stores a configuration durably. A version that is not higher than the current one has no effect.
 func (n *Node) Configure(ctx context.Context, c *routes.Configuration) error {
 	_, err := callLeader(ctx, n, methodConfigure, (*session).configure, c)
@@ -391,7 +386,7 @@
 
 func (s *session) announce(ctx context.Context, v fleet.Server) (AnnounceReply, error) {
 	reply := AnnounceReply{Leader: s.node.opts.Address}
-	if err := cmp.Or(v.Validate(), v.ValidateStart(time.Now())); err != nil {
+	if err := cmp.Or(v.Validate(), fleet.ValidateStart(v.ID, v.Incarnation, time.Now())); err != nil {
 		s.node.RecordInvalidAnnouncement(err)
 		return reply, err
 	}
@@ -458,26 +453,6 @@
 	}
 }
 
-func (s *session) depart(ctx context.Context, q DepartRequest) (Empty, error) {
-	if err := fleet.ValidateID(q.Server); err != nil {
-		s.node.RecordInvalidAnnouncement(err)
-		return Empty{}, err
-	}
-	known, found := s.node.registry.Get(q.Server)
-	if !found {
-		// A new leader may not know the server yet. With the current time, the departure applies to every start of the
-		// server so far, so that its further announcements count as leaving.
-		known.Incarnation = time.Now().UnixMilli()
-	}
-	if _, err := s.node.propose(ctx, rollout.Command{Depart: &rollout.ServerIncarnation{Server: q.Server, Incarnation: known.Incarnation}}); err != nil {
-		return Empty{}, err
-	}
-	known.ID = q.Server
-	s.record(events.Event{Name: events.ServerLeaving, Server: serverID(known), Detail: "deregistered"})
-	s.signalServers()
-	return Empty{}, nil
-}
-
 // ReportLeaving tells the leader at address that a server said in a response that it leaves.
 func ReportLeaving(ctx context.Context, c *link.Client, address string, v rollout.ServerIncarnation) error {
 	_, err := link.Call[rollout.ServerIncarnation, Empty](ctx, c, address, MethodLeaving, v)
--- /dev/null
+++ b/internal/coordinator/departures.go
@@ -0,0 +1,160 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"filbertledge/internal/api"
+	"filbertledge/internal/boottime"
+	"filbertledge/internal/errs"
+	"filbertledge/internal/events"
+	"filbertledge/internal/fleet"
+	"filbertledge/internal/rollout"
+)
+
+const (
+	// confirmationTime is how long the sender of a departure that names no start must go on waiting for the answer. If the
+	// departure was held up, the end of its connection follows it within a round trip, or after one retransmission of TCP,
+	// whose shortest timeout is 200 ms. Senders wait for a second.
+	confirmationTime         = 250 * time.Millisecond
+	confirmationPollInterval = 25 * time.Millisecond
+	// maxStartQueries bounds how often the start that a departure means is determined, if the server restarts meanwhile.
+	maxStartQueries = 3
+)
+
+// Departure is a server's message that it leaves, as a VM received it.
+type Departure struct {
+	Server string
+	// Start is the incarnation of the server that the message or its connection names; nil if neither does.
+	Start     *int64
+	Connected time.Time // when the VM accepted the sender's connection
+	Received  time.Time // when the VM read the message
+	// SenderWaits reports whether the sender still waits for the answer.
+	SenderWaits func() bool
+}
+
+// ServerStartRequest asks the leader which incarnation of a server it knows.
+type ServerStartRequest struct {
+	Server string `cbor:"1,keyasint"`
+}
+
+// ServerStartReply is the reply to a ServerStartRequest.
+type ServerStartReply struct {
+	Found       bool  `cbor:"1,keyasint,omitempty"`
+	Incarnation int64 `cbor:"2,keyasint,omitempty"`
+}
+
+// DepartRequest tells the leader that a start of a server leaves or has left. It may be delivered late: it never applies to a later
+// start than the one that it names.
+type DepartRequest struct {
+	Server string `cbor:"1,keyasint"`
+	// HasStart is false in requests of older builds, which name no start. They apply to the start that the leader knows.
+	HasStart    bool  `cbor:"2,keyasint,omitempty"`
+	Incarnation int64 `cbor:"3,keyasint,omitempty"`
+	// Origin tells for the log how the start was determined, and over which VM and connection the departure came.
+	Origin string `cbor:"4,keyasint,omitempty"`
+}
+
+// DepartReply is the reply to a DepartRequest. Older builds reply with no fields.
+type DepartReply struct {
+	// Replaced is true if the leader knows a later start than the named one, which the departure did not change.
+	Replaced bool `cbor:"1,keyasint,omitempty"`
+}
+
+// Depart records that a server leaves or has left. The departure applies to one start of the server: the one that its sender
+// names, or the one that is known while the sender waits for the answer. A departure that was held up on its way, so that its
+// sender has left, names no start that can be told, and changes nothing; its error is of the kind errs.Canceled.
+func (n *Node) Depart(ctx context.Context, d Departure) error {
+	if err := fleet.ValidateID(d.Server); err != nil {
+		n.RecordInvalidAnnouncement(err)
+		return err
+	}
+	origin := func(start string) string {
+		return fmt.Sprintf("start %s, over %s, connected %s ago, received %s ago", start, n.opts.Name, time.Since(d.Connected).Round(time.Millisecond), time.Since(d.Received).Round(time.Millisecond))
+	}
+	if d.Start != nil {
+		_, err := callLeader(ctx, n, methodDepart, (*session).depart, DepartRequest{Server: d.Server, HasStart: true, Incarnation: *d.Start, Origin: origin("named by its sender")})
+		return err
+	}
+	if !d.SenderWaits() {
+		return n.voidDeparture(d, origin("unknown"))
+	}
+	for query := range maxStartQueries {
+		known, err := callLeader(ctx, n, methodServerStart, (*session).serverStart, ServerStartRequest{Server: d.Server})
+		isOlderLeader := errs.Is(err, errs.NotFound) // it does not know the method
+		if err != nil && !isOlderLeader {
+			return err
+		}
+		if query == 0 && !waitWhile(ctx, confirmationTime, d.SenderWaits) {
+			return n.voidDeparture(d, origin(fmt.Sprintf("unknown, the leader knows %d", known.Incarnation)))
+		}
+		q := DepartRequest{Server: d.Server, HasStart: known.Found, Incarnation: known.Incarnation, Origin: origin("known while its sender waited")}
+		reply, err := callLeader(ctx, n, methodDepart, (*session).depart, q)
+		if err != nil || !reply.Replaced {
+			return err
+		}
+		if !d.SenderWaits() {
+			return n.voidDeparture(d, origin(fmt.Sprintf("unknown, later than %d", known.Incarnation)))
+		}
+	}
+	return errs.New(errs.Unavailable, "call again", "server %q restarted during its departure", d.Server)
+}
+
+// waitWhile waits for the given time, and reports whether the condition was true throughout.
+func waitWhile(ctx context.Context, d time.Duration, condition func() bool) bool {
+	for end := boottime.Now() + d; ; {
+		if !condition() || ctx.Err() != nil {
+			return false
+		}
+		left := end - boottime.Now()
+		if left <= 0 {
+			return true
+		}
+		sleep(ctx, min(left, confirmationPollInterval))
+	}
+}
+
+// voidDeparture records that a departure changes nothing because its sender does not wait for the answer.
+func (n *Node) voidDeparture(d Departure, origin string) error {
+	n.opts.Events.Record(events.Event{Name: events.DepartureVoid, Server: api.ServerID(d.Server), Detail: origin})
+	return errs.New(errs.Canceled, "keep the connection open until the answer", "the sender of the departure of server %q does not wait for the answer", d.Server)
+}
+
+// serverStart returns the incarnation of a server that this leader knows.
+func (s *session) serverStart(_ context.Context, q ServerStartRequest) (ServerStartReply, error) {
+	known, found := s.node.registry.Get(q.Server)
+	return ServerStartReply{Found: found, Incarnation: known.Incarnation}, s.checkLeadership()
+}
+
+// depart commits a departure before it is acknowledged.
+func (s *session) depart(ctx context.Context, q DepartRequest) (DepartReply, error) {
+	if err := fleet.ValidateID(q.Server); err != nil {
+		s.node.RecordInvalidAnnouncement(err)
+		return DepartReply{}, err
+	}
+	known, found := s.node.registry.Get(q.Server)
+	if !found {
+		// A new leader may not know the server yet. With the current time, the departure applies to every start of the
+		// server so far, so that its further announcements count as leaving.
+		known.Incarnation = time.Now().UnixMilli()
+	}
+	left := rollout.ServerIncarnation{Server: q.Server, Incarnation: known.Incarnation}
+	if q.HasStart {
+		left.Incarnation = q.Incarnation
+		if err := fleet.ValidateStart(q.Server, q.Incarnation, time.Now()); err != nil {
+			s.node.RecordInvalidAnnouncement(err)
+			return DepartReply{}, err
+		}
+	}
+	if found && known.Incarnation > left.Incarnation {
+		s.record(events.Event{Name: events.DepartureVoid, Server: api.ServerID(q.Server), Detail: fmt.Sprintf("of start %d, which %d has replaced; %s", left.Incarnation, known.Incarnation, q.Origin)})
+		return DepartReply{Replaced: true}, s.checkLeadership()
+	}
+	if _, err := s.node.propose(ctx, rollout.Command{Depart: &left}); err != nil {
+		return DepartReply{}, err
+	}
+	s.record(events.Event{Name: events.ServerLeaving, Server: api.ServerID(q.Server), Detail: fmt.Sprintf("deregistered, start %d; %s", left.Incarnation, q.Origin)})
+	s.signalServers()
+	return DepartReply{}, nil
+}
--- a/internal/coordinator/wire.go
+++ b/internal/coordinator/wire.go
@@ -25,6 +25,7 @@
 	methodJoin        = "raft.join"
 	methodAnnounce    = "server.announce"
 	methodDepart      = "server.depart"
+	methodServerStart = "server.start"
 	methodConfigure   = "config.set"
 	methodConfig      = "config.get"
 	methodPublish     = "weights.publish"
@@ -187,11 +188,6 @@
 	Leader string `cbor:"1,keyasint,omitempty"` // link address
 }
 
-// DepartRequest tells the leader that a server leaves or has left.
-type DepartRequest struct {
-	Server string `cbor:"1,keyasint"`
-}
-
 // ConfigReply holds the newest configuration, with the document as it was submitted.
 type ConfigReply struct {
 	Version  uint64 `cbor:"1,keyasint"`
--- a/internal/fleet/validate.go
+++ b/internal/fleet/validate.go
@@ -59,11 +59,15 @@
 	return nil
 }
 
-// ValidateStart returns an error of the kind errs.InvalidArgument if the server's start is too far ahead of the time now:
-// it would hide all real starts of the server.
-func (s *Server) ValidateStart(now time.Time) error {
-	if latest := now.Add(maxStartLead).UnixMilli(); s.Incarnation > latest {
-		return invalidServer(s, "start time %d is more than %s ahead", s.Incarnation, maxStartLead)
+// ValidateStart returns an error of the kind errs.InvalidArgument if a server cannot have started at the given time in Unix
+// milliseconds: one too far ahead of the time now would hide all real starts of the server.
+func ValidateStart(id string, incarnation int64, now time.Time) error {
+	s := &Server{ID: id, Incarnation: incarnation}
+	if incarnation < 0 {
+		return invalidServer(s, "start time %d is negative", incarnation)
+	}
+	if latest := now.Add(maxStartLead).UnixMilli(); incarnation > latest {
+		return invalidServer(s, "start time %d is more than %s ahead", incarnation, maxStartLead)
 	}
 	return nil
 }
--- a/internal/fleet/validate_test.go
+++ b/internal/fleet/validate_test.go
@@ -47,7 +47,7 @@
 		tc.change(&s)
 		err := s.Validate()
 		if err == nil {
-			err = s.ValidateStart(now)
+			err = ValidateStart(s.ID, s.Incarnation, now)
 		}
 		if (err == nil) != tc.valid || err != nil && !errs.Is(err, errs.InvalidArgument) {
 			t.Errorf("%s: got %v, want valid %t", name, err, tc.valid)
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -9,6 +9,8 @@
 	"syscall"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"filbertledge/internal/budget"
 	"filbertledge/internal/errs"
 	"filbertledge/internal/events"
@@ -79,11 +81,27 @@
 	bodyEnd       time.Time     // by which the present body must have arrived; zero outside bodies
 	windowEnd     time.Time
 	windowBytes   int
+	note          any // set by SetConnectionNote
 
 	mu            sync.Mutex
 	writeDeadline time.Time // for all of an answer
 }
 
+// SetConnectionNote keeps a value for the later requests on the connection of a request.
+func SetConnectionNote(ctx *fasthttp.RequestCtx, note any) {
+	if c, ok := ctx.Conn().(*conn); ok {
+		c.note = note
+	}
+}
+
+// ConnectionNote returns the value that an earlier request on the same connection has set, or nil.
+func ConnectionNote(ctx *fasthttp.RequestCtx) any {
+	if c, ok := ctx.Conn().(*conn); ok {
+		return c.note
+	}
+	return nil
+}
+
 // drop resets the connection. The goroutine that serves it then ends and closes it.
 func (c *conn) drop(r budget.Reason) {
 	reset(c.Conn)
--- a/internal/front/disconnect.go
+++ b/internal/front/disconnect.go
@@ -41,6 +41,17 @@
 	return w.stop
 }
 
+// IsDisconnected reports whether the caller has closed its connection or its sending half. It cannot tell while data of the
+// caller's next request is unread.
+func IsDisconnected(conn net.Conn) bool {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	return err != nil || isDisconnected(raw)
+}
+
 func (w *disconnectWatcher) poll() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
