The departure of a server that no VM knows is refused at once

What callers saw: a server that no VM knew and that deregistered was recorded as departed at the leader's time of day. Every start that its own clock put before that time was left out for good, also one that began afterwards, if the server's clock is behind the leader's or the call came late.

Cause: the leader compared its clock with that of the server (born), because a new leader may not know a server whose announcement was acknowledged: servers were stored in the replicated state after the acknowledgement.

Change: the first announcement of a start is acknowledged once the server is stored, and a later one stores it if that failed. So every leader knows the servers with an acknowledged announcement, and refuses the departure of others with 404 at once, without an entry in the log. A departed start is known from the departures; a repeated departure makes no entry. A server that waits for the configuration of its service is marked where it waits. MarkLeaving with incarnation 0 no longer marks whichever start is known.

The tests that called MarkLeaving with 0 name the start now; TestMarkLeavingIgnoresNewerIncarnation also tries 0.

--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"fmt"
-	"slices"
 	"time"
 
 	"filbertledge/internal/boottime"
@@ -400,20 +399,23 @@
 	v.Leaving = v.Leaving || s.hasDeparted(v)
 	change := s.node.registry.Announce(v, boottime.Now())
 	s.afterAnnouncement(v, change)
+	if err := s.ensureRegistered(ctx, v, change); err != nil {
+		return reply, err
+	}
 	return reply, s.checkLeadership()
 }
 
 // hasDeparted reports whether this start of a server, or a later one, leaves or has left.
 func (s *session) hasDeparted(v fleet.Server) bool {
-	return slices.ContainsFunc(s.node.state.Departures(), func(d rollout.ServerIncarnation) bool {
-		return d.Server == v.ID && d.Incarnation >= v.Incarnation
-	})
+	departed, ok := s.node.state.LastDeparture(v.ID)
+	return ok && departed >= v.Incarnation
 }
 
 // listConfiguredServers lists the servers that waited for the configuration of their service.
 func (s *session) listConfiguredServers() {
 	for _, v := range s.node.registry.ListConfigured(s.hasDeparted) {
 		s.afterAnnouncement(v, fleet.NewIncarnation)
+		go s.registerServer(v)
 	}
 }
 
@@ -437,14 +439,21 @@
 	if change != fleet.NoChange {
 		s.signalServers()
 	}
-	if change == fleet.NewIncarnation {
-		go s.registerServer(v)
-	}
 	s.recordVersions(v)
 }
 
-// registerServer stores a server in the replicated state. If that fails, the next leader learns of the server only from
-// its announcements.
+// ensureRegistered stores an announced server in the replicated state before its announcement is acknowledged, so that every
+// later leader knows which servers have announced themselves.
+func (s *session) ensureRegistered(ctx context.Context, v fleet.Server, change fleet.Change) error {
+	if v.Leaving || change != fleet.NewIncarnation && change != fleet.NoChange || s.node.state.IsRegistered(v.ID, v.Incarnation) {
+		return nil
+	}
+	_, err := s.node.propose(ctx, rollout.Command{Register: &v})
+	return err
+}
+
+// registerServer stores a server in the replicated state. If that fails, the next announcement of a server that is not stored
+// does it, and the next leader learns its weight versions from its announcements.
 func (s *session) registerServer(v fleet.Server) {
 	ctx, cancel := context.WithTimeout(s.ctx, proposeTimeout)
 	defer cancel()
--- a/internal/coordinator/departures.go
+++ b/internal/coordinator/departures.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"time"
@@ -82,8 +83,13 @@
 	}
 	for query := range maxStartQueries {
 		known, err := callLeader(ctx, n, methodServerStart, (*session).serverStart, ServerStartRequest{Server: d.Server})
-		isOlderLeader := errs.Is(err, errs.NotFound) // it does not know the method
-		if err != nil && !isOlderLeader {
+		knowsMethod := !errs.Is(err, errs.NotFound) // a leader of an older build does not
+		if err != nil && knowsMethod {
+			return err
+		}
+		if knowsMethod && !known.Found {
+			err := errUnknownServer(d.Server)
+			n.RecordInvalidAnnouncement(err)
 			return err
 		}
 		if query == 0 && !waitWhile(ctx, confirmationTime, d.SenderWaits) {
@@ -121,10 +127,18 @@
 	return errs.New(errs.Canceled, "keep the connection open until the answer", "the sender of the departure of server %q does not wait for the answer", d.Server)
 }
 
-// serverStart returns the incarnation of a server that this leader knows.
+// knownStart returns the newest incarnation of a server that has announced itself or left.
+func (s *session) knownStart(id string) (incarnation int64, found bool) {
+	if incarnation, found = s.node.registry.FindStart(id); found {
+		return incarnation, true
+	}
+	return s.node.state.LastDeparture(id)
+}
+
+// serverStart answers ServerStartRequest.
 func (s *session) serverStart(_ context.Context, q ServerStartRequest) (ServerStartReply, error) {
-	known, found := s.node.registry.Get(q.Server)
-	return ServerStartReply{Found: found, Incarnation: known.Incarnation}, s.checkLeadership()
+	incarnation, found := s.knownStart(q.Server)
+	return ServerStartReply{Found: found, Incarnation: incarnation}, s.checkLeadership()
 }
 
 // depart commits a departure before it is acknowledged.
@@ -133,13 +147,14 @@
 		s.node.RecordInvalidAnnouncement(err)
 		return DepartReply{}, err
 	}
-	known, found := s.node.registry.Get(q.Server)
+	known, found := s.knownStart(q.Server)
 	if !found {
-		// A new leader may not know the server yet. With the current time, the departure applies to every start of the
-		// server so far, so that its further announcements count as leaving.
-		known.Incarnation = time.Now().UnixMilli()
+		// Every server whose announcement was acknowledged is in the replicated state or was silent for long.
+		err := errUnknownServer(q.Server)
+		s.node.RecordInvalidAnnouncement(err)
+		return DepartReply{}, cmp.Or(s.checkLeadership(), err)
 	}
-	left := rollout.ServerIncarnation{Server: q.Server, Incarnation: known.Incarnation}
+	left := rollout.ServerIncarnation{Server: q.Server, Incarnation: known}
 	if q.HasStart {
 		left.Incarnation = q.Incarnation
 		if err := fleet.ValidateStart(q.Server, q.Incarnation, time.Now()); err != nil {
@@ -147,10 +162,17 @@
 			return DepartReply{}, err
 		}
 	}
-	if found && known.Incarnation > left.Incarnation {
-		s.record(events.Event{Name: events.DepartureVoid, Server: api.ServerID(q.Server), Detail: fmt.Sprintf("of start %d, which %d has replaced; %s", left.Incarnation, known.Incarnation, q.Origin)})
+	if known > left.Incarnation {
+		s.record(events.Event{Name: events.DepartureVoid, Server: api.ServerID(q.Server), Detail: fmt.Sprintf("of start %d, which %d has replaced; %s", left.Incarnation, known, q.Origin)})
 		return DepartReply{Replaced: true}, s.checkLeadership()
 	}
+	// A server that waits for the configuration of its service is not in the replicated state.
+	if _, listed := s.node.registry.Get(q.Server); !listed && s.node.registry.MarkWaitingLeaving(q.Server, left.Incarnation) {
+		return DepartReply{}, s.checkLeadership()
+	}
+	if departed, ok := s.node.state.LastDeparture(q.Server); ok && departed >= left.Incarnation {
+		return DepartReply{}, s.checkLeadership()
+	}
 	if _, err := s.node.propose(ctx, rollout.Command{Depart: &left}); err != nil {
 		return DepartReply{}, err
 	}
@@ -158,3 +180,7 @@
 	s.signalServers()
 	return DepartReply{}, nil
 }
+
+func errUnknownServer(id string) error {
+	return errs.New(errs.NotFound, "announce the server first", "server %q has not announced itself", id)
+}
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -153,13 +153,13 @@
 	return s.Sequence < known.Sequence
 }
 
-// MarkLeaving marks a server as leaving, unless its incarnation is higher than the given one. With incarnation 0
-// the known incarnation is marked. It reports whether that changed anything.
+// MarkLeaving marks a server as leaving, unless its incarnation is higher than the given one. It reports whether that
+// changed anything.
 func (r *Registry) MarkLeaving(id string, incarnation int64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.byID[id]
-	if e == nil || e.server.Leaving || incarnation != 0 && e.server.Incarnation > incarnation {
+	if e == nil || e.server.Leaving || e.server.Incarnation > incarnation {
 		return false
 	}
 	e.server.Leaving = true
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -97,9 +97,11 @@
 func TestMarkLeavingIgnoresNewerIncarnation(t *testing.T) {
 	r := NewRegistry(interval)
 	r.Announce(newServer("s", 20, 1), 0)
-	r.MarkLeaving("s", 10)
-	if s, _ := r.Get("s"); s.Leaving {
-		t.Fatal("leaving of an older incarnation marked the newer one")
+	for _, earlier := range []int64{10, 0} {
+		r.MarkLeaving("s", earlier)
+		if s, _ := r.Get("s"); s.Leaving {
+			t.Fatalf("leaving of incarnation %d marked the newer one", earlier)
+		}
 	}
 }
 
--- a/internal/fleet/waiting.go
+++ b/internal/fleet/waiting.go
@@ -61,6 +61,35 @@
 	return change
 }
 
+// FindStart returns the newest incarnation that a server has announced, whether it is listed or waits.
+func (r *Registry) FindStart(id string) (incarnation int64, found bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.byID[id]; e != nil {
+		return e.server.Incarnation, true
+	}
+	for key, e := range r.waiting {
+		if key.id == id {
+			incarnation, found = max(incarnation, e.server.Incarnation), true
+		}
+	}
+	return incarnation, found
+}
+
+// MarkWaitingLeaving marks a server that waits as leaving, unless its incarnation is higher than the given one. It reports
+// whether such a server waits.
+func (r *Registry) MarkWaitingLeaving(id string, incarnation int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	found := false
+	for key, e := range r.waiting {
+		if key.id == id && e.server.Incarnation <= incarnation {
+			e.server.Leaving, found = true, true
+		}
+	}
+	return found
+}
+
 func (r *Registry) dropLongestSilent() {
 	var oldest waitingKey
 	var lastAnnounced time.Duration
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -130,7 +130,7 @@
 func TestForwardFailsAtOnceWithoutServers(t *testing.T) {
 	g, _ := newForwarder(nil)
 	for _, id := range []string{"s0", "s1", "s2"} {
-		g.opts.Registry.MarkLeaving(id, 0)
+		g.opts.Registry.MarkLeaving(id, 1)
 	}
 	started := time.Now()
 	_, err := g.Forward(context.Background(), &Request{Deadline: started.Add(time.Second)}, &testRoutes[0])
--- a/internal/rollout/servers.go
+++ b/internal/rollout/servers.go
@@ -52,6 +52,26 @@
 	return o
 }
 
+// LastDeparture returns the newest incarnation of a server that is leaving or has left.
+func (s *State) LastDeparture(id string) (incarnation int64, found bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for _, d := range s.departures {
+		if d.Server == id && (!found || d.Incarnation > incarnation) {
+			incarnation, found = d.Incarnation, true
+		}
+	}
+	return incarnation, found
+}
+
+// IsRegistered reports whether this start of a server is registered.
+func (s *State) IsRegistered(id string, incarnation int64) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	v, ok := s.servers[id]
+	return ok && v.Incarnation == incarnation
+}
+
 // Servers returns the registered servers that have neither departed nor expired, ordered by ID.
 func (s *State) Servers() []fleet.Server {
 	s.mu.RLock()
