A departure ends if its server stays ready for a minute

Cause: the mark is final for a start. That is right for late announcements and while a server serves out its time, but nothing ended a mark that was wrong all the same, for example one from a build before this one, or from a call whose sender closed its connection after its last sign of life had been lost on the way.

Change: a server that announces itself as ready for a minute after its departure, without becoming silent, is used again. The leader decides it and commits it as a command (version 3 of the state): no clock is read when the command is applied, and while a member understands less, the mark stays and a warning says so. A count of returns in the server's entry keeps marks in older lists of other VMs from coming back; VMs of older builds keep the mark.

Why a minute: leaving servers go on announcing themselves as ready for seconds, at times many, and then exit; a minute is also the time after which a silent server is removed.

Evidence: TestWrongDepartureEnds (return on all VMs, across two changes of the leader, and a later departure), TestReturnOutranksEarlierMarks, TestReturnEndsDepartures. Before, no command and no path ended the mark.

--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -396,9 +396,13 @@
 			return reply, err
 		}
 	}
+	isReady := !v.Leaving
 	v.Leaving = v.Leaving || s.hasDeparted(v)
 	change := s.node.registry.Announce(v, boottime.Now())
 	s.afterAnnouncement(v, change)
+	if isReady && v.Leaving && change == fleet.NoChange && s.isReadyForLong(v, boottime.Now()) {
+		s.returnServer(ctx, v)
+	}
 	if err := s.ensureRegistered(ctx, v, change); err != nil {
 		return reply, err
 	}
--- a/internal/coordinator/departures.go
+++ b/internal/coordinator/departures.go
@@ -20,6 +20,11 @@
 	// whose shortest timeout is 200 ms. Senders wait for a second.
 	confirmationTime         = 250 * time.Millisecond
 	confirmationPollInterval = 25 * time.Millisecond
+	// departureLifetime is how long a departed server must go on announcing itself as ready until its departure counts as wrong.
+	// A server that leaves may do so for many seconds before it exits.
+	departureLifetime = time.Minute
+	// returnStateVersion is the version of the state from which replicas know Command.Return.
+	returnStateVersion = 3
 	// maxStartQueries bounds how often the start that a departure means is determined, if the server restarts meanwhile.
 	maxStartQueries = 3
 )
@@ -184,3 +189,44 @@
 func errUnknownServer(id string) error {
 	return errs.New(errs.NotFound, "announce the server first", "server %q has not announced itself", id)
 }
+
+// readySince tells how long a departed server has been announcing itself as ready, in boot time.
+type readySince struct {
+	incarnation   int64
+	first, newest time.Duration
+}
+
+// isReadyForLong records that a departed server announced itself as ready, and reports whether it has done so for
+// departureLifetime without becoming silent.
+func (s *session) isReadyForLong(v fleet.Server, now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, known := s.readyAfterDeparture[v.ID]
+	if !known || r.incarnation != v.Incarnation || now-r.newest > fleet.SilentAfter(s.node.opts.AnnounceInterval) {
+		r = readySince{incarnation: v.Incarnation, first: now}
+	}
+	r.newest = now
+	s.readyAfterDeparture[v.ID] = r
+	return now-r.first >= departureLifetime
+}
+
+// returnServer ends a departure that was wrong. While a replica of an earlier build would not know of it, the departure stays.
+func (s *session) returnServer(ctx context.Context, v fleet.Server) {
+	s.mu.Lock()
+	delete(s.readyAfterDeparture, v.ID)
+	s.mu.Unlock()
+	known, found := s.node.registry.Get(v.ID)
+	if !found || known.Incarnation != v.Incarnation {
+		return
+	}
+	known.Leaving, known.Returns = false, known.Returns+1
+	if version := s.membersStateVersion(returnStateVersion); version < returnStateVersion {
+		s.node.opts.Events.Log().WithField("server", v.ID).Warnf("the server announces itself as ready long after its departure; it stays out of use, because a replica understands only version %d of the state", version)
+		return
+	}
+	if _, err := s.node.propose(ctx, rollout.Command{Return: &known, Requires: returnStateVersion}); err != nil {
+		s.node.opts.Events.Log().WithError(err).WithField("server", v.ID).Warn("cannot end the departure of a server that stays ready; it is tried again after the same time")
+		return
+	}
+	s.record(events.Event{Name: events.ServerReturned, Server: serverID(known), Detail: fmt.Sprintf("start %d announced itself as ready for %s after its departure", known.Incarnation, departureLifetime)})
+}
--- a/internal/coordinator/departures_test.go
+++ b/internal/coordinator/departures_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"filbertledge/internal/errs"
 	"filbertledge/internal/fleet"
@@ -40,3 +41,61 @@
 		})
 	}
 }
+
+// Guards against a server that stays out of use until its next start because of a departure that it did not send, and against one
+// that is used again while it serves out its time.
+func TestWrongDepartureEnds(t *testing.T) {
+	const interval = 200 * time.Millisecond // AnnounceInterval of the cluster
+	c := startCluster(t, 3)
+	c.configure(1)
+	v := fleet.Server{ID: "s", Service: testService, Address: "127.0.0.1:1", Incarnation: 1, Sequence: 1, Slots: 1}
+	announce := func(ctx context.Context, n *Node) error {
+		_, err := n.Announce(ctx, v)
+		return err
+	}
+	c.callLeader("the first announcement", announce)
+	c.callLeader("the departure", func(ctx context.Context, n *Node) error {
+		return n.Depart(ctx, Departure{Server: v.ID, SenderWaits: func() bool { return true }})
+	})
+	isUsed := func(i int) bool {
+		known, ok := c.nodes[i].registry.Get(v.ID)
+		return ok && !known.Leaving
+	}
+	s, err := c.nodes[c.leader()].currentSession()
+	if err != nil {
+		t.Fatal(err)
+	}
+	ready := func(from, to time.Duration) (returns bool) {
+		for now := from; now < to; now += interval {
+			returns = s.isReadyForLong(v, now)
+		}
+		return returns
+	}
+	silence := 2 * fleet.SilentAfter(interval)
+	if ready(0, departureLifetime-interval) {
+		t.Error("the departure ended too early")
+	}
+	if ready(departureLifetime+silence, departureLifetime+2*silence) {
+		t.Error("the departure ended after a silence")
+	}
+	if !ready(departureLifetime+2*silence, 2*departureLifetime+2*silence) {
+		t.Error("the departure did not end")
+	}
+	s.returnServer(context.Background(), v)
+	c.waitUntil("the return on all VMs", func() bool { return isUsed(0) && isUsed(1) && isUsed(2) })
+	for range 2 { // the mark stays ended for later leaders and their lists
+		before := c.leader()
+		v.Sequence++
+		c.callLeader("an announcement", announce)
+		if !isUsed(c.leader()) {
+			t.Error("the departure came back")
+		}
+		c.stop(before)
+		c.start(before, false)
+		c.waitUntil("another leader", func() bool { return c.leader() != before })
+	}
+	c.callLeader("another departure", func(ctx context.Context, n *Node) error {
+		return n.Depart(ctx, Departure{Server: v.ID, SenderWaits: func() bool { return true }})
+	})
+	c.waitUntil("the departure on all VMs", func() bool { return !isUsed(0) && !isUsed(1) && !isUsed(2) })
+}
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -352,6 +352,9 @@
 	if c.Depart != nil {
 		n.registry.MarkLeaving(c.Depart.Server, c.Depart.Incarnation)
 	}
+	if c.Return != nil {
+		n.registry.Return(*c.Return)
+	}
 	if s := n.session.Load(); s != nil && o.Changed {
 		s.onApplied(c)
 	}
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -70,6 +70,8 @@
 
 	// reusableTexts holds the texts of unfinished groups of ended batches, by item.
 	reusableTexts map[ownedID]rollout.Partial
+	// readyAfterDeparture holds the departed servers that go on announcing themselves as ready, by ID.
+	readyAfterDeparture map[string]readySince
 }
 
 // batch is a batch that has not ended.
@@ -191,7 +193,8 @@
 		reusableTexts: map[ownedID]rollout.Partial{}, publishedAt: map[string]time.Duration{},
 		serversSignal: make(chan struct{}), results: make(chan rollout.BatchResult, resultQueueSize),
 		schedulerWake: make(chan struct{}, 1), loaderWake: make(chan struct{}, 1), scorerWake: make(chan struct{}, 1),
-		stepWork: map[string]float64{}, unscored: map[*task]bool{}, runningCalls: map[string]int{},
+		readyAfterDeparture: map[string]readySince{},
+		stepWork:            map[string]float64{}, unscored: map[*task]bool{}, runningCalls: map[string]int{},
 	}
 }
 
@@ -403,7 +406,7 @@
 		s.wakeScheduler()
 		s.wakeScorer()
 		s.wakeLoader()
-	case c.Depart != nil:
+	case c.Depart != nil, c.Return != nil:
 		s.signalServers()
 	}
 }
@@ -487,6 +490,7 @@
 		gone = append(gone, rollout.ServerIncarnation{Server: v.ID, Incarnation: v.Incarnation})
 		s.mu.Lock()
 		delete(s.engines, v.ID)
+		delete(s.readyAfterDeparture, v.ID)
 		s.mu.Unlock()
 	}
 	if len(gone) > 0 {
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -82,6 +82,7 @@
 	DependencyRegained    Name = "vm.dependency_regained"      // the leader is reached again
 	AnnouncementStale     Name = "server.announcement_stale"   // older than the announcement that is known
 	AnnouncementInvalid   Name = "server.announcement_invalid" // names no server that can be used
+	ServerReturned        Name = "server.returned"             // its departure was wrong; it is used again
 	DepartureVoid         Name = "server.departure_void"       // its sender no longer waited, so that it may be of an earlier start
 	ServerWaiting         Name = "server.waiting"              // its service is not configured; not used until it is
 	ServerProbed          Name = "server.probed"               // a connection to it broke; whether it still accepts connections
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -52,6 +52,9 @@
 	// KindInterval is the lowest time between two output events of an engine that its leader has measured, in milliseconds.
 	// It is set in the replicated state only, for the next leader; 0 means unknown.
 	KindInterval float64 `cbor:"14,keyasint,omitempty"`
+	// Returns is how often a leading VM has ended the leaving mark of this incarnation, because the server did not leave. Marks
+	// with fewer returns are out of date. Older builds do not send it, and keep a mark for the whole incarnation.
+	Returns uint64 `cbor:"15,keyasint,omitempty"`
 }
 
 // Version returns the announced version of a model, or 0 if the server has not loaded it.
@@ -136,7 +139,10 @@
 	case s.Leaving && !e.server.Leaving:
 		change = StartedLeaving
 	case e.server.Leaving:
-		s.Leaving = true // a leaving server cannot return in the same incarnation
+		s.Leaving = true // announcements do not end the mark; see Return
+	}
+	if change != NewIncarnation {
+		s.Returns = e.server.Returns
 	}
 	if change != NoChange || e != nil && e.isSilent(now, r.interval) {
 		r.revision++
@@ -167,8 +173,32 @@
 	return true
 }
 
-// Merge adds the servers known to another VM. It never replaces an incarnation by an older one and never clears the
-// leaving mark of an incarnation. Servers that cannot be used, which a VM of an older build may list, are left out; it
+// Return ends the leaving mark of a server's incarnation, unless it is known to have been ended as often already. It reports
+// whether that changed anything.
+func (r *Registry) Return(s Server) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.byID[s.ID]
+	if e == nil || e.server.Incarnation != s.Incarnation || e.server.Returns >= s.Returns {
+		return false
+	}
+	e.server.Leaving, e.server.Returns = false, s.Returns
+	r.revision++
+	return true
+}
+
+// mergeMark takes over the leaving mark of the same incarnation as another VM knows it.
+func (s *Server) mergeMark(other Server) {
+	switch {
+	case other.Returns > s.Returns:
+		s.Leaving, s.Returns = other.Leaving, other.Returns
+	case other.Returns == s.Returns:
+		s.Leaving = s.Leaving || other.Leaving
+	}
+}
+
+// Merge adds the servers known to another VM. It never replaces an incarnation by an older one, and clears the
+// leaving mark of an incarnation only if the other VM knows of its return. Servers that cannot be used, which a VM of an older build may list, are left out; it
 // returns why.
 func (r *Registry) Merge(list []Server, now time.Duration) (rejected []error) {
 	r.mu.Lock()
@@ -181,13 +211,17 @@
 		e := r.byID[s.ID]
 		if e != nil && isOlder(s, e.server) {
 			// The other VM may have received fewer announcements of the server but already know that it is leaving.
-			e.server.Leaving = e.server.Leaving || s.Leaving && s.Incarnation == e.server.Incarnation
+			if s.Incarnation == e.server.Incarnation {
+				e.server.mergeMark(s)
+			}
 			continue
 		}
-		s.Leaving = s.Leaving || e != nil && e.server.Incarnation == s.Incarnation && e.server.Leaving
+		if e != nil && e.server.Incarnation == s.Incarnation {
+			s.mergeMark(e.server)
+		}
 		lastAnnounced := now
 		if s.Silent {
-			lastAnnounced = now - silentIntervals*r.interval
+			lastAnnounced = now - SilentAfter(r.interval)
 		}
 		s.Silent = false
 		r.byID[s.ID] = &entry{server: s, lastAnnounced: lastAnnounced}
@@ -252,8 +286,12 @@
 	return out
 }
 
+// SilentAfter returns the time without an announcement after which a server counts as silent, if it announces itself at the
+// given interval.
+func SilentAfter(interval time.Duration) time.Duration { return silentIntervals * interval }
+
 func (e *entry) isSilent(now, interval time.Duration) bool {
-	return now-e.lastAnnounced > silentIntervals*interval
+	return now-e.lastAnnounced > SilentAfter(interval)
 }
 
 // Expire removes and returns the servers that have sent no announcement for expireAfter. It also increments the
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -126,3 +126,38 @@
 		t.Fatalf("leaving of an earlier incarnation marked the new one: %+v", got)
 	}
 }
+
+// Guards against a leaving mark that an out-of-date list restores after the leader has ended it, and against a mark that is lost
+// because it was set again.
+func TestReturnOutranksEarlierMarks(t *testing.T) {
+	leaving, returned := newServer("s", 10, 8), newServer("s", 10, 5)
+	leaving.Leaving, returned.Returns = true, 1
+	left := returned
+	left.Leaving = true
+	for name, tc := range map[string]struct {
+		lists []Server
+		want  bool
+	}{
+		"return":                  {[]Server{leaving, returned}, false},
+		"earlier list":            {[]Server{leaving, returned, leaving}, false},
+		"later departure":         {[]Server{leaving, returned, left}, true},
+		"list before a departure": {[]Server{leaving, left, returned}, true},
+	} {
+		r := NewRegistry(interval)
+		for _, s := range tc.lists {
+			r.Merge([]Server{s}, 0)
+			r.Announce(newServer("s", 10, 9), 0)
+		}
+		if s, _ := r.Get("s"); s.Leaving != tc.want || s.Returns != 1 {
+			t.Errorf("%s: leaving %t after %d returns, want %t", name, s.Leaving, s.Returns, tc.want)
+		}
+	}
+	r := NewRegistry(interval)
+	r.Merge([]Server{leaving}, 0)
+	if !r.Return(returned) || r.Return(returned) {
+		t.Error("a return takes effect once")
+	}
+	if s, _ := r.Get("s"); s.Leaving {
+		t.Error("the mark stayed")
+	}
+}
--- a/internal/rollout/servers.go
+++ b/internal/rollout/servers.go
@@ -26,6 +26,15 @@
 	return Outcome{Changed: true, Found: true}
 }
 
+// returnServer ends the departures of a server up to the present and registers it again. A departure of a later incarnation counts
+// too: earlier builds recorded the time of the departure in place of an incarnation that they did not know.
+func (s *State) returnServer(server fleet.Server) Outcome {
+	s.departures = slices.DeleteFunc(s.departures, func(d ServerIncarnation) bool {
+		return d.Server == server.ID && d.Incarnation >= server.Incarnation
+	})
+	return s.registerServer(server)
+}
+
 // registerServer keeps only the newest incarnation of a server, and only one server for each address.
 func (s *State) registerServer(server fleet.Server) Outcome {
 	if s.servers[server.ID].Incarnation > server.Incarnation || slices.Contains(s.departures, ServerIncarnation{Server: server.ID, Incarnation: server.Incarnation}) {
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -188,6 +188,8 @@
 		return s.endBatch(c.EndBatch)
 	case c.Depart != nil:
 		return s.recordDeparture(*c.Depart)
+	case c.Return != nil:
+		return s.returnServer(*c.Return)
 	case c.Register != nil:
 		return s.registerServer(*c.Register)
 	case len(c.Unregister) > 0:
--- a/internal/rollout/state_test.go
+++ b/internal/rollout/state_test.go
@@ -474,3 +474,22 @@
 		t.Errorf("the limit of a server that is gone is kept: %+v", got)
 	}
 }
+
+// Guards against a wrong departure that stays in the state or its snapshot, and against one that earlier builds recorded with the
+// time of day.
+func TestReturnEndsDepartures(t *testing.T) {
+	for name, departed := range map[string]int64{"of its start": 5, "with a later time": 1000} {
+		s := newState(t)
+		server := fleet.Server{ID: "s", Address: "10.0.0.1:80", Incarnation: 5, Returns: 1}
+		applyCommand(t, s, Command{Register: &fleet.Server{ID: "s", Address: "10.0.0.1:80", Incarnation: 5}})
+		applyCommand(t, s, Command{Depart: &ServerIncarnation{Server: "s", Incarnation: departed}})
+		applyCommand(t, s, Command{Depart: &ServerIncarnation{Server: "other", Incarnation: departed}})
+		applyCommand(t, s, Command{Return: &server, Requires: StateVersion})
+		if _, left := s.LastDeparture("s"); left || !s.IsRegistered("s", 5) {
+			t.Errorf("%s: departed %t, servers %+v", name, left, s.Servers())
+		}
+		if _, left := s.LastDeparture("other"); !left {
+			t.Errorf("%s: the departure of another server ended", name)
+		}
+	}
+}
--- a/internal/rollout/types.go
+++ b/internal/rollout/types.go
@@ -150,14 +150,16 @@
 	// StoreBodies and DropUploads require version 2 of the state.
 	StoreBodies *BodyPart `cbor:"18,keyasint,omitempty"`
 	DropUploads []string  `cbor:"19,keyasint,omitempty"` // IDs of uploads whose batch was not submitted
+	// Return ends the departure of a server that did not leave. It requires version 3 of the state.
+	Return *fleet.Server `cbor:"20,keyasint,omitempty"`
 }
 
 // StateVersion is the highest version of the replicated state that this build understands. A command with a new kind or a
 // new meaning requires a higher one and is proposed only while all members of the group understand it.
 //
 // Version 1 adds the usage of workspaces and the owners of batches. Version 2 adds bodies that are stored apart from their
-// batch.
-const StateVersion = 2
+// batch. Version 3 adds the return of servers that did not leave.
+const StateVersion = 3
 
 // MemberVersion is the version of the state that a member of the replicated group understands.
 type MemberVersion struct {
