link: a call that was given up is not delivered later

A VM passes a call to the leader during a cut, tells its caller after 0.9 s that the outcome is unknown, and 1.2 to 2 s later closes the connection in order. The kernel goes on sending what the connection holds, so the leader runs the call when the cut has healed, seconds after the caller has turned elsewhere.

Change: a call that ends without a response on a connection on which nothing was received since it was sent resets the connection, and so does the check that finds a connection unresponsive. What has not arrived is lost.

Limit: what the kernel of the other VM holds already is still read.

--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -34,6 +34,7 @@
 	done             chan struct{}
 	closeOnce        sync.Once
 	lastReceived     atomic.Int64 // time since boot of the last received frame, in nanoseconds
+	lastQueued       atomic.Int64 // time since boot at which the last frame was queued, in nanoseconds
 	queuedSinceCheck atomic.Int64 // frames queued since the last check by clientConn.monitor
 	queuedBytes      atomic.Int64 // size of the frames in the send queue
 	replyLimit       int64        // bytes; accepted connections only
@@ -54,6 +55,15 @@
 	})
 }
 
+// reset closes the connection so that bytes that were sent and have not arrived are lost. After an orderly close, the kernel would
+// go on sending them, and a call could run long after its caller was told that it failed.
+func (c *conn) reset() {
+	if tc, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tc.SetLinger(0) // fails only if the connection has ended
+	}
+	c.close()
+}
+
 func (c *conn) closed() bool {
 	select {
 	case <-c.done:
@@ -77,6 +87,7 @@
 		c.queuedBytes.Add(-size)
 		return false
 	}
+	c.lastQueued.Store(int64(boottime.Now())) // before the frame is sent, so that a response is received later
 	select {
 	case c.sendQueue <- &f:
 		c.queuedSinceCheck.Add(1)
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -4,8 +4,11 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
+	"io"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -147,6 +150,65 @@
 	}
 }
 
+// Guards against a call that is delivered after its caller was told that it failed, because the kernel went on sending it.
+func TestCallThatWasGivenUpIsNotDelivered(t *testing.T) {
+	const timeout, settle, bodyBytes, window = 900 * time.Millisecond, 1500 * time.Millisecond, 64 << 10, 4 << 10
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	c := newClient(t)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		nc, err := ln.Accept()
+		if err == nil {
+			_ = nc.(*net.TCPConn).SetReadBuffer(window) // most of the call stays with the sender
+		}
+		accepted <- nc
+	}()
+	if _, err := c.Call(ctx, ln.Addr().String(), "echo", make([]byte, bodyBytes)); !errs.Is(err, errs.OutcomeUnknown) {
+		t.Fatalf("call without a response: %v", err)
+	}
+	nc := <-accepted
+	defer nc.Close()
+	time.Sleep(settle) // a connection without any response is closed in this time
+	_ = nc.SetReadDeadline(time.Now().Add(testTimeout))
+	if n, err := io.Copy(io.Discard, nc); n > bodyBytes || !errors.Is(err, syscall.ECONNRESET) {
+		t.Fatalf("got %d bytes and %v, want a part of the call and a reset", n, err)
+	}
+}
+
+// Guards against the end of a connection that works, and of the other calls on it, because one call took too long.
+func TestSlowCallKeepsItsConnection(t *testing.T) {
+	const calls, timeout = 3, 900 * time.Millisecond
+	s := NewServer()
+	s.HandleRaw("hang", func(ctx context.Context, _ []byte) ([]byte, error) {
+		<-ctx.Done()
+		time.Sleep(timeout) // it ends after the caller
+		return nil, ctx.Err()
+	})
+	s.HandleRaw("echo", func(_ context.Context, body []byte) ([]byte, error) { return body, nil })
+	addr, c := startServer(t, s), newClient(t)
+	if _, err := c.Call(testContext(t), addr, "echo", nil); err != nil {
+		t.Fatal(err)
+	}
+	before := c.peer(addr).conn
+	for i := range calls {
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		if _, err := c.Call(ctx, addr, "hang", nil); !errs.Is(err, errs.OutcomeUnknown) {
+			t.Errorf("slow call: %v", err)
+		}
+		cancel()
+		time.Sleep(time.Duration(i) * pingInterval / calls) // another phase of the checks
+		if _, err := c.Call(testContext(t), addr, "echo", nil); err != nil || c.peer(addr).conn != before {
+			t.Errorf("call after a slow one: %v, on the same connection %t", err, c.peer(addr).conn == before)
+		}
+	}
+}
+
 // Guards against a malformed frame that is accepted or not reported.
 func TestMalformedFrameClosesConnection(t *testing.T) {
 	for name, data := range map[string][]byte{
