A retirement that was held up is not carried out

An operator was told that the retirement of a VM had failed and gave it up; the VM was retired all the same, when the cut between the VMs had healed or the VM that had taken the call went on after standing still. The group then has one replica less, though nobody takes the VM away.

Cause: a VM passes the call on whoever still waits, and the leader runs it whenever it arrives. Clocks of two VMs can't be compared.

Change: the VM first asks the leader, whose reply holds its term and its time since boot, and sends both with the request. The leader refuses a request that comes later than the timeout of a call after that, or in another term. With a leader or a VM of an older build, requests go as before.

Looked at and left: configurations, weight versions, ends of batches and submissions. Late, they do what a repeated call does.

--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -61,8 +61,11 @@
 }
 
 func (n *Node) handleLeader(context.Context, Empty) (LeaderReply, error) {
-	_, err := n.currentSession()
+	s, err := n.currentSession()
 	r := LeaderReply{Leader: n.replica.Status().LeaderAddress, Replicas: n.replicas(), IsLeader: err == nil, StateVersion: rollout.StateVersion}
+	if r.IsLeader {
+		r.Term, r.Time = s.term, boottime.Now()
+	}
 	if at := n.lastLeaderAt.Load(); at != 0 {
 		r.WasLeader, r.SinceLeader = true, boottime.Now()-time.Duration(at)
 	}
@@ -144,9 +147,23 @@
 	return err
 }
 
-// Retire starts to remove a VM from the replication group. Errors are of the kinds errs.NotFound and errs.Conflict.
+// Retire starts to remove a VM from the replication group. Errors are of the kinds errs.NotFound and errs.Conflict. A request that is
+// held up on its way to the leader retires nothing: the caller was told that it failed.
 func (n *Node) Retire(ctx context.Context, vm string) error {
-	_, err := callLeader(ctx, n, methodRetire, (*session).retire, RetireRequest{VM: vm})
+	leader, err := callLeader(ctx, n, methodLeader, func(s *session, ctx context.Context, q Empty) (LeaderReply, error) {
+		return s.node.handleLeader(ctx, q)
+	}, Empty{})
+	if err != nil {
+		return err
+	}
+	_, err = callLeader(ctx, n, methodRetire, (*session).retire, RetireRequest{VM: vm, Term: leader.Term, LeaderTime: leader.Time})
+	return err
+}
+
+// RefuseAbandoned records that a call is not carried out, because its caller no longer waits for the answer.
+func (n *Node) RefuseAbandoned(call string) error {
+	err := errs.New(errs.Canceled, "keep the connection open until the answer", "the caller of %q does not wait for the answer", call)
+	n.opts.Events.Record(events.Event{Name: events.RequestCanceled, Detail: err.Error()})
 	return err
 }
 
@@ -544,6 +561,11 @@
 }
 
 func (s *session) retire(ctx context.Context, q RetireRequest) (Empty, error) {
+	if late := boottime.Now() - q.LeaderTime; q.Term != 0 && (q.Term != s.term || late > callTimeout) {
+		err := errs.New(errs.Unavailable, "send the request again", "the request to retire %q arrived %s after the leader of term %d was asked, in term %d", q.VM, late.Round(time.Millisecond), q.Term, s.term)
+		s.record(events.Event{Name: events.RequestRefused, Detail: err.Error()})
+		return Empty{}, err
+	}
 	status := s.node.replica.Status()
 	retired := s.node.state.Retired()
 	remaining, known := 0, false
--- a/internal/coordinator/wire.go
+++ b/internal/coordinator/wire.go
@@ -197,6 +197,10 @@
 // RetireRequest names a VM to retire or, with methodRetired, a VM whose retirement is queried.
 type RetireRequest struct {
 	VM string `cbor:"1,keyasint"`
+	// Term and LeaderTime are those of the LeaderReply that the VM got shortly before, so that the leader can tell whether the
+	// request was held up on its way. Older builds do not send them.
+	Term       uint64        `cbor:"2,keyasint,omitempty"`
+	LeaderTime time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // RetireReply tells whether a retired VM has left the replication group.
@@ -216,6 +220,10 @@
 	// StateVersion is the highest version of the replicated state that the queried process understands. Builds that do not
 	// send it understand version 0.
 	StateVersion uint64 `cbor:"6,keyasint,omitempty"`
+	// Term and Time are the term of the leader and its reading of the time since boot, if IsLeader is set. Older builds do not send
+	// them.
+	Term uint64        `cbor:"7,keyasint,omitempty"`
+	Time time.Duration `cbor:"8,keyasint,omitempty"`
 }
 
 // PeekRequest asks for what a VM knows.
