Departures wait for the next leader, and none outlasts its sender

A departure is passed on again while the leadership changes, as long as its sender may wait: naming its start, it may be repeated. Before, the VM answered at once that no leader is known, and the sender exited without an acknowledgement. A departure whose VM was suspended for longer than its sender waits is void, though the end of its connection may arrive seconds after the VM wakes up.

--- a/internal/coordinator/departures.go
+++ b/internal/coordinator/departures.go
@@ -15,18 +15,19 @@
 )
 
 const (
-	// confirmationTime is how long the sender of a departure that names no start must go on waiting for the answer. If the
+	// confirmationTime is how long the sender of a departure that names no start must keep its connection open. If the
 	// departure was held up, the end of its connection follows it within a round trip, or after one retransmission of TCP,
-	// whose shortest timeout is 200 ms. Senders wait for a second.
-	confirmationTime         = 250 * time.Millisecond
-	confirmationPollInterval = 25 * time.Millisecond
+	// whose shortest timeout is 200 ms.
+	confirmationTime = 250 * time.Millisecond
+	// senderPatience is how long the sender of a departure waits for the answer before it calls another VM.
+	senderPatience = time.Second
+	// departureRetryInterval is the time between two attempts to pass a departure to the leader, as during an election.
+	departureRetryInterval = 50 * time.Millisecond
 	// departureLifetime is how long a departed server must go on announcing itself as ready until its departure counts as wrong.
 	// A server that leaves may do so for many seconds before it exits.
 	departureLifetime = time.Minute
 	// returnStateVersion is the version of the state from which replicas know Command.Return.
 	returnStateVersion = 3
-	// maxStartQueries bounds how often the start that a departure means is determined, if the server restarts meanwhile.
-	maxStartQueries = 3
 )
 
 // Departure is a server's message that it leaves, as a VM received it.
@@ -34,12 +35,23 @@
 	Server string
 	// Start is the incarnation of the server that the message or its connection names; nil if neither does.
 	Start     *int64
-	Connected time.Time // when the VM accepted the sender's connection
-	Received  time.Time // when the VM read the message
-	// SenderWaits reports whether the sender still waits for the answer.
+	Connected time.Time     // when the VM accepted the sender's connection
+	Received  time.Duration // when the VM read the message, in boot time
+	// SenderWaits reports whether the sender keeps its connection open.
 	SenderWaits func() bool
 }
 
+// senderMayWait reports whether the sender may still wait for the answer. After the VM was suspended, the end of the connection
+// may arrive seconds later.
+func (d *Departure) senderMayWait() bool {
+	return boottime.Now()-d.Received < senderPatience && d.SenderWaits()
+}
+
+// describe tells for the log which start a departure means, and over which VM and connection it came.
+func (d *Departure) describe(start, vm string) string {
+	return fmt.Sprintf("start %s, over %s, connected %s ago, received %s ago", start, vm, time.Since(d.Connected).Round(time.Millisecond), (boottime.Now() - d.Received).Round(time.Millisecond))
+}
+
 // ServerStartRequest asks the leader which incarnation of a server it knows.
 type ServerStartRequest struct {
 	Server string `cbor:"1,keyasint"`
@@ -70,65 +82,58 @@
 
 // Depart records that a server leaves or has left. The departure applies to one start of the server: the one that its sender
 // names, or the one that is known while the sender waits for the answer. A departure that was held up on its way, so that its
-// sender has left, names no start that can be told, and changes nothing; its error is of the kind errs.Canceled.
+// sender has left, names no start that can be told, and changes nothing; its error is of the kind errs.Canceled. The error for a
+// server that has not announced itself is of the kind errs.NotFound.
 func (n *Node) Depart(ctx context.Context, d Departure) error {
 	if err := fleet.ValidateID(d.Server); err != nil {
 		n.RecordInvalidAnnouncement(err)
 		return err
 	}
-	origin := func(start string) string {
-		return fmt.Sprintf("start %s, over %s, connected %s ago, received %s ago", start, n.opts.Name, time.Since(d.Connected).Round(time.Millisecond), time.Since(d.Received).Round(time.Millisecond))
-	}
-	if d.Start != nil {
-		_, err := callLeader(ctx, n, methodDepart, (*session).depart, DepartRequest{Server: d.Server, HasStart: true, Incarnation: *d.Start, Origin: origin("named by its sender")})
-		return err
-	}
-	if !d.SenderWaits() {
-		return n.voidDeparture(d, origin("unknown"))
-	}
-	for query := range maxStartQueries {
-		known, err := callLeader(ctx, n, methodServerStart, (*session).serverStart, ServerStartRequest{Server: d.Server})
-		knowsMethod := !errs.Is(err, errs.NotFound) // a leader of an older build does not
-		if err != nil && knowsMethod {
-			return err
-		}
-		if knowsMethod && !known.Found {
-			err := errUnknownServer(d.Server)
-			n.RecordInvalidAnnouncement(err)
-			return err
+	for {
+		if d.Start == nil && !d.senderMayWait() {
+			return n.voidDeparture(&d)
 		}
-		if query == 0 && !waitWhile(ctx, confirmationTime, d.SenderWaits) {
-			return n.voidDeparture(d, origin(fmt.Sprintf("unknown, the leader knows %d", known.Incarnation)))
-		}
-		q := DepartRequest{Server: d.Server, HasStart: known.Found, Incarnation: known.Incarnation, Origin: origin("known while its sender waited")}
-		reply, err := callLeader(ctx, n, methodDepart, (*session).depart, q)
-		if err != nil || !reply.Replaced {
+		err := n.tryDepart(ctx, &d)
+		isTransient := errs.Is(err, errs.NotLeader) || errs.Is(err, errs.Unavailable) || errs.Is(err, errs.OutcomeUnknown)
+		if !isTransient || ctx.Err() != nil {
 			return err
 		}
-		if !d.SenderWaits() {
-			return n.voidDeparture(d, origin(fmt.Sprintf("unknown, later than %d", known.Incarnation)))
-		}
+		sleep(ctx, departureRetryInterval)
 	}
-	return errs.New(errs.Unavailable, "call again", "server %q restarted during its departure", d.Server)
 }
 
-// waitWhile waits for the given time, and reports whether the condition was true throughout.
-func waitWhile(ctx context.Context, d time.Duration, condition func() bool) bool {
-	for end := boottime.Now() + d; ; {
-		if !condition() || ctx.Err() != nil {
-			return false
-		}
-		left := end - boottime.Now()
-		if left <= 0 {
-			return true
-		}
-		sleep(ctx, min(left, confirmationPollInterval))
+// tryDepart passes a departure to the leader once. It may be repeated: the leader applies it to a start only once.
+func (n *Node) tryDepart(ctx context.Context, d *Departure) error {
+	if d.Start != nil {
+		_, err := callLeader(ctx, n, methodDepart, (*session).depart, DepartRequest{Server: d.Server, HasStart: true, Incarnation: *d.Start, Origin: d.describe("named by its sender", n.opts.Name)})
+		return err
+	}
+	known, err := callLeader(ctx, n, methodServerStart, (*session).serverStart, ServerStartRequest{Server: d.Server})
+	isOlderBuild := errs.Is(err, errs.NotFound) // the leader does not know the method
+	switch {
+	case isOlderBuild:
+	case err != nil:
+		return err
+	case !known.Found:
+		err := errUnknownServer(d.Server)
+		n.RecordInvalidAnnouncement(err)
+		return err
+	}
+	sleep(ctx, confirmationTime-(boottime.Now()-d.Received))
+	if !d.senderMayWait() {
+		return n.voidDeparture(d)
+	}
+	q := DepartRequest{Server: d.Server, HasStart: known.Found, Incarnation: known.Incarnation, Origin: d.describe("known while its sender waited", n.opts.Name)}
+	reply, err := callLeader(ctx, n, methodDepart, (*session).depart, q)
+	if err == nil && reply.Replaced {
+		err = errs.New(errs.Unavailable, "call again", "server %q started again during its departure", d.Server)
 	}
+	return err
 }
 
 // voidDeparture records that a departure changes nothing because its sender does not wait for the answer.
-func (n *Node) voidDeparture(d Departure, origin string) error {
-	n.opts.Events.Record(events.Event{Name: events.DepartureVoid, Server: api.ServerID(d.Server), Detail: origin})
+func (n *Node) voidDeparture(d *Departure) error {
+	n.opts.Events.Record(events.Event{Name: events.DepartureVoid, Server: api.ServerID(d.Server), Detail: d.describe("unknown, since its sender no longer waits", n.opts.Name)})
 	return errs.New(errs.Canceled, "keep the connection open until the answer", "the sender of the departure of server %q does not wait for the answer", d.Server)
 }
 
--- a/internal/coordinator/departures_test.go
+++ b/internal/coordinator/departures_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
+	"filbertledge/internal/boottime"
 	"filbertledge/internal/errs"
 	"filbertledge/internal/fleet"
 )
@@ -32,7 +34,7 @@
 	for i := range servers {
 		id := fmt.Sprintf("s%d", i)
 		c.callLeader("the departure", func(ctx context.Context, n *Node) error {
-			err := n.Depart(ctx, Departure{Server: id, SenderWaits: func() bool { return true }})
+			err := n.Depart(ctx, Departure{Server: id, Received: boottime.Now(), SenderWaits: func() bool { return true }})
 			if errs.Is(err, errs.NotFound) {
 				t.Errorf("%s: %v", id, err)
 				return nil
@@ -55,7 +57,7 @@
 	}
 	c.callLeader("the first announcement", announce)
 	c.callLeader("the departure", func(ctx context.Context, n *Node) error {
-		return n.Depart(ctx, Departure{Server: v.ID, SenderWaits: func() bool { return true }})
+		return n.Depart(ctx, Departure{Server: v.ID, Received: boottime.Now(), SenderWaits: func() bool { return true }})
 	})
 	isUsed := func(i int) bool {
 		known, ok := c.nodes[i].registry.Get(v.ID)
@@ -95,7 +97,37 @@
 		c.waitUntil("another leader", func() bool { return c.leader() != before })
 	}
 	c.callLeader("another departure", func(ctx context.Context, n *Node) error {
-		return n.Depart(ctx, Departure{Server: v.ID, SenderWaits: func() bool { return true }})
+		return n.Depart(ctx, Departure{Server: v.ID, Received: boottime.Now(), SenderWaits: func() bool { return true }})
 	})
 	c.waitUntil("the departure on all VMs", func() bool { return !isUsed(0) && !isUsed(1) && !isUsed(2) })
 }
+
+// Guards against sound departures that fail while the leadership changes: their senders exit whether or not they are acknowledged.
+func TestDeparturesWaitForNextLeader(t *testing.T) {
+	const servers, interval = 30, 20 * time.Millisecond
+	c := startCluster(t, 3)
+	c.configure(1)
+	id := func(i int) string { return fmt.Sprintf("s%d", i) }
+	for i := range servers {
+		c.callLeader("the announcement", func(ctx context.Context, n *Node) error {
+			_, err := n.Announce(ctx, fleet.Server{ID: id(i), Service: testService, Address: fmt.Sprintf("127.0.0.1:%d", 1+i), Incarnation: 1, Sequence: 1, Slots: 1})
+			return err
+		})
+	}
+	before := c.leader()
+	follower := c.nodes[(before+1)%len(c.nodes)]
+	var all sync.WaitGroup
+	all.Go(func() { time.Sleep(servers * interval / 3); c.stop(before) })
+	for i := range servers {
+		all.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), senderPatience)
+			defer cancel()
+			if err := follower.Depart(ctx, Departure{Server: id(i), Received: boottime.Now(), SenderWaits: func() bool { return true }}); err != nil {
+				t.Errorf("departure of %s: %v", id(i), err)
+			}
+		})
+		time.Sleep(interval)
+	}
+	all.Wait()
+	c.waitUntil("all departures", func() bool { return len(follower.state.Servers()) == 0 })
+}
