Retirement without a leader is refused; announcements name the start

A VM whose reply says that it no longer leads gives no term, and the retirement would have been passed on without a bound on its age. server.announced and server.leaving name the start of the server, to be matched with the departures.

--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -153,6 +153,9 @@
 	leader, err := callLeader(ctx, n, methodLeader, func(s *session, ctx context.Context, q Empty) (LeaderReply, error) {
 		return s.node.handleLeader(ctx, q)
 	}, Empty{})
+	if err == nil && !leader.IsLeader {
+		err = errs.New(errs.Unavailable, "send the request again", "the leader that %s knows does not lead any more", n.opts.Name)
+	}
 	if err != nil {
 		return err
 	}
@@ -444,9 +447,9 @@
 func (s *session) afterAnnouncement(v fleet.Server, change fleet.Change) {
 	switch change {
 	case fleet.NewIncarnation:
-		s.record(events.Event{Name: events.ServerAnnounced, Server: serverID(v), Detail: fmt.Sprintf("%s at %s in %s, software %q", v.Service, v.Address, v.FailureDomain, v.Software)})
+		s.record(events.Event{Name: events.ServerAnnounced, Server: serverID(v), Detail: fmt.Sprintf("%s at %s in %s, software %q, start %d", v.Service, v.Address, v.FailureDomain, v.Software, v.Incarnation)})
 	case fleet.StartedLeaving:
-		s.record(events.Event{Name: events.ServerLeaving, Server: serverID(v), Detail: "announced"})
+		s.record(events.Event{Name: events.ServerLeaving, Server: serverID(v), Detail: fmt.Sprintf("announced, start %d", v.Incarnation)})
 	case fleet.StaleAnnouncement:
 		s.record(events.Event{Name: events.AnnouncementStale, Server: serverID(v), Detail: "older than the latest announcement"})
 		return
