link: the test of held-up calls sets the receiver's buffer before it listens

The product had reset the connection. The test made the receiver's buffer small only after the connection had been accepted, and under load the whole call had arrived in the larger buffer by then. The listener has the small buffer now, which accepted connections inherit. The check is unchanged: a part of the call, and a reset.

--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -153,7 +153,17 @@
 // Guards against a call that is delivered after its caller was told that it failed, because the kernel went on sending it.
 func TestCallThatWasGivenUpIsNotDelivered(t *testing.T) {
 	const timeout, settle, bodyBytes, window = 900 * time.Millisecond, 2 * time.Second, 64 << 10, 4 << 10
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	// Accepted connections inherit the small buffer, so that most of the call stays with the sender.
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var err error
+		if controlErr := raw.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, window)
+		}); controlErr != nil {
+			return controlErr
+		}
+		return err
+	}}
+	ln, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -164,8 +174,8 @@
 	accepted := make(chan net.Conn, 1)
 	go func() {
 		nc, err := ln.Accept()
-		if err == nil {
-			_ = nc.(*net.TCPConn).SetReadBuffer(window) // most of the call stays with the sender
+		if err != nil {
+			t.Error(err)
 		}
 		accepted <- nc
 	}()
