Read-through of the late departures: names, a missing log line, stricter tests

Product: the departure of a server that waits for the configuration of its service made no log line. departureLifetime is readyTimeToReturn, with the reason why it is long.

--- a/internal/coordinator/departures.go
+++ b/internal/coordinator/departures.go
@@ -23,9 +23,10 @@
 	senderPatience = time.Second
 	// departureRetryInterval is the time between two attempts to pass a departure to the leader, as during an election.
 	departureRetryInterval = 50 * time.Millisecond
-	// departureLifetime is how long a departed server must go on announcing itself as ready until its departure counts as wrong.
-	// A server that leaves may do so for many seconds before it exits.
-	departureLifetime = time.Minute
+	// readyTimeToReturn is how long a departed server must go on announcing itself as ready until its departure counts as wrong.
+	// A server that leaves may do so for many seconds before it exits, and must get no requests in that time; a wrong departure
+	// costs only the use of one server.
+	readyTimeToReturn = time.Minute
 	// returnStateVersion is the version of the state from which replicas know Command.Return.
 	returnStateVersion = 3
 )
@@ -35,14 +36,15 @@
 	Server string
 	// Start is the incarnation of the server that the message or its connection names; nil if neither does.
 	Start     *int64
-	Connected time.Time     // when the VM accepted the sender's connection
-	Received  time.Duration // when the VM read the message, in boot time
+	Connected time.Time // when the VM accepted the sender's connection
+	// Received is when the VM read the message, in time since boot, which goes on while the VM is suspended.
+	Received time.Duration
 	// SenderWaits reports whether the sender keeps its connection open.
 	SenderWaits func() bool
 }
 
-// senderMayWait reports whether the sender may still wait for the answer. After the VM was suspended, the end of the connection
-// may arrive seconds later.
+// senderMayWait reports whether the sender may still wait for the answer. The connection alone does not tell after the VM was
+// suspended: the end of the connection may then arrive seconds later.
 func (d *Departure) senderMayWait() bool {
 	return boottime.Now()-d.Received < senderPatience && d.SenderWaits()
 }
@@ -81,9 +83,9 @@
 }
 
 // Depart records that a server leaves or has left. The departure applies to one start of the server: the one that its sender
-// names, or the one that is known while the sender waits for the answer. A departure that was held up on its way, so that its
-// sender has left, names no start that can be told, and changes nothing; its error is of the kind errs.Canceled. The error for a
-// server that has not announced itself is of the kind errs.NotFound.
+// names, or the one that is known while the sender waits for the answer. Without either, as for a departure that was held up until
+// its sender had left, nothing changes, and the error is of the kind errs.Canceled. The error for a server that has not announced
+// itself is of the kind errs.NotFound.
 func (n *Node) Depart(ctx context.Context, d Departure) error {
 	if err := fleet.ValidateID(d.Server); err != nil {
 		n.RecordInvalidAnnouncement(err)
@@ -176,8 +178,10 @@
 		s.record(events.Event{Name: events.DepartureVoid, Server: api.ServerID(q.Server), Detail: fmt.Sprintf("of start %d, which %d has replaced; %s", left.Incarnation, known, q.Origin)})
 		return DepartReply{Replaced: true}, s.checkLeadership()
 	}
+	leaving := events.Event{Name: events.ServerLeaving, Server: api.ServerID(q.Server), Detail: fmt.Sprintf("deregistered, start %d; %s", left.Incarnation, q.Origin)}
 	// A server that waits for the configuration of its service is not in the replicated state.
 	if _, listed := s.node.registry.Get(q.Server); !listed && s.node.registry.MarkWaitingLeaving(q.Server, left.Incarnation) {
+		s.record(leaving)
 		return DepartReply{}, s.checkLeadership()
 	}
 	if departed, ok := s.node.state.LastDeparture(q.Server); ok && departed >= left.Incarnation {
@@ -186,7 +190,7 @@
 	if _, err := s.node.propose(ctx, rollout.Command{Depart: &left}); err != nil {
 		return DepartReply{}, err
 	}
-	s.record(events.Event{Name: events.ServerLeaving, Server: api.ServerID(q.Server), Detail: fmt.Sprintf("deregistered, start %d; %s", left.Incarnation, q.Origin)})
+	s.record(leaving)
 	s.signalServers()
 	return DepartReply{}, nil
 }
@@ -202,7 +206,7 @@
 }
 
 // isReadyForLong records that a departed server announced itself as ready, and reports whether it has done so for
-// departureLifetime without becoming silent.
+// readyTimeToReturn without becoming silent.
 func (s *session) isReadyForLong(v fleet.Server, now time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -212,10 +216,10 @@
 	}
 	r.newest = now
 	s.readyAfterDeparture[v.ID] = r
-	return now-r.first >= departureLifetime
+	return now-r.first >= readyTimeToReturn
 }
 
-// returnServer ends a departure that was wrong. While a replica of an earlier build would not know of it, the departure stays.
+// returnServer ends a departure that was wrong. The departure stays while a replica of an earlier build would ignore its end.
 func (s *session) returnServer(ctx context.Context, v fleet.Server) {
 	s.mu.Lock()
 	delete(s.readyAfterDeparture, v.ID)
@@ -233,5 +237,5 @@
 		s.node.opts.Events.Log().WithError(err).WithField("server", v.ID).Warn("cannot end the departure of a server that stays ready; it is tried again after the same time")
 		return
 	}
-	s.record(events.Event{Name: events.ServerReturned, Server: serverID(known), Detail: fmt.Sprintf("start %d announced itself as ready for %s after its departure", known.Incarnation, departureLifetime)})
+	s.record(events.Event{Name: events.ServerReturned, Server: serverID(known), Detail: fmt.Sprintf("start %d announced itself as ready for %s after its departure", known.Incarnation, readyTimeToReturn)})
 }
--- a/internal/coordinator/departures_test.go
+++ b/internal/coordinator/departures_test.go
@@ -74,13 +74,13 @@
 		return returns
 	}
 	silence := 2 * fleet.SilentAfter(interval)
-	if ready(0, departureLifetime-interval) {
+	if ready(0, readyTimeToReturn-interval) {
 		t.Error("the departure ended too early")
 	}
-	if ready(departureLifetime+silence, departureLifetime+2*silence) {
+	if ready(readyTimeToReturn+silence, readyTimeToReturn+2*silence) {
 		t.Error("the departure ended after a silence")
 	}
-	if !ready(departureLifetime+2*silence, 2*departureLifetime+2*silence) {
+	if !ready(readyTimeToReturn+2*silence, 2*readyTimeToReturn+2*silence) {
 		t.Error("the departure did not end")
 	}
 	s.returnServer(context.Background(), v)
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -198,8 +198,8 @@
 }
 
 // Merge adds the servers known to another VM. It never replaces an incarnation by an older one, and clears the
-// leaving mark of an incarnation only if the other VM knows of its return. Servers that cannot be used, which a VM of an older build may list, are left out; it
-// returns why.
+// leaving mark of an incarnation only if the other VM knows of its return. Servers that cannot be used, which a VM of an
+// older build may list, are left out; it returns why.
 func (r *Registry) Merge(list []Server, now time.Duration) (rejected []error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -171,22 +171,17 @@
 	c := newClient(t)
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	accepted := make(chan net.Conn, 1)
-	go func() {
-		nc, err := ln.Accept()
-		if err != nil {
-			t.Error(err)
-		}
-		accepted <- nc
-	}()
 	if _, err := c.Call(ctx, ln.Addr().String(), "echo", make([]byte, bodyBytes)); !errs.Is(err, errs.OutcomeUnknown) {
 		t.Fatalf("call without a response: %v", err)
 	}
-	nc := <-accepted
+	nc, err := ln.Accept() // the kernel has accepted the connection before
+	if err != nil {
+		t.Fatal(err)
+	}
 	defer nc.Close()
 	time.Sleep(settle) // a connection without any response is closed in this time
 	_ = nc.SetReadDeadline(time.Now().Add(testTimeout))
-	if n, err := io.Copy(io.Discard, nc); n > bodyBytes || !errors.Is(err, syscall.ECONNRESET) {
+	if n, err := io.Copy(io.Discard, nc); n >= bodyBytes || !errors.Is(err, syscall.ECONNRESET) {
 		t.Fatalf("got %d bytes and %v, want a part of the call and a reset", n, err)
 	}
 }
--- a/internal/rollout/servers.go
+++ b/internal/rollout/servers.go
@@ -26,8 +26,8 @@
 	return Outcome{Changed: true, Found: true}
 }
 
-// returnServer ends the departures of a server up to the present and registers it again. A departure of a later incarnation counts
-// too: earlier builds recorded the time of the departure in place of an incarnation that they did not know.
+// returnServer ends the departures of a server and registers it again. A departure with a later incarnation ends too: it can only
+// be one for which an earlier build, which did not know the incarnation, recorded the time of day.
 func (s *State) returnServer(server fleet.Server) Outcome {
 	s.departures = slices.DeleteFunc(s.departures, func(d ServerIncarnation) bool {
 		return d.Server == server.ID && d.Incarnation >= server.Incarnation
--- a/internal/rollout/state_test.go
+++ b/internal/rollout/state_test.go
@@ -485,11 +485,17 @@
 		applyCommand(t, s, Command{Depart: &ServerIncarnation{Server: "s", Incarnation: departed}})
 		applyCommand(t, s, Command{Depart: &ServerIncarnation{Server: "other", Incarnation: departed}})
 		applyCommand(t, s, Command{Return: &server, Requires: StateVersion})
-		if _, left := s.LastDeparture("s"); left || !s.IsRegistered("s", 5) {
-			t.Errorf("%s: departed %t, servers %+v", name, left, s.Servers())
+		snapshot, err := s.Snapshot()
+		if err != nil {
+			t.Fatal(err)
 		}
-		if _, left := s.LastDeparture("other"); !left {
-			t.Errorf("%s: the departure of another server ended", name)
+		for _, replica := range []*State{s, restoreElsewhere(t, s, snapshot)} {
+			if _, left := replica.LastDeparture("s"); left || !replica.IsRegistered("s", 5) || replica.Servers()[0].Returns != 1 {
+				t.Errorf("%s: departed %t, servers %+v", name, left, replica.Servers())
+			}
+			if _, left := replica.LastDeparture("other"); !left {
+				t.Errorf("%s: the departure of another server ended", name)
+			}
 		}
 	}
 }
